Serve callers straight from upstreams on the users' platform

Cause: the product spoke only its own interfaces; on the platform a host has to take configuration and servers from the store and speak the platform's HTTP formats.

Change: platform/ holds names, formats and store calls; the new packages serving, http-exchange, dispatch and gateway hold the role; deploy/ the deployment. Policy: least outstanding requests, no orders, no limits.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -43,7 +43,15 @@
 
 export default [
   ...gts,
-  {ignores: ['dist/**', 'node_modules/**', 'packages/admin/src/generated/**']},
+  {
+    ignores: [
+      'dist/**',
+      'target/**',
+      'journal/**',
+      'node_modules/**',
+      'packages/admin/src/generated/**',
+    ],
+  },
   {
     files: ['**/*.ts'],
     rules: {
@@ -91,7 +99,7 @@
     },
   },
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     ignores: [
       `packages/${TEST_PACKAGES}/**`,
       '**/*.test.ts',
--- a/packages/cli/src/command-line.ts
+++ b/packages/cli/src/command-line.ts
@@ -7,6 +7,7 @@
 import {formatProblem, loadSettings} from '@siskinplank/settings';
 import {ExitStatus} from './exit-status';
 import {runEntry, runSide} from './roles/run';
+import {runGatewayRole} from './roles/run-gateway';
 import {createAdminClient} from './verbs/client';
 import type {ClientOptions, Environment} from './verbs/client';
 import {
@@ -120,6 +121,12 @@
     .action((options: {settings?: string}) =>
       setStatus(runSide(options.settings)),
     );
+  cli
+    .command('gateway', 'Run the role that serves straight from upstreams')
+    .option('--settings <file>', 'Settings file')
+    .action((options: {settings?: string}) =>
+      setStatus(runGatewayRole(options.settings)),
+    );
   cli
     .command('check <file>', 'Check a settings file')
     .action((file: string) => setStatus(checkFile(file)));
--- a/packages/cli/src/roles/common-hooks.ts
+++ b/packages/cli/src/roles/common-hooks.ts
@@ -1,4 +1,5 @@
 /** Start, stop and reload of the parts that both roles share. */
+import {Left} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import {
   formatProblem,
@@ -48,7 +49,11 @@
     },
     reload: () =>
       loadSettings(file)
-        .chain(settings => loadLinkSecrets(file, settings))
+        .chain(settings =>
+          settings.role === 'gateway'
+            ? Left([{file, line: 1, key: 'role', expected: 'entry or side'}])
+            : loadLinkSecrets(file, settings),
+        )
         .mapLeft(problems => ({
           message: problems.map(formatProblem).join('; '),
         }))
--- a/packages/cli/src/roles/common.ts
+++ b/packages/cli/src/roles/common.ts
@@ -29,14 +29,14 @@
 import {ProcessRole} from '@siskinplank/messages';
 import {createPlatformClient} from '@siskinplank/platform-client';
 import type {PlatformStore} from '@siskinplank/platform-client';
-import type {LinkSecrets, Settings} from '@siskinplank/settings';
+import type {LinkSecrets, LinkedSettings} from '@siskinplank/settings';
 import {createPeerNetwork} from '@siskinplank/transport';
 import type {ManagedPeerNetwork, PeerIdentity} from '@siskinplank/transport';
 import {TOOL_PARTS, selectParts} from './select-parts';
 
 /** Parts of both roles, by their registered names. */
 export interface CommonCradle {
-  settings: Settings;
+  settings: LinkedSettings;
   secrets: LinkSecrets;
   clock: Clock;
   random: Random;
@@ -51,7 +51,7 @@
   configuration: ConfigurationReplica;
 }
 
-function makeIdentity(settings: Settings): PeerIdentity {
+function makeIdentity(settings: LinkedSettings): PeerIdentity {
   const {process: own, link, role} = settings;
   return {
     name: own.name,
@@ -65,7 +65,7 @@
 
 /** Creates the container with the common parts. */
 export function createCommonContainer<T extends CommonCradle>(
-  settings: Settings,
+  settings: LinkedSettings,
   secrets: LinkSecrets,
 ): AwilixContainer<T> {
   const container = createContainer<T>({injectionMode: InjectionMode.PROXY});
--- /dev/null
+++ b/packages/cli/src/roles/gateway.ts
@@ -0,0 +1,128 @@
+/** Composition of the gateway role. */
+import {InjectionMode, asFunction, createContainer} from 'awilix';
+import type {AwilixContainer} from 'awilix';
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
+import {
+  LOG_LINES_DROPPED,
+  createLineWriter,
+  createLogger,
+  createMetrics,
+  createRandom,
+  createSystemClock,
+} from '@siskinplank/foundation';
+import type {
+  Clock,
+  LineWriter,
+  Logger,
+  Metrics,
+  Random,
+} from '@siskinplank/foundation';
+import {createGatewayProcess} from '@siskinplank/gateway';
+import type {GatewayProcess} from '@siskinplank/gateway';
+import {createPlatformPorts, createStoreClient} from '@siskinplank/platform';
+import type {StoreClient} from '@siskinplank/platform';
+import {loadSettings} from '@siskinplank/settings';
+import type {GatewaySettings, SettingsProblem} from '@siskinplank/settings';
+import type {RoleHooks} from './lifecycle';
+
+/** Parts of a gateway, by their registered names. */
+export interface GatewayCradle {
+  clock: Clock;
+  random: Random;
+  logger: Logger;
+  lineWriter: LineWriter;
+  metrics: Metrics;
+  storeClient: StoreClient;
+  gateway: GatewayProcess;
+  hooks: RoleHooks;
+}
+
+export type GatewayContainer = AwilixContainer<GatewayCradle>;
+
+const STANDARD_OUTPUT = 1;
+/** Unwritten log lines held at most: about 4,000 lines. */
+const MAX_LOG_BYTES = 1_048_576;
+/** Lines are written together, to save system calls. */
+const LOG_FLUSH_DELAY_MS = 100;
+
+function createHooks(file: string, cradle: GatewayCradle): RoleHooks {
+  const {gateway, storeClient, lineWriter} = cradle;
+  return {
+    start: gateway.start,
+    drain: gateway.drain,
+    stop: async () => {
+      await gateway.stop();
+      await storeClient.close();
+      await lineWriter.flush();
+    },
+    reload: () =>
+      loadSettings(file)
+        .mapLeft(([problem]) => ({message: problem.expected}))
+        .map(() => undefined),
+  };
+}
+
+function createParts(
+  file: string,
+  settings: GatewaySettings,
+): GatewayContainer {
+  const container = createContainer<GatewayCradle>({
+    injectionMode: InjectionMode.PROXY,
+  });
+  return container.register({
+    clock: asFunction(createSystemClock).singleton(),
+    random: asFunction(() => createRandom()).singleton(),
+    metrics: asFunction(() =>
+      createMetrics({withProcessMetrics: true}),
+    ).singleton(),
+    lineWriter: asFunction(({clock}: GatewayCradle) =>
+      createLineWriter({
+        fileDescriptor: STANDARD_OUTPUT,
+        clock,
+        maxBufferedBytes: MAX_LOG_BYTES,
+        flushDelayMs: LOG_FLUSH_DELAY_MS,
+        onDropped: count =>
+          container.cradle.logger.log(LOG_LINES_DROPPED, {count}),
+      }),
+    ).singleton(),
+    logger: asFunction(({clock, lineWriter}: GatewayCradle) =>
+      createLogger({
+        level: settings.log.level,
+        fields: {process: settings.process.name},
+        write: lineWriter.writeLine,
+        getWallMs: clock.getWallMs,
+      }),
+    ).singleton(),
+    storeClient: asFunction(() =>
+      createStoreClient({
+        address: settings.store.address,
+        timeoutMs: settings.store.timeoutMs,
+      }),
+    ).singleton(),
+    gateway: asFunction((cradle: GatewayCradle) =>
+      createGatewayProcess({
+        settings,
+        ports: createPlatformPorts(cradle.storeClient),
+        clock: cradle.clock,
+        random: cradle.random,
+        logger: cradle.logger,
+        metrics: cradle.metrics,
+      }),
+    ).singleton(),
+    hooks: asFunction((cradle: GatewayCradle) =>
+      createHooks(file, cradle),
+    ).singleton(),
+  });
+}
+
+/** Creates the container of a gateway from its settings file. */
+export function createGatewayContainer(
+  file: string,
+): Either<SettingsProblem[], GatewayContainer> {
+  return loadSettings(file).chain(settings =>
+    settings.role === 'gateway'
+      ? Right(createParts(file, settings))
+      : Left([{file, line: 1, key: 'role', expected: 'gateway'}]),
+  );
+}
--- /dev/null
+++ b/packages/gateway/src/configuration-replica.ts
@@ -0,0 +1,84 @@
+/** The configuration in force at this gateway. */
+import type {Clock, Logger} from '@siskinplank/foundation';
+import {createRouteTable} from '@siskinplank/serving';
+import type {
+  Directory,
+  RouteTable,
+  ServingConfiguration,
+} from '@siskinplank/serving';
+import {createDirectoryWatcher} from './directory-watcher';
+import {CONFIGURATION_APPLIED, CONFIGURATION_OLDER} from './events';
+
+/** What `createConfigurationReplica` needs. */
+export interface ConfigurationReplicaOptions {
+  directory: Directory<ServingConfiguration>;
+  watchWaitMs: number;
+  retryDelayMs: number;
+  clock: Clock;
+  logger: Logger;
+  onApply(table: RouteTable): void;
+}
+
+/** A copy that never goes back to an older version. */
+export interface ConfigurationReplica {
+  start(): void;
+  stop(): void;
+  /** Undefined until the first version is known. */
+  getTable(): RouteTable | undefined;
+  /** Time since the copy was known to be the newest; infinite before. */
+  getAgeMs(nowMs: number): number;
+}
+
+/** Creates a replica that is empty until it is started. */
+export function createConfigurationReplica(
+  options: ConfigurationReplicaOptions,
+): ConfigurationReplica {
+  const {logger} = options;
+  let table: RouteTable | undefined;
+
+  const apply = (configuration: ServingConfiguration | undefined): void => {
+    if (configuration === undefined) return;
+    const inForce = table?.configuration.version;
+    if (inForce !== undefined && configuration.version < inForce) {
+      logger.log(CONFIGURATION_OLDER, {
+        version: configuration.version,
+        inForce,
+      });
+      return;
+    }
+    if (configuration.version === inForce) return;
+    table = createRouteTable(configuration);
+    logger.log(CONFIGURATION_APPLIED, {
+      version: configuration.version,
+      former: inForce,
+      routes: configuration.routes.length,
+      services: configuration.services.size,
+      accounts: configuration.accounts?.length,
+    });
+    options.onApply(table);
+  };
+
+  const watcher = createDirectoryWatcher({
+    name: 'configuration',
+    directory: options.directory,
+    watchWaitMs: options.watchWaitMs,
+    retryDelayMs: options.retryDelayMs,
+    clock: options.clock,
+    logger,
+    onList: items => items.forEach(apply),
+    onChange: (_name, item) => apply(item),
+    onSettled: () => undefined,
+  });
+
+  return {
+    start: watcher.start,
+    stop: watcher.stop,
+    getTable: () => table,
+    getAgeMs: nowMs => {
+      const confirmedAtMs = watcher.getConfirmedAtMs();
+      return confirmedAtMs === undefined || table === undefined
+        ? Infinity
+        : nowMs - confirmedAtMs;
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/directory-watcher.ts
@@ -0,0 +1,148 @@
+/** Follows one directory of the store and says how fresh its copy is. */
+import type {Clock, Logger} from '@siskinplank/foundation';
+import type {Directory, MalformedEntry} from '@siskinplank/serving';
+import {DIRECTORY_LOST, DIRECTORY_REGAINED, ENTRY_MALFORMED} from './events';
+
+/** What `createDirectoryWatcher` needs. */
+export interface DirectoryWatcherOptions<T> {
+  name: string;
+  directory: Directory<T>;
+  /** Longest wait of one watch, in milliseconds. */
+  watchWaitMs: number;
+  /** Wait before a failed call is repeated, in milliseconds. */
+  retryDelayMs: number;
+  clock: Clock;
+  logger: Logger;
+  /** A complete list, which replaces everything known. */
+  onList(items: ReadonlyMap<string, T>, nowMs: number): void;
+  /** One change; undefined when the entry is gone or cannot be decoded. */
+  onChange(name: string, item: T | undefined, nowMs: number): void;
+  /** All changes of one answer were reported. */
+  onSettled(nowMs: number): void;
+}
+
+/** Follows a directory until it is stopped. */
+export interface DirectoryWatcher {
+  start(): void;
+  stop(): void;
+  /**
+   * Monotonic time as of which the copy is known to be complete: when the last
+   * answered call was sent. Undefined before the first list.
+   */
+  getConfirmedAtMs(): number | undefined;
+  /** Whether the last call was answered. */
+  isConnected(): boolean;
+}
+
+/** Creates a watcher that does nothing before `start`. */
+export function createDirectoryWatcher<T>(
+  options: DirectoryWatcherOptions<T>,
+): DirectoryWatcher {
+  const {name, directory, clock, logger} = options;
+  let isRunning = false;
+  let revision: number | undefined;
+  let confirmedAtMs: number | undefined;
+  let isConnected = true;
+  /** Entries already reported as malformed, with the reason. */
+  const reportedMalformed = new Map<string, string>();
+
+  const reportMalformed = (entries: readonly MalformedEntry[]): void => {
+    for (const entry of entries) {
+      if (reportedMalformed.get(entry.name) === entry.reason) continue;
+      reportedMalformed.set(entry.name, entry.reason);
+      logger.log(ENTRY_MALFORMED, {
+        directory: name,
+        entry: entry.name,
+        reason: entry.reason,
+      });
+    }
+  };
+
+  const noteSuccess = (sentAtMs: number, nextRevision: number): void => {
+    confirmedAtMs = sentAtMs;
+    revision = nextRevision;
+    if (isConnected) return;
+    isConnected = true;
+    logger.log(DIRECTORY_REGAINED, {directory: name, revision: nextRevision});
+  };
+
+  const noteFailure = (reason: string): void => {
+    if (!isConnected) return;
+    isConnected = false;
+    logger.log(DIRECTORY_LOST, {
+      directory: name,
+      reason,
+      revision,
+      confirmedAgoMs:
+        confirmedAtMs === undefined
+          ? undefined
+          : Math.round(clock.getNowMs() - confirmedAtMs),
+    });
+  };
+
+  /** Lists everything; false when the call failed. */
+  const listOnce = async (): Promise<boolean> => {
+    const sentAtMs = clock.getNowMs();
+    const listed = await directory.list();
+    return listed.caseOf({
+      Left: failure => {
+        noteFailure(failure.reason);
+        return false;
+      },
+      Right: list => {
+        const nowMs = clock.getNowMs();
+        reportMalformed(list.malformed);
+        options.onList(list.items, nowMs);
+        options.onSettled(nowMs);
+        noteSuccess(sentAtMs, list.revision);
+        return true;
+      },
+    });
+  };
+
+  /** Waits for changes; false when the call failed. */
+  const watchOnce = async (fromRevision: number): Promise<boolean> => {
+    const sentAtMs = clock.getNowMs();
+    const watched = await directory.watch(fromRevision, options.watchWaitMs);
+    return watched.caseOf({
+      Left: failure => {
+        if (failure.isHistoryLost) {
+          revision = undefined;
+          return true;
+        }
+        noteFailure(failure.reason);
+        return false;
+      },
+      Right: ({changes, malformed, revision: nextRevision}) => {
+        const nowMs = clock.getNowMs();
+        reportMalformed(malformed);
+        for (const change of changes) {
+          options.onChange(change.name, change.item, nowMs);
+        }
+        if (changes.length > 0) options.onSettled(nowMs);
+        noteSuccess(sentAtMs, nextRevision);
+        return true;
+      },
+    });
+  };
+
+  const run = async (): Promise<void> => {
+    while (isRunning) {
+      const isDone =
+        revision === undefined ? await listOnce() : await watchOnce(revision);
+      if (!isDone) await clock.waitMs(options.retryDelayMs);
+    }
+  };
+
+  return {
+    start: () => {
+      isRunning = true;
+      void run();
+    },
+    stop: () => {
+      isRunning = false;
+    },
+    getConfirmedAtMs: () => confirmedAtMs,
+    isConnected: () => isConnected,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/events.ts
@@ -0,0 +1,54 @@
+/** Log events of the gateway role. */
+import {LogLevel, defineEvent} from '@siskinplank/foundation';
+
+export const GATEWAY_STARTED = defineEvent(
+  6000,
+  LogLevel.Info,
+  'gateway accepts callers',
+);
+export const GATEWAY_DRAIN_STARTED = defineEvent(
+  6001,
+  LogLevel.Info,
+  'gateway is not ready any more and finishes open requests',
+);
+export const GATEWAY_STOPPED = defineEvent(
+  6002,
+  LogLevel.Info,
+  'gateway stopped',
+);
+export const CONFIGURATION_APPLIED = defineEvent(
+  6010,
+  LogLevel.Info,
+  'configuration is in force',
+);
+export const CONFIGURATION_OLDER = defineEvent(
+  6011,
+  LogLevel.Error,
+  'store shows an older configuration; the newer one stays in force',
+);
+export const DIRECTORY_LOST = defineEvent(
+  6012,
+  LogLevel.Warn,
+  'store does not answer; what is known is used further',
+);
+export const DIRECTORY_REGAINED = defineEvent(
+  6013,
+  LogLevel.Info,
+  'store answers again',
+);
+export const ENTRY_MALFORMED = defineEvent(
+  6014,
+  LogLevel.Warn,
+  'entry of the store cannot be decoded and is not used',
+);
+export const UPSTREAM_CHANGED = defineEvent(
+  6020,
+  LogLevel.Info,
+  'upstream appeared, changed its state or left',
+);
+export const REQUEST_ENDED = defineEvent(6030, LogLevel.Info, 'request ended');
+export const ATTEMPT_ENDED = defineEvent(
+  6031,
+  LogLevel.Info,
+  'attempt at an upstream gave no answer for the caller',
+);
--- /dev/null
+++ b/packages/gateway/src/request-handler.ts
@@ -0,0 +1,253 @@
+/** Admits caller requests and hands them to sessions. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {createRetryBudget} from '@siskinplank/dispatch';
+import type {
+  DispatchPolicy,
+  RetryBudget,
+  RetryBudgetOptions,
+  UpstreamTable,
+} from '@siskinplank/dispatch';
+import type {Clock, Logger, Random} from '@siskinplank/foundation';
+import type {ConnectionPool} from '@siskinplank/http-exchange';
+import type {
+  CallerRequest,
+  ClientAccount,
+  ExchangeFormat,
+  Route,
+} from '@siskinplank/serving';
+import {Either, Left, Right} from 'purify-ts';
+import {createCallerResponse} from './caller-response';
+import type {ConfigurationReplica} from './configuration-replica';
+import {REQUEST_ENDED} from './events';
+import {REFUSAL_STATUSES, RefusalCode} from './refusals';
+import type {Refusal} from './refusals';
+import {createRequestSession} from './request-session';
+import type {RequestSession, SessionOutcome} from './request-session';
+
+/** What `createRequestHandler` needs. */
+export interface RequestHandlerOptions {
+  configuration: ConfigurationReplica;
+  upstreams: UpstreamTable;
+  policy: DispatchPolicy;
+  pool: ConnectionPool;
+  format: ExchangeFormat;
+  retryBudget: RetryBudgetOptions;
+  /** Age of the configuration from which on keys are not trusted. */
+  maxConfigurationAgeMs: number;
+  clock: Clock;
+  random: Random;
+  logger: Logger;
+  /** Whether callers are to leave: the process stops. */
+  isLeaving(): boolean;
+}
+
+/** Serves caller requests. */
+export interface RequestHandler {
+  handle(incoming: IncomingMessage, outgoing: ServerResponse): void;
+  /** Requests without a final answer. */
+  countOpen(): number;
+}
+
+interface Admission {
+  route: Route;
+  account: ClientAccount | undefined;
+  service: string;
+}
+
+/** Retry-After while the process or its configuration is not ready. */
+const NOT_READY_RETRY_MS = 500;
+
+/** Creates the handler. */
+export function createRequestHandler(
+  options: RequestHandlerOptions,
+): RequestHandler {
+  const {configuration, upstreams, clock, random, logger, format} = options;
+  const budgets = new Map<string, RetryBudget>();
+  let openCount = 0;
+
+  const getBudget = (service: string): RetryBudget => {
+    const known = budgets.get(service);
+    if (known !== undefined) return known;
+    const budget = createRetryBudget(options.retryBudget);
+    budgets.set(service, budget);
+    return budget;
+  };
+
+  /** One of the route's services, by weight. */
+  const pickService = (route: Route): string | undefined => {
+    const total = route.services.reduce((sum, {weight}) => sum + weight, 0);
+    let rest = random.getNext() * total;
+    for (const {service, weight} of route.services) {
+      rest -= weight;
+      if (rest < 0) return service;
+    }
+    return route.services.at(-1)?.service;
+  };
+
+  const admit = (
+    request: CallerRequest,
+    nowMs: number,
+  ): Either<Refusal, Admission> => {
+    const table = configuration.getTable();
+    if (table === undefined) {
+      return Left({
+        code: RefusalCode.NotReady,
+        retryAfterMs: NOT_READY_RETRY_MS,
+      });
+    }
+    const route = table.findRoute(request.hostName, request.target);
+    if (route === undefined) return Left({code: RefusalCode.NoRoute});
+    const service = pickService(route);
+    if (service === undefined) return Left({code: RefusalCode.NoUpstream});
+    const needsKey =
+      table.configuration.accounts !== undefined && !route.isOpen;
+    if (!needsKey) return Right({route, account: undefined, service});
+    const account =
+      request.key === undefined ? undefined : table.findAccount(request.key);
+    const isFresh =
+      configuration.getAgeMs(nowMs) < options.maxConfigurationAgeMs;
+    if (!isFresh) {
+      return Left({
+        code: RefusalCode.NotReady,
+        retryAfterMs: NOT_READY_RETRY_MS,
+      });
+    }
+    if (account === undefined) return Left({code: RefusalCode.UnknownKey});
+    return Right({route, account, service});
+  };
+
+  const handle = (
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+  ): void => {
+    const arrivedAtMs = clock.getNowMs();
+    let session: RequestSession | undefined;
+    let isClosed = false;
+    openCount += 1;
+    const response = createCallerResponse(outgoing, options.isLeaving);
+    const decoded = format.decodeRequest(
+      incoming.method ?? 'GET',
+      incoming.url ?? '/',
+      incoming.rawHeaders,
+    );
+    const attemptId = decoded.map(request => request.attemptId).orDefault('');
+
+    const logEnd = (
+      status: number,
+      refusal: Refusal | undefined,
+      outcome: Partial<SessionOutcome>,
+      admission: Partial<Admission>,
+    ): void =>
+      logger.log(REQUEST_ENDED, {
+        request: attemptId,
+        status,
+        code: refusal?.code,
+        retryAfterMs: refusal?.retryAfterMs,
+        route: admission.route?.name,
+        account: admission.account?.name,
+        service: admission.service,
+        upstream: outcome.upstreamId,
+        attempts: outcome.attempts,
+        firstByteMs:
+          outcome.firstByteMs === undefined
+            ? undefined
+            : Math.round(outcome.firstByteMs),
+        totalMs: Math.round(clock.getNowMs() - arrivedAtMs),
+        configuration: configuration.getTable()?.configuration.version,
+        configurationAgeMs: Math.round(configuration.getAgeMs(arrivedAtMs)),
+      });
+
+    const sendRefusal = (refusal: Refusal): void =>
+      response.sendOwn(
+        REFUSAL_STATUSES[refusal.code],
+        format.encodeOwnHeaders(
+          attemptId === '' ? undefined : attemptId,
+          refusal.retryAfterMs,
+        ),
+      );
+
+    const refuse = (
+      refusal: Refusal,
+      admission: Partial<Admission> = {},
+    ): void => {
+      sendRefusal(refusal);
+      incoming.resume();
+      logEnd(REFUSAL_STATUSES[refusal.code], refusal, {}, admission);
+    };
+
+    outgoing.on('close', () => {
+      if (isClosed) return;
+      isClosed = true;
+      openCount -= 1;
+      session?.abandon();
+    });
+
+    const start = (
+      request: CallerRequest,
+      admission: Admission,
+      body: Buffer | undefined,
+    ): void => {
+      if (isClosed) return;
+      const budget = getBudget(admission.service);
+      budget.noteRequest(clock.getNowMs());
+      session = createRequestSession({
+        admitted: {request, ...admission, body, arrivedAtMs},
+        response,
+        format,
+        pool: options.pool,
+        clock,
+        logger,
+        chooseUpstream: triedIds =>
+          options.policy.chooseUpstream(
+            {
+              service: admission.service,
+              model: request.model,
+              adapter: request.adapter,
+              triedIds,
+            },
+            upstreams.listService(admission.service),
+            clock.getNowMs(),
+          ),
+        tryRepeat: () => budget.trySpend(clock.getNowMs()),
+        sendRefusal,
+        onEnd: outcome =>
+          logEnd(outcome.status, outcome.refusal, outcome, admission),
+      });
+      session.start();
+    };
+
+    decoded
+      .mapLeft((): Refusal => ({code: RefusalCode.BadRequest}))
+      .chain(request =>
+        admit(request, arrivedAtMs).map(admission => ({request, admission})),
+      )
+      .caseOf({
+        Left: refusal => refuse(refusal),
+        Right: ({request, admission}) => {
+          const maxBytes =
+            configuration.getTable()?.configuration.limits.maxBodyBytes ?? 0;
+          const pieces: Buffer[] = [];
+          let bytes = 0;
+          incoming.on('data', (piece: Buffer) => {
+            bytes += piece.length;
+            if (bytes <= maxBytes) pieces.push(piece);
+          });
+          incoming.on('end', () => {
+            if (bytes > maxBytes) {
+              refuse({code: RefusalCode.BodyTooLarge}, admission);
+              return;
+            }
+            const hasBody =
+              bytes > 0 || incoming.headers['content-length'] !== undefined;
+            start(
+              request,
+              admission,
+              hasBody ? Buffer.concat(pieces) : undefined,
+            );
+          });
+        },
+      });
+  };
+
+  return {handle, countOpen: () => openCount};
+}
--- /dev/null
+++ b/packages/http-exchange/src/connection-pool.ts
@@ -0,0 +1,116 @@
+/** Connections to upstreams, reused while they are fresh. */
+import type {Clock} from '@siskinplank/foundation';
+import {createConnection} from './connection';
+import type {Connection} from './connection';
+import type {
+  Exchange,
+  ExchangeObserver,
+  ExchangeRequest,
+  ExchangeTarget,
+} from './types';
+
+/** What `createConnectionPool` needs. */
+export interface ConnectionPoolOptions {
+  clock: Clock;
+  /** Longest wait for a connection, in milliseconds. */
+  connectTimeoutMs: number;
+  /** Time for which an unused connection is kept without a word of the peer. */
+  defaultIdleMs: number;
+}
+
+/** Sends requests, each on a connection of its own while it lasts. */
+export interface ConnectionPool {
+  send(
+    target: ExchangeTarget,
+    request: ExchangeRequest,
+    observer: ExchangeObserver,
+  ): Exchange;
+  /** Closes the unused connections to a target. */
+  closeIdle(key: string): void;
+  /** Closes unused connections that are past their time. */
+  closeExpired(nowMs: number): void;
+  /** Closes everything. */
+  close(): void;
+  countConnections(): number;
+  /** Connections opened so far. */
+  countOpened(): number;
+}
+
+/** Creates an empty pool. */
+export function createConnectionPool(
+  options: ConnectionPoolOptions,
+): ConnectionPool {
+  const {clock} = options;
+  /** Unused connections by target, the last used one at the end. */
+  const idle = new Map<string, Connection[]>();
+  const open = new Set<Connection>();
+  let openedCount = 0;
+
+  const removeIdle = (connection: Connection): void => {
+    const {key} = connection.target;
+    const connections = idle.get(key);
+    const index = connections?.indexOf(connection) ?? -1;
+    if (connections === undefined || index < 0) return;
+    connections.splice(index, 1);
+    if (connections.length === 0) idle.delete(key);
+  };
+
+  const addIdle = (connection: Connection): void => {
+    const {key} = connection.target;
+    const connections = idle.get(key);
+    if (connections === undefined) idle.set(key, [connection]);
+    else connections.push(connection);
+  };
+
+  const takeIdle = (key: string): Connection | undefined => {
+    const nowMs = clock.getNowMs();
+    for (;;) {
+      const connection = idle.get(key)?.at(-1);
+      if (connection === undefined) return undefined;
+      removeIdle(connection);
+      if (connection.isUsable(nowMs)) return connection;
+      connection.close();
+    }
+  };
+
+  const openConnection = (target: ExchangeTarget): Connection => {
+    openedCount += 1;
+    const connection = createConnection({
+      target,
+      clock,
+      connectTimeoutMs: options.connectTimeoutMs,
+      defaultIdleMs: options.defaultIdleMs,
+      onIdle: addIdle,
+      onClose: closed => {
+        open.delete(closed);
+        removeIdle(closed);
+      },
+    });
+    open.add(connection);
+    return connection;
+  };
+
+  const closeIdle = (key: string): void => {
+    for (const connection of [...(idle.get(key) ?? [])]) connection.close();
+  };
+
+  return {
+    send: (target, request, observer) => {
+      const connection = takeIdle(target.key) ?? openConnection(target);
+      return connection.send(request, observer);
+    },
+    closeIdle,
+    closeExpired: nowMs => {
+      for (const connections of [...idle.values()]) {
+        for (const connection of [...connections]) {
+          if (!connection.isUsable(nowMs)) connection.close();
+        }
+      }
+    },
+    close: () => {
+      for (const connection of [...open]) connection.close();
+    },
+    countConnections: () => open.size,
+    countOpened: () => openedCount,
+  };
+}
--- /dev/null
+++ b/packages/http-exchange/src/event-splitter.ts
@@ -0,0 +1,54 @@
+/** Splits a stream of server-sent events into whole events. */
+
+/** One event with its bytes as sent, the blank line included. */
+export interface StreamEvent {
+  bytes: Buffer;
+  /** Value of its `id` field; undefined when it has none. */
+  id: string | undefined;
+}
+
+/** Collects the bytes of one stream. */
+export interface EventSplitter {
+  /** Events that `piece` completes, in order. */
+  push(piece: Buffer): StreamEvent[];
+  /** Bytes of an event that has not ended. */
+  getPendingBytes(): number;
+}
+
+const BLANK_LINE = '\n\n';
+const ID_FIELD = /(?:^|\n)id: ?([^\r\n]*)/;
+
+/** Creates a splitter; lines end with LF or CRLF. */
+export function createEventSplitter(): EventSplitter {
+  let pending: Buffer = Buffer.alloc(0);
+
+  const findEnd = (bytes: Buffer, from: number): number => {
+    const plain = bytes.indexOf(BLANK_LINE, from);
+    const carriage = bytes.indexOf('\r\n\r\n', from);
+    const plainEnd = plain < 0 ? -1 : plain + BLANK_LINE.length;
+    const carriageEnd = carriage < 0 ? -1 : carriage + 4;
+    if (plainEnd < 0) return carriageEnd;
+    if (carriageEnd < 0) return plainEnd;
+    return Math.min(plainEnd, carriageEnd);
+  };
+
+  return {
+    push: piece => {
+      const bytes =
+        pending.length === 0 ? piece : Buffer.concat([pending, piece]);
+      const events: StreamEvent[] = [];
+      let offset = 0;
+      for (;;) {
+        const end = findEnd(bytes, offset);
+        if (end < 0) break;
+        const event = bytes.subarray(offset, end);
+        const id = ID_FIELD.exec(event.toString('latin1'))?.[1];
+        events.push({bytes: event, id});
+        offset = end;
+      }
+      pending = bytes.subarray(offset);
+      return events;
+    },
+    getPendingBytes: () => pending.length,
+  };
+}
--- /dev/null
+++ b/packages/http-exchange/src/index.ts
@@ -0,0 +1,19 @@
+/** HTTP/1.1 requests to upstreams over connections that are reused, one request at a time. */
+export {createResponseParser} from './response-parser';
+export type {
+  ResponseHead,
+  ResponseParser,
+  ResponseSink,
+} from './response-parser';
+export {createConnectionPool} from './connection-pool';
+export type {ConnectionPool, ConnectionPoolOptions} from './connection-pool';
+export {ExchangeFailureCode, HeadVerdict} from './types';
+export type {
+  Exchange,
+  ExchangeFailure,
+  ExchangeObserver,
+  ExchangeRequest,
+  ExchangeTarget,
+} from './types';
+export {createEventSplitter} from './event-splitter';
+export type {EventSplitter, StreamEvent} from './event-splitter';
--- /dev/null
+++ b/packages/http-exchange/src/response-parser.ts
@@ -0,0 +1,290 @@
+/**
+ * Incremental parser of HTTP/1.1 responses (RFC 9112). The HTTP clients of
+ * Node.js and undici treat the first response on a connection as the answer to
+ * the request in flight; this parser leaves that to its sink, so that the late
+ * second response of an earlier request can be read past.
+ */
+import {Either, Left, Right} from 'purify-ts';
+
+/** Status line and headers of a response. */
+export interface ResponseHead {
+  status: number;
+  reason: string;
+  /** Name and value in turn, as sent. */
+  rawHeaders: readonly string[];
+  /** Values by lower-case name; repeated ones are joined by a comma. */
+  headers: ReadonlyMap<string, string>;
+  /** Whether the connection may serve another request afterwards. */
+  keepsAlive: boolean;
+  /** Length of the body if the head tells it. */
+  contentLength: number | undefined;
+}
+
+/** Receives the parts of responses in order. */
+export interface ResponseSink {
+  onHead(head: ResponseHead): void;
+  onBody(piece: Buffer): void;
+  onEnd(): void;
+}
+
+/** Parser state of one connection. */
+export interface ResponseParser {
+  /**
+   * Reads `bytes`; Left says why they are no response. It stops after each
+   * complete response; the number of bytes read is returned.
+   */
+  execute(bytes: Buffer): Either<string, number>;
+  /** The connection has ended; Left when that broke a response off. */
+  finish(): Either<string, void>;
+  /** Whether no byte of a response has been read since the last one ended. */
+  isIdle(): boolean;
+}
+
+enum ParserState {
+  Head,
+  FixedBody,
+  UntilClose,
+  ChunkSize,
+  ChunkData,
+  ChunkEnd,
+  Trailer,
+}
+
+/** Bounds the memory that a head may take. */
+const MAX_HEAD_BYTES = 65_536;
+const MAX_LINE_BYTES = 8_192;
+const CRLF = '\r\n';
+const STATUS_LINE = /^HTTP\/1\.([01]) (\d{3})(?: (.*))?$/;
+const HEADER_NAME = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
+const CHUNK_SIZE = /^([0-9a-fA-F]{1,8})[ \t]*(?:;.*)?$/;
+const DECIMAL = /^\d{1,15}$/;
+
+interface ParsedHead {
+  head: ResponseHead;
+  isChunked: boolean;
+}
+
+function parseHeaderLines(
+  lines: readonly string[],
+): Either<string, {rawHeaders: string[]; headers: Map<string, string>}> {
+  const rawHeaders: string[] = [];
+  const headers = new Map<string, string>();
+  for (const line of lines) {
+    const colon = line.indexOf(':');
+    const name = line.slice(0, Math.max(colon, 0));
+    if (!HEADER_NAME.test(name)) return Left('malformed header line');
+    const value = line.slice(colon + 1).trim();
+    if (/[\r\n\0]/.test(value)) return Left('malformed header value');
+    rawHeaders.push(name, value);
+    const key = name.toLowerCase();
+    const former = headers.get(key);
+    if (former !== undefined && key === 'content-length') {
+      if (former !== value) return Left('two content lengths');
+      continue;
+    }
+    headers.set(key, former === undefined ? value : `${former}, ${value}`);
+  }
+  return Right({rawHeaders, headers});
+}
+
+function parseHead(text: string): Either<string, ParsedHead> {
+  const lines = text.split(CRLF);
+  const match = STATUS_LINE.exec(lines[0]);
+  if (match === null) return Left('malformed status line');
+  const [, minor, status, reason] = match;
+  return parseHeaderLines(lines.slice(1)).chain(({rawHeaders, headers}) => {
+    const coding = headers.get('transfer-encoding');
+    const length = headers.get('content-length');
+    if (coding !== undefined && coding.trim().toLowerCase() !== 'chunked') {
+      return Left('unknown transfer coding');
+    }
+    if (coding !== undefined && length !== undefined) {
+      return Left('both a length and a transfer coding');
+    }
+    if (length !== undefined && !DECIMAL.test(length)) {
+      return Left('malformed content length');
+    }
+    const options = (headers.get('connection') ?? '')
+      .toLowerCase()
+      .split(',')
+      .map(option => option.trim());
+    const keepsAlive =
+      minor === '1'
+        ? !options.includes('close')
+        : options.includes('keep-alive');
+    return Right({
+      isChunked: coding !== undefined,
+      head: {
+        status: Number(status),
+        reason: reason ?? '',
+        rawHeaders,
+        headers,
+        keepsAlive,
+        contentLength: length === undefined ? undefined : Number(length),
+      },
+    });
+  });
+}
+
+function hasNoBody(status: number, isHeadRequest: boolean): boolean {
+  return isHeadRequest || status === 204 || status === 304;
+}
+
+/**
+ * Creates a parser.
+ *
+ * @param isHeadRequest whether the response to expect has no body.
+ */
+export function createResponseParser(
+  sink: ResponseSink,
+  isHeadRequest: () => boolean,
+): ResponseParser {
+  let state = ParserState.Head;
+  /** Bytes of an incomplete head or line. */
+  let pending: Buffer[] = [];
+  let pendingBytes = 0;
+  let remainingBytes = 0;
+  let hasEnded = false;
+
+  const takePending = (last: Buffer): Buffer => {
+    if (pendingBytes === 0) return last;
+    const whole = Buffer.concat([...pending, last]);
+    pending = [];
+    pendingBytes = 0;
+    return whole;
+  };
+
+  const keepPending = (bytes: Buffer): void => {
+    if (bytes.length === 0) return;
+    pending.push(bytes);
+    pendingBytes += bytes.length;
+  };
+
+  /** Line up to CRLF; undefined when it is not complete yet. */
+  const readLine = (
+    bytes: Buffer,
+    offset: number,
+  ): Either<string, {line: string; nextOffset: number} | undefined> => {
+    const before = pendingBytes;
+    const whole = takePending(bytes.subarray(offset));
+    const end = whole.indexOf(CRLF);
+    if (end < 0) {
+      if (whole.length > MAX_LINE_BYTES) return Left('line is too long');
+      keepPending(whole);
+      return Right(undefined);
+    }
+    const nextOffset = offset + end + CRLF.length - before;
+    return Right({line: whole.toString('latin1', 0, end), nextOffset});
+  };
+
+  const endResponse = (): void => {
+    state = ParserState.Head;
+    hasEnded = true;
+    sink.onEnd();
+  };
+
+  const startBody = ({head, isChunked}: ParsedHead): void => {
+    // Interim responses (RFC 9110, section 15.2) precede the final one.
+    if (head.status >= 100 && head.status < 200) return;
+    const isEmpty =
+      hasNoBody(head.status, isHeadRequest()) ||
+      (!isChunked && head.contentLength === 0);
+    if (isEmpty) {
+      sink.onHead(head);
+      endResponse();
+      return;
+    }
+    if (isChunked) {
+      state = ParserState.ChunkSize;
+    } else if (head.contentLength !== undefined) {
+      state = ParserState.FixedBody;
+      remainingBytes = head.contentLength;
+    } else {
+      state = ParserState.UntilClose;
+    }
+    sink.onHead(head);
+  };
+
+  const readHead = (bytes: Buffer, offset: number): Either<string, number> => {
+    const before = pendingBytes;
+    const whole = takePending(bytes.subarray(offset));
+    const end = whole.indexOf('\r\n\r\n');
+    if (end < 0) {
+      if (whole.length > MAX_HEAD_BYTES) return Left('head is too long');
+      keepPending(whole);
+      return Right(bytes.length);
+    }
+    return parseHead(whole.toString('latin1', 0, end)).map(parsed => {
+      startBody(parsed);
+      return offset + end + 4 - before;
+    });
+  };
+
+  const readData = (bytes: Buffer, offset: number): number => {
+    const end = Math.min(bytes.length, offset + remainingBytes);
+    const piece = bytes.subarray(offset, end);
+    remainingBytes -= piece.length;
+    if (piece.length > 0) sink.onBody(piece);
+    if (remainingBytes > 0) return end;
+    if (state === ParserState.FixedBody) endResponse();
+    else state = ParserState.ChunkEnd;
+    return end;
+  };
+
+  const handleLine = (line: string): Either<string, void> => {
+    if (state === ParserState.ChunkEnd) {
+      if (line !== '') return Left('chunk is longer than its size');
+      state = ParserState.ChunkSize;
+      return Right(undefined);
+    }
+    if (state === ParserState.Trailer) {
+      if (line === '') endResponse();
+      return Right(undefined);
+    }
+    const match = CHUNK_SIZE.exec(line);
+    if (match === null) return Left('malformed chunk size');
+    remainingBytes = parseInt(match[1], 16);
+    state = remainingBytes === 0 ? ParserState.Trailer : ParserState.ChunkData;
+    return Right(undefined);
+  };
+
+  const readStep = (bytes: Buffer, offset: number): Either<string, number> => {
+    switch (state) {
+      case ParserState.Head:
+        return readHead(bytes, offset);
+      case ParserState.FixedBody:
+      case ParserState.ChunkData:
+        return Right(readData(bytes, offset));
+      case ParserState.UntilClose:
+        sink.onBody(bytes.subarray(offset));
+        return Right(bytes.length);
+      default:
+        return readLine(bytes, offset).chain(read => {
+          if (read === undefined) return Right(bytes.length);
+          return handleLine(read.line).map(() => read.nextOffset);
+        });
+    }
+  };
+
+  return {
+    execute: bytes => {
+      let offset = 0;
+      hasEnded = false;
+      while (offset < bytes.length && !hasEnded) {
+        const step = readStep(bytes, offset);
+        if (step.isLeft()) return step;
+        offset = step.unsafeCoerce();
+      }
+      return Right(offset);
+    },
+    finish: () => {
+      if (state === ParserState.UntilClose) {
+        endResponse();
+        return Right(undefined);
+      }
+      const isBetween = state === ParserState.Head && pendingBytes === 0;
+      return isBetween ? Right(undefined) : Left('response was broken off');
+    },
+    isIdle: () => state === ParserState.Head && pendingBytes === 0,
+  };
+}
--- a/packages/settings/src/secrets.ts
+++ b/packages/settings/src/secrets.ts
@@ -3,7 +3,7 @@
 import {Either, Left, Right} from 'purify-ts';
 import {readReferredFile} from './load';
 import type {SettingsProblem} from './load';
-import type {EntrySettings, Settings} from './types';
+import type {EntrySettings, LinkedSettings} from './types';
 
 /** A cluster key with the id that the handshake names. */
 export interface LoadedClusterKey {
@@ -56,7 +56,7 @@
 
 function loadTls(
   file: string,
-  settings: Settings,
+  settings: LinkedSettings,
 ): Loaded<LoadedTls | undefined> {
   const {tls} = settings.link;
   if (tls === undefined) return Right(undefined);
@@ -76,7 +76,7 @@
 /** Reads the cluster keys and the link certificate. */
 export function loadLinkSecrets(
   file: string,
-  settings: Settings,
+  settings: LinkedSettings,
 ): Loaded<LinkSecrets> {
   const keys = Either.sequence(
     settings.link.clusterKeyFiles.map((path, index) =>
--- a/packages/settings/src/types.ts
+++ b/packages/settings/src/types.ts
@@ -1,6 +1,7 @@
 /** Schemas of the settings files of both roles. */
 import {LogLevel} from '@siskinplank/foundation';
 import {z} from 'zod';
+import {gatewaySettingsSchema} from './gateway';
 
 const nameSchema = z
   .string()
@@ -201,12 +202,15 @@
     .prefault({}),
 });
 
-/** Settings of either role. */
+/** Settings of any role. */
 export const settingsSchema = z.discriminatedUnion('role', [
   entrySettingsSchema,
   sideSettingsSchema,
+  gatewaySettingsSchema,
 ]);
 
 export type EntrySettings = z.output<typeof entrySettingsSchema>;
 export type SideSettings = z.output<typeof sideSettingsSchema>;
 export type Settings = z.output<typeof settingsSchema>;
+/** Settings of the roles that link to each other. */
+export type LinkedSettings = EntrySettings | SideSettings;
