--- a/packages/dispatch/src/policies.ts
+++ b/packages/dispatch/src/policies.ts
@@ -21,7 +21,10 @@
   ): UpstreamEntry | undefined;
 }
 
-function canServeModel(entry: UpstreamEntry, request: DispatchRequest): boolean {
+function canServeModel(
+  entry: UpstreamEntry,
+  request: DispatchRequest,
+): boolean {
   if (request.model === undefined) return true;
   const held = entry.upstream.models?.find(({name}) => name === request.model);
   if (held === undefined) return false;
@@ -44,7 +47,8 @@
   ): UpstreamEntry | undefined {
     const usable = entries.filter(
       entry =>
-        !request.triedIds.has(entry.upstream.id) && canServeModel(entry, request),
+        !request.triedIds.has(entry.upstream.id) &&
+        canServeModel(entry, request),
     );
     const least = Math.min(...usable.map(({openCount}) => openCount));
     const best = usable.filter(({openCount}) => openCount === least);
