--- a/packages/cli/src/roles/gateway.ts
+++ b/packages/cli/src/roles/gateway.ts
@@ -20,6 +20,8 @@
 } from '@siskinplank/foundation';
 import {createGatewayProcess} from '@siskinplank/gateway';
 import type {GatewayProcess} from '@siskinplank/gateway';
+import {createConnectionPool} from '@siskinplank/http-exchange';
+import type {ConnectionPool} from '@siskinplank/http-exchange';
 import {createPlatformPorts, createStoreClient} from '@siskinplank/platform';
 import type {StoreClient} from '@siskinplank/platform';
 import {loadSettings} from '@siskinplank/settings';
@@ -34,6 +36,7 @@
   lineWriter: LineWriter;
   metrics: Metrics;
   storeClient: StoreClient;
+  pool: ConnectionPool;
   gateway: GatewayProcess;
   hooks: RoleHooks;
 }
@@ -100,10 +103,22 @@
         timeoutMs: settings.store.timeoutMs,
       }),
     ).singleton(),
+    pool: asFunction(({clock}: GatewayCradle) =>
+      createConnectionPool({
+        clock,
+        connectTimeoutMs: settings.upstreams.connectTimeoutMs,
+        defaultIdleMs: settings.upstreams.idleMs,
+      }),
+    ).singleton(),
     gateway: asFunction((cradle: GatewayCradle) =>
       createGatewayProcess({
         settings,
-        ports: createPlatformPorts(cradle.storeClient),
+        ports: createPlatformPorts(
+          cradle.storeClient,
+          cradle.pool,
+          cradle.clock,
+        ),
+        pool: cradle.pool,
         clock: cradle.clock,
         random: cradle.random,
         logger: cradle.logger,
--- a/packages/gateway/src/directory-watcher.ts
+++ b/packages/directory/src/directory-watcher.ts
@@ -1,7 +1,8 @@
 /** Follows one directory of the store and says how fresh its copy is. */
 import type {Clock, Logger} from '@siskinplank/foundation';
-import type {Directory, MalformedEntry} from '@siskinplank/serving';
 import {DIRECTORY_LOST, DIRECTORY_REGAINED, ENTRY_MALFORMED} from './events';
+import {StoreFailureCode} from './types';
+import type {Directory, MalformedEntry, StoreFailure} from './types';
 
 /** What `createDirectoryWatcher` needs. */
 export interface DirectoryWatcherOptions<T> {
@@ -25,6 +26,8 @@
 export interface DirectoryWatcher {
   start(): void;
   stop(): void;
+  /** Reads everything once more, besides the watch that waits. */
+  refresh(): Promise<void>;
   /**
    * Monotonic time as of which the copy is known to be complete: when the last
    * answered call was sent. Undefined before the first list.
@@ -32,6 +35,8 @@
   getConfirmedAtMs(): number | undefined;
   /** Whether the last call was answered. */
   isConnected(): boolean;
+  /** Revision up to which the copy is complete; 0 before the first list. */
+  getRevision(): number;
 }
 
 /** Creates a watcher that does nothing before `start`. */
@@ -41,6 +46,8 @@
   const {name, directory, clock, logger} = options;
   let isRunning = false;
   let revision: number | undefined;
+  /** Last known revision, kept while the directory is listed again. */
+  let lastRevision = 0;
   let confirmedAtMs: number | undefined;
   let isConnected = true;
   /** Entries already reported as malformed, with the reason. */
@@ -59,18 +66,20 @@
   };
 
   const noteSuccess = (sentAtMs: number, nextRevision: number): void => {
-    confirmedAtMs = sentAtMs;
-    revision = nextRevision;
+    confirmedAtMs = Math.max(confirmedAtMs ?? -Infinity, sentAtMs);
+    revision = Math.max(revision ?? 0, nextRevision);
+    lastRevision = revision;
     if (isConnected) return;
     isConnected = true;
     logger.log(DIRECTORY_REGAINED, {directory: name, revision: nextRevision});
   };
 
-  const noteFailure = (reason: string): void => {
+  const noteFailure = ({code, reason}: StoreFailure): void => {
     if (!isConnected) return;
     isConnected = false;
     logger.log(DIRECTORY_LOST, {
       directory: name,
+      code,
       reason,
       revision,
       confirmedAgoMs:
@@ -86,14 +95,17 @@
     const listed = await directory.list();
     return listed.caseOf({
       Left: failure => {
-        noteFailure(failure.reason);
+        noteFailure(failure);
         return false;
       },
       Right: list => {
         const nowMs = clock.getNowMs();
         reportMalformed(list.malformed);
-        options.onList(list.items, nowMs);
-        options.onSettled(nowMs);
+        // A watch may have told of later changes meanwhile.
+        if (list.revision >= (revision ?? 0)) {
+          options.onList(list.items, nowMs);
+          options.onSettled(nowMs);
+        }
         noteSuccess(sentAtMs, list.revision);
         return true;
       },
@@ -106,16 +118,18 @@
     const watched = await directory.watch(fromRevision, options.watchWaitMs);
     return watched.caseOf({
       Left: failure => {
-        if (failure.isHistoryLost) {
+        if (failure.code === StoreFailureCode.HistoryLost) {
           revision = undefined;
           return true;
         }
-        noteFailure(failure.reason);
+        noteFailure(failure);
         return false;
       },
       Right: ({changes, malformed, revision: nextRevision}) => {
         const nowMs = clock.getNowMs();
         reportMalformed(malformed);
+        // A list that was read meanwhile holds these changes already.
+        if (nextRevision < (revision ?? 0)) return true;
         for (const change of changes) {
           options.onChange(change.name, change.item, nowMs);
         }
@@ -142,7 +156,11 @@
     stop: () => {
       isRunning = false;
     },
+    refresh: async () => {
+      await listOnce();
+    },
     getConfirmedAtMs: () => confirmedAtMs,
     isConnected: () => isConnected,
+    getRevision: () => revision ?? lastRevision,
   };
 }
--- /dev/null
+++ b/packages/directory/src/events.ts
@@ -0,0 +1,18 @@
+/** Log events of the copies of shared objects. */
+import {LogLevel, defineEvent} from '@siskinplank/foundation';
+
+export const DIRECTORY_LOST = defineEvent(
+  6100,
+  LogLevel.Warn,
+  'store does not answer; what is known is used further',
+);
+export const DIRECTORY_REGAINED = defineEvent(
+  6101,
+  LogLevel.Info,
+  'store answers again',
+);
+export const ENTRY_MALFORMED = defineEvent(
+  6102,
+  LogLevel.Warn,
+  'entry of the store cannot be decoded and is not used',
+);
--- /dev/null
+++ b/packages/directory/src/object-directory.ts
@@ -0,0 +1,78 @@
+/** A directory of one kind of shared objects. */
+import type {Either} from 'purify-ts';
+import {Directory} from './types';
+import type {
+  DirectoryChanges,
+  DirectoryList,
+  MalformedEntry,
+  SharedObject,
+  SharedObjects,
+  StoreFailure,
+} from './types';
+
+/** Decodes an object; Left says why it names nothing to use. */
+export type DecodeObject<T> = (object: SharedObject) => Either<string, T>;
+
+class ObjectDirectory<T> extends Directory<T> {
+  constructor(
+    private readonly objects: SharedObjects,
+    private readonly kind: string,
+    private readonly decode: DecodeObject<T>,
+  ) {
+    super();
+  }
+
+  async list(): Promise<Either<StoreFailure, DirectoryList<T>>> {
+    const listed = await this.objects.listObjects(this.kind);
+    return listed.map(({revision, items}) => {
+      const malformed: MalformedEntry[] = [];
+      const decoded = new Map<string, T>();
+      for (const object of items) {
+        const item = this.decodeObject(object, malformed);
+        if (item !== undefined) decoded.set(object.name, item);
+      }
+      return {revision, items: decoded, malformed};
+    });
+  }
+
+  async watch(
+    revision: number,
+    waitMs: number,
+  ): Promise<Either<StoreFailure, DirectoryChanges<T>>> {
+    const watched = await this.objects.watchObjects(
+      this.kind,
+      revision,
+      waitMs,
+    );
+    return watched.map(changes => {
+      const malformed: MalformedEntry[] = [];
+      return {
+        revision: changes.revision,
+        malformed,
+        changes: changes.changes.map(({object, isRemoved}) => ({
+          name: object.name,
+          item: isRemoved ? undefined : this.decodeObject(object, malformed),
+        })),
+      };
+    });
+  }
+
+  private decodeObject(
+    object: SharedObject,
+    malformed: MalformedEntry[],
+  ): T | undefined {
+    return this.decode(object)
+      .ifLeft(reason => malformed.push({name: object.name, reason}))
+      .toMaybe()
+      .extract();
+  }
+}
+
+/** Creates a directory of the objects of `kind`. */
+export function createObjectDirectory<T>(
+  objects: SharedObjects,
+  kind: string,
+  decode: DecodeObject<T>,
+): Directory<T> {
+  return new ObjectDirectory(objects, kind, decode);
+}
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -2,6 +2,20 @@
 export {createRetryBudget} from './retry-budget';
 export type {RetryBudget, RetryBudgetOptions} from './retry-budget';
 export {createUpstreamTable} from './upstream-table';
-export type {UpstreamEntry, UpstreamTable} from './upstream-table';
-export {DispatchPolicy, createLeastOutstandingPolicy} from './policies';
-export type {DispatchRequest} from './policies';
+export type {
+  ArrivingModel,
+  Holdings,
+  OpenCount,
+  OpenRequest,
+  ToldOpen,
+  UpstreamEntry,
+  UpstreamTable,
+} from './upstream-table';
+export {
+  DispatchPolicy,
+  DispatchPolicyName,
+  createDispatchPolicy,
+} from './policies';
+export type {DispatchChoice, DispatchRequest} from './policies';
+export {decideWait} from './patience';
+export type {WaitDecision, WaitInput} from './patience';
--- /dev/null
+++ b/packages/dispatch/src/patience.ts
@@ -0,0 +1,61 @@
+/**
+ * How long a request may wait for an upstream, and when it is refused. Answers
+ * models that are not held anywhere: a load takes about a second, which many
+ * requests can wait for, while others have given up by then.
+ */
+
+/** A request that no upstream can run now. */
+export interface WaitInput {
+  arrivedAtMs: number;
+  /** Time at which the caller or the route gives up. */
+  deadlineAtMs: number;
+  targetLatencyMs: number;
+  targetPauseMs: number | undefined;
+  /** When an upstream is expected to hold the model; undefined if unknown. */
+  expectedAtMs: number | undefined;
+  /** Whether some gateway gives orders, so that the model can be loaded. */
+  canBeLoaded: boolean;
+  nowMs: number;
+}
+
+/** What to do with it. */
+export interface WaitDecision {
+  isRefused: boolean;
+  /** When a repeat may be served; only with a refusal. */
+  retryAfterMs: number;
+}
+
+/** Callers of streams wait for the first event at least this long. */
+const MIN_PATIENCE_MS = 2_000;
+const PATIENCE_TARGETS = 4;
+const PATIENCE_PAUSES = 8;
+/** Part of that patience after which waiting is no use. */
+const PATIENCE_SHARE = 0.85;
+/** Time that the giver of orders needs to plan a load. */
+const PLAN_MS = 700;
+/** Retry-After when it is not known when a model will be present. */
+const UNKNOWN_RETRY_MS = 1_000;
+const MIN_RETRY_MS = 50;
+
+/** Decides whether a request waits on. */
+export function decideWait(input: WaitInput): WaitDecision {
+  const patienceMs =
+    PATIENCE_SHARE *
+    Math.max(
+      MIN_PATIENCE_MS,
+      input.targetLatencyMs * PATIENCE_TARGETS,
+      (input.targetPauseMs ?? 0) * PATIENCE_PAUSES,
+    );
+  const lastAtMs = Math.min(input.arrivedAtMs + patienceMs, input.deadlineAtMs);
+  if (!input.canBeLoaded) {
+    return {isRefused: true, retryAfterMs: UNKNOWN_RETRY_MS};
+  }
+  const {expectedAtMs, nowMs} = input;
+  if (expectedAtMs !== undefined) {
+    const isInTime = expectedAtMs <= lastAtMs && nowMs <= lastAtMs;
+    const leftMs = Math.max(MIN_RETRY_MS, expectedAtMs - nowMs);
+    return {isRefused: !isInTime, retryAfterMs: leftMs};
+  }
+  const isPlanLate = nowMs - input.arrivedAtMs > PLAN_MS || nowMs > lastAtMs;
+  return {isRefused: isPlanLate, retryAfterMs: UNKNOWN_RETRY_MS};
+}
--- a/packages/dispatch/src/policies.ts
+++ b/packages/dispatch/src/policies.ts
@@ -4,37 +4,57 @@
 
 /** What the choice needs to know of a request. */
 export interface DispatchRequest {
-  service: string;
   model: string | undefined;
   adapter: string | undefined;
-  /** Identifiers of upstreams that were tried. */
+  promptTokens: number;
+  /** Upstreams that were tried. */
   triedIds: ReadonlySet<string>;
+  /** Failure domain of this gateway. */
+  failureDomain: string;
+}
+
+/** A chosen upstream. */
+export interface DispatchChoice {
+  entry: UpstreamEntry;
+  /** Whether the adapter has to be loaded there first. */
+  needsAdapter: boolean;
 }
 
 /** Chooses among the upstreams of a service. */
 export abstract class DispatchPolicy {
-  /** Undefined when none can run the request. */
+  /** Undefined when none can run the request now. */
   abstract chooseUpstream(
     request: DispatchRequest,
     entries: readonly UpstreamEntry[],
     nowMs: number,
-  ): UpstreamEntry | undefined;
+  ): DispatchChoice | undefined;
+}
+
+/** Policies by their name in the settings. */
+export enum DispatchPolicyName {
+  LeastOutstanding = 'least-outstanding',
+  EstimatedLatency = 'estimated-latency',
 }
 
 function canServeModel(
   entry: UpstreamEntry,
   request: DispatchRequest,
 ): boolean {
-  if (request.model === undefined) return true;
-  const held = entry.upstream.models?.find(({name}) => name === request.model);
-  if (held === undefined) return false;
-  const {adapter} = request;
-  return adapter === undefined || held.adapters.includes(adapter);
+  if (request.triedIds.has(entry.upstream.id)) return false;
+  return (
+    request.model === undefined || entry.holdings.models.has(request.model)
+  );
+}
+
+function hasAdapter(entry: UpstreamEntry, request: DispatchRequest): boolean {
+  const {model, adapter} = request;
+  if (model === undefined || adapter === undefined) return true;
+  return entry.holdings.models.get(model)?.has(adapter) ?? false;
 }
 
 /**
- * The baseline: fewest open requests, first come first served, no knowledge of
- * prompts, no placement, refusal when no upstream holds the model.
+ * The baseline: fewest open requests, no knowledge of prompts, no loads of
+ * adapters, refusal when no upstream can run the request.
  */
 class LeastOutstandingPolicy extends DispatchPolicy {
   constructor(private readonly random: Random) {
@@ -44,19 +64,68 @@
   chooseUpstream(
     request: DispatchRequest,
     entries: readonly UpstreamEntry[],
-  ): UpstreamEntry | undefined {
+  ): DispatchChoice | undefined {
     const usable = entries.filter(
-      entry =>
-        !request.triedIds.has(entry.upstream.id) &&
-        canServeModel(entry, request),
+      entry => canServeModel(entry, request) && hasAdapter(entry, request),
     );
-    const least = Math.min(...usable.map(({openCount}) => openCount));
-    const best = usable.filter(({openCount}) => openCount === least);
-    return best[this.random.getInteger(Math.max(1, best.length))];
+    const least = Math.min(...usable.map(({open}) => open.requests));
+    const best = usable.filter(({open}) => open.requests === least);
+    const entry = best[this.random.getInteger(Math.max(1, best.length))];
+    return entry === undefined ? undefined : {entry, needsAdapter: false};
+  }
+}
+
+/** Time to read one prompt token, in milliseconds: 19 to 26 tokens a ms. */
+const READ_MS_PER_TOKEN = 0.05;
+/** Each open request slows the steps of all others by about this, in ms. */
+const SLOWDOWN_MS_PER_REQUEST = 4;
+/** An order to the upstream and the load of the adapter, in ms. */
+const ADAPTER_MS = 30;
+/** Round trip to another failure domain, and the price of its bytes, in ms. */
+const OTHER_DOMAIN_MS = 8;
+/** Delay that one recent fault stands for, in ms. */
+const FAULT_MS = 600;
+/** Estimates closer than this are equal: others choose at the same time. */
+const NOISE_MS = 6;
+
+/** Lowest estimated time to the first event. */
+class EstimatedLatencyPolicy extends DispatchPolicy {
+  constructor(private readonly random: Random) {
+    super();
+  }
+
+  chooseUpstream(
+    request: DispatchRequest,
+    entries: readonly UpstreamEntry[],
+    nowMs: number,
+  ): DispatchChoice | undefined {
+    let best: DispatchChoice | undefined;
+    let bestMs = Infinity;
+    for (const entry of entries) {
+      if (!canServeModel(entry, request)) continue;
+      const needsAdapter = !hasAdapter(entry, request);
+      const isNear = entry.upstream.failureDomain === request.failureDomain;
+      const estimateMs =
+        entry.open.unreadTokens * READ_MS_PER_TOKEN +
+        entry.open.requests * SLOWDOWN_MS_PER_REQUEST +
+        (needsAdapter ? ADAPTER_MS : 0) +
+        (isNear ? 0 : OTHER_DOMAIN_MS) +
+        entry.getFaultWeight(nowMs) * FAULT_MS +
+        this.random.getNext() * NOISE_MS;
+      if (estimateMs >= bestMs) continue;
+      bestMs = estimateMs;
+      best = {entry, needsAdapter};
+    }
+    return best;
   }
 }
 
-/** Creates the baseline policy. */
-export function createLeastOutstandingPolicy(random: Random): DispatchPolicy {
-  return new LeastOutstandingPolicy(random);
+/** Creates a policy by name. */
+export function createDispatchPolicy(
+  name: DispatchPolicyName,
+  random: Random,
+): DispatchPolicy {
+  return name === DispatchPolicyName.LeastOutstanding
+    ? new LeastOutstandingPolicy(random)
+    : new EstimatedLatencyPolicy(random);
 }
--- a/packages/dispatch/src/upstream-table.ts
+++ b/packages/dispatch/src/upstream-table.ts
@@ -1,26 +1,175 @@
-/** What one gateway knows of each upstream's load. */
+/** What one gateway knows of each upstream: what it holds and what is open there. */
 import type {Upstream} from '@siskinplank/serving';
 
-/** An upstream with the requests that this gateway has open at it. */
+/** Open requests of one model, or of one adapter of it. */
+export interface OpenCount {
+  requests: number;
+  /** Prompt tokens of requests without a first event. */
+  unreadTokens: number;
+  /** Tokens of all open requests, those to be generated included. */
+  tokens: number;
+}
+
+/** A model that is on its way. */
+export interface ArrivingModel {
+  model: string;
+  /** Monotonic time at which it should be present; undefined if unknown. */
+  expectedAtMs: number | undefined;
+}
+
+/** Models and adapters that can be used now. */
+export interface Holdings {
+  /** Adapters that are present, by model. */
+  models: ReadonlyMap<string, ReadonlySet<string>>;
+  arriving: ArrivingModel | undefined;
+}
+
+/** One upstream. */
 export interface UpstreamEntry {
-  upstream: Upstream;
-  /** Requests sent and not answered to the end. */
-  openCount: number;
+  readonly upstream: Upstream;
+  readonly holdings: Holdings;
+  /** Sum over all gateways. */
+  readonly open: Readonly<OpenCount>;
+  /** Open requests of this gateway, by model or `model/adapter`. */
+  readonly own: ReadonlyMap<string, OpenCount>;
+  /** Weight of the faults seen lately, 0 when there were none. */
+  getFaultWeight(nowMs: number): number;
+}
+
+/** A request of this gateway that is open at an upstream. */
+export interface OpenRequest {
+  /** The first event, or the whole answer, has come. */
+  noteRead(): void;
+  end(): void;
 }
 
+/** Open requests by model, as gateways tell each other. */
+export type ToldOpen = Readonly<
+  Record<string, Readonly<Record<string, readonly [number, number, number]>>>
+>;
+
 /** Entries of the upstreams that may be used. */
 export interface UpstreamTable {
-  /** Replaces the upstreams; counts of those that stay are kept. */
+  /** Replaces the upstreams; what is known of those that stay is kept. */
   setUpstreams(upstreams: Iterable<Upstream>): void;
+  /** Sets holdings that are newer than the registration. */
+  setHoldings(id: string, startedAtMs: number, holdings: Holdings): void;
+  /** Falls back to the registrations. */
+  clearHoldings(): void;
+  setPeerOpen(peer: string, open: ToldOpen): void;
+  dropPeer(peer: string): void;
+  /** Notes a request that is about to be sent. */
+  open(
+    id: string,
+    key: string,
+    promptTokens: number,
+    tokens: number,
+  ): OpenRequest;
+  /** Notes a fault of an upstream. */
+  noteFault(id: string, weight: number, nowMs: number): void;
   getEntry(id: string): UpstreamEntry | undefined;
   listService(service: string): readonly UpstreamEntry[];
-  listEntries(): Iterable<UpstreamEntry>;
+  /** Open requests of this gateway, for the others. */
+  describeOpen(): Record<string, Record<string, [number, number, number]>>;
+  /** Requests of all gateways by upstream and by model or `model/adapter`. */
+  countOpen(): Map<string, Map<string, number>>;
+}
+
+interface EntryState extends UpstreamEntry {
+  upstream: Upstream;
+  holdings: Holdings;
+  toldHoldings: Holdings | undefined;
+  open: OpenCount;
+  own: Map<string, OpenCount>;
+  peers: Map<
+    string,
+    Readonly<Record<string, readonly [number, number, number]>>
+  >;
+  faultWeight: number;
+  faultAtMs: number;
+}
+
+/** Time constant with which faults are forgotten. */
+const FAULT_TIME_MS = 3_000;
+
+function createOpenCount(): OpenCount {
+  return {requests: 0, unreadTokens: 0, tokens: 0};
+}
+
+function readHoldings(upstream: Upstream): Holdings {
+  return {
+    models: new Map(
+      (upstream.models ?? []).map(({name, adapters}) => [
+        name,
+        new Set(adapters),
+      ]),
+    ),
+    arriving: undefined,
+  };
 }
 
 /** Creates an empty table. */
 export function createUpstreamTable(): UpstreamTable {
-  let entries = new Map<string, UpstreamEntry>();
-  let byService = new Map<string, UpstreamEntry[]>();
+  let entries = new Map<string, EntryState>();
+  let byService = new Map<string, EntryState[]>();
+  const peerOpen = new Map<string, ToldOpen>();
+
+  const sumOpen = (state: EntryState): void => {
+    const sum = createOpenCount();
+    for (const count of state.own.values()) {
+      sum.requests += count.requests;
+      sum.unreadTokens += count.unreadTokens;
+      sum.tokens += count.tokens;
+    }
+    for (const told of state.peers.values()) {
+      for (const [requests, unreadTokens, tokens] of Object.values(told)) {
+        sum.requests += requests;
+        sum.unreadTokens += unreadTokens;
+        sum.tokens += tokens;
+      }
+    }
+    state.open = sum;
+  };
+
+  const createEntry = (upstream: Upstream): EntryState => {
+    const state: EntryState = {
+      upstream,
+      holdings: readHoldings(upstream),
+      toldHoldings: undefined,
+      open: createOpenCount(),
+      own: new Map(),
+      peers: new Map(),
+      faultWeight: 0,
+      faultAtMs: 0,
+      getFaultWeight: nowMs =>
+        state.faultWeight *
+        Math.exp(-Math.max(0, nowMs - state.faultAtMs) / FAULT_TIME_MS),
+    };
+    for (const [peer, open] of peerOpen) {
+      const told = open[upstream.id];
+      if (told !== undefined) state.peers.set(peer, told);
+    }
+    sumOpen(state);
+    return state;
+  };
+
+  const change = (
+    state: EntryState,
+    key: string,
+    requests: number,
+    unreadTokens: number,
+    tokens: number,
+  ): void => {
+    const count = state.own.get(key) ?? createOpenCount();
+    for (const target of [count, state.open]) {
+      target.requests += requests;
+      target.unreadTokens += unreadTokens;
+      target.tokens += tokens;
+    }
+    if (count.requests === 0) state.own.delete(key);
+    else state.own.set(key, count);
+  };
+
   return {
     setUpstreams: upstreams => {
       const former = entries;
@@ -31,16 +180,103 @@
         const isSame =
           known !== undefined &&
           known.upstream.startedAtMs === upstream.startedAtMs;
-        const entry = isSame ? known : {upstream, openCount: 0};
+        const entry = isSame ? known : createEntry(upstream);
         entry.upstream = upstream;
+        entry.holdings = entry.toldHoldings ?? readHoldings(upstream);
         entries.set(upstream.id, entry);
         const group = byService.get(upstream.service);
         if (group === undefined) byService.set(upstream.service, [entry]);
         else group.push(entry);
       }
     },
+    setHoldings: (id, startedAtMs, holdings) => {
+      const entry = entries.get(id);
+      if (entry?.upstream.startedAtMs !== startedAtMs) return;
+      entry.toldHoldings = holdings;
+      entry.holdings = holdings;
+    },
+    clearHoldings: () => {
+      for (const entry of entries.values()) {
+        entry.toldHoldings = undefined;
+        entry.holdings = readHoldings(entry.upstream);
+      }
+    },
+    setPeerOpen: (peer, open) => {
+      peerOpen.set(peer, open);
+      for (const entry of entries.values()) {
+        const told = open[entry.upstream.id];
+        if (told === undefined) {
+          if (!entry.peers.delete(peer)) continue;
+        } else {
+          entry.peers.set(peer, told);
+        }
+        sumOpen(entry);
+      }
+    },
+    dropPeer: peer => {
+      peerOpen.delete(peer);
+      for (const entry of entries.values()) {
+        if (entry.peers.delete(peer)) sumOpen(entry);
+      }
+    },
+    open: (id, key, promptTokens, tokens) => {
+      const entry = entries.get(id);
+      if (entry === undefined) {
+        return {noteRead: () => undefined, end: () => undefined};
+      }
+      change(entry, key, 1, promptTokens, tokens);
+      let isRead = false;
+      let hasEnded = false;
+      const noteRead = (): void => {
+        if (isRead) return;
+        isRead = true;
+        change(entry, key, 0, -promptTokens, 0);
+      };
+      return {
+        noteRead,
+        end: () => {
+          if (hasEnded) return;
+          hasEnded = true;
+          noteRead();
+          change(entry, key, -1, 0, -tokens);
+        },
+      };
+    },
+    noteFault: (id, weight, nowMs) => {
+      const entry = entries.get(id);
+      if (entry === undefined) return;
+      entry.faultWeight = entry.getFaultWeight(nowMs) + weight;
+      entry.faultAtMs = nowMs;
+    },
     getEntry: id => entries.get(id),
     listService: service => byService.get(service) ?? [],
-    listEntries: () => entries.values(),
+    describeOpen: () => {
+      const described: ReturnType<UpstreamTable['describeOpen']> = {};
+      for (const [id, {own}] of entries) {
+        if (own.size === 0) continue;
+        const keys: Record<string, [number, number, number]> = {};
+        for (const [key, count] of own) {
+          keys[key] = [count.requests, count.unreadTokens, count.tokens];
+        }
+        described[id] = keys;
+      }
+      return described;
+    },
+    countOpen: () => {
+      const counted = new Map<string, Map<string, number>>();
+      for (const [id, {own, peers}] of entries) {
+        const keys = new Map<string, number>();
+        const add = (key: string, count: number): void =>
+          void keys.set(key, (keys.get(key) ?? 0) + count);
+        for (const [key, {requests}] of own) add(key, requests);
+        for (const told of peers.values()) {
+          for (const [key, [requests]] of Object.entries(told)) {
+            add(key, requests);
+          }
+        }
+        counted.set(id, keys);
+      }
+      return counted;
+    },
   };
 }
--- /dev/null
+++ b/packages/fleet/src/events.ts
@@ -0,0 +1,43 @@
+/** Log events of the fleet. */
+import {LogLevel, defineEvent} from '@siskinplank/foundation';
+
+export const GATEWAY_REGISTERED = defineEvent(
+  6200,
+  LogLevel.Info,
+  'gateway is registered',
+);
+export const REGISTRATION_FAILED = defineEvent(
+  6201,
+  LogLevel.Warn,
+  'registration failed and is repeated',
+);
+export const PEER_SILENT = defineEvent(
+  6202,
+  LogLevel.Warn,
+  'nothing heard from a gateway; its state is not used any more',
+);
+export const PEER_HEARD = defineEvent(
+  6203,
+  LogLevel.Info,
+  'gateway is heard of',
+);
+export const ORDERS_TAKEN = defineEvent(
+  6210,
+  LogLevel.Info,
+  'this gateway gives the orders from now on',
+);
+export const ORDERS_LOST = defineEvent(
+  6211,
+  LogLevel.Warn,
+  'this gateway gives no more orders',
+);
+export const ORDERS_TAKEOVER_FAILED = defineEvent(
+  6212,
+  LogLevel.Info,
+  'lease of the orders could not be written',
+);
+export const GATEWAY_FORGOTTEN = defineEvent(
+  6213,
+  LogLevel.Info,
+  'registration of a gateway that is gone was removed',
+);
--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,12 @@
+/** The gateways of one deployment: registration, links, shared states, and which of them gives orders. */
+export * from './types';
+export {GATEWAYS_KIND, ORDER_LEASES_KIND, LINK_KEYS_KIND} from './records';
+export {ensureLinkKey} from './link-key';
+export {createGatewayRegistry} from './gateway-registry';
+export type {GatewayRegistry, GatewayRegistryOptions} from './gateway-registry';
+export {createPeerTable} from './peer-table';
+export type {GatewayState, Peer, PeerTable} from './peer-table';
+export {createOrderLeadership} from './order-leadership';
+export type {OrderLeadership, OrderLeadershipOptions} from './order-leadership';
+export {TakeoverReason, planTakeover} from './takeover';
+export type {TakeoverInput, TakeoverPlan} from './takeover';
--- /dev/null
+++ b/packages/fleet/src/peer-table.ts
@@ -0,0 +1,72 @@
+/** What the other gateways last said of themselves. */
+import type {Logger} from '@siskinplank/foundation';
+import type {MessageOf, MessageType} from '@siskinplank/messages';
+import {PEER_HEARD, PEER_SILENT} from './events';
+
+export type GatewayState = MessageOf<MessageType.GatewayState>;
+
+/** A gateway that was heard of lately. */
+export interface Peer {
+  name: string;
+  incarnation: string;
+  state: GatewayState;
+  heardAtMs: number;
+}
+
+/** States of the other gateways. */
+export interface PeerTable {
+  /** Notes a state; false for one that is older than the last. */
+  noteState(
+    name: string,
+    incarnation: string,
+    state: GatewayState,
+    nowMs: number,
+  ): boolean;
+  /** Gateways heard of within the silence limit. */
+  listHeard(nowMs: number): readonly Peer[];
+  getPeer(name: string): Peer | undefined;
+  /** Drops gateways that were silent for too long; returns their names. */
+  dropSilent(nowMs: number): readonly string[];
+}
+
+/**
+ * Creates an empty table.
+ *
+ * @param silenceMs time after which a state is not used any more.
+ */
+export function createPeerTable(silenceMs: number, logger: Logger): PeerTable {
+  const peers = new Map<string, Peer>();
+  return {
+    noteState: (name, incarnation, state, nowMs) => {
+      const known = peers.get(name);
+      const isOld =
+        known !== undefined &&
+        known.incarnation === incarnation &&
+        known.state.sequence >= state.sequence;
+      if (isOld) return false;
+      if (known === undefined || known.incarnation !== incarnation) {
+        logger.log(PEER_HEARD, {peer: name, incarnation});
+      }
+      peers.set(name, {name, incarnation, state, heardAtMs: nowMs});
+      return true;
+    },
+    listHeard: nowMs =>
+      [...peers.values()].filter(
+        ({heardAtMs}) => nowMs - heardAtMs < silenceMs,
+      ),
+    getPeer: name => peers.get(name),
+    dropSilent: nowMs => {
+      const silent = [...peers.values()].filter(
+        ({heardAtMs}) => nowMs - heardAtMs >= silenceMs,
+      );
+      for (const {name, heardAtMs} of silent) {
+        peers.delete(name);
+        logger.log(PEER_SILENT, {
+          peer: name,
+          silentMs: Math.round(nowMs - heardAtMs),
+        });
+      }
+      return silent.map(({name}) => name);
+    },
+  };
+}
--- /dev/null
+++ b/packages/fleet/src/records.ts
@@ -0,0 +1,58 @@
+/** Kinds and schemas of the objects that gateways keep in the store. */
+import type {SharedObject} from '@siskinplank/directory';
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
+import {z} from 'zod';
+import type {GatewayRecord, OrderLease} from './types';
+
+export const GATEWAYS_KIND = 'siskinplank-gateways';
+export const ORDER_LEASES_KIND = 'siskinplank-leases';
+export const LINK_KEYS_KIND = 'siskinplank-link-keys';
+/** Name of the one lease. */
+export const ORDER_LEASE_NAME = 'orders';
+/** Name of the key that gateways prove their membership with. */
+export const LINK_KEY_NAME = 'gateways';
+
+const gatewaySchema = z.object({
+  incarnation: z.string(),
+  host: z.string(),
+  port: z.int().min(1).max(65_535),
+  failureDomain: z.string(),
+  region: z.string(),
+});
+
+const leaseSchema = z.object({
+  holder: z.string(),
+  incarnation: z.string(),
+  token: z.int().positive(),
+  isReleased: z.boolean(),
+});
+
+export const linkKeySchema = z.object({secret: z.string().min(32)});
+
+/** Content of a registration. */
+export function encodeGateway(record: GatewayRecord): unknown {
+  const {incarnation, address, failureDomain, region} = record;
+  return {incarnation, ...address, failureDomain, region};
+}
+
+/** Decodes a registration. */
+export function decodeGateway({
+  name,
+  content,
+}: SharedObject): Either<string, GatewayRecord> {
+  const parsed = gatewaySchema.safeParse(content);
+  if (!parsed.success) return Left(z.prettifyError(parsed.error));
+  const {host, port, ...rest} = parsed.data;
+  return Right({name, address: {host, port}, ...rest});
+}
+
+/** Decodes the lease of the orders, with the revision to write against. */
+export function decodeOrderLease({
+  content,
+  revision,
+}: SharedObject): Either<string, {lease: OrderLease; revision: number}> {
+  const parsed = leaseSchema.safeParse(content);
+  if (!parsed.success) return Left(z.prettifyError(parsed.error));
+  return Right({lease: parsed.data, revision});
+}
--- a/packages/foundation/src/index.ts
+++ b/packages/foundation/src/index.ts
@@ -9,6 +9,8 @@
 export type {LineWriter, LineWriterOptions} from './line-writer';
 export {createMetrics} from './metrics';
 export type {Metrics} from './metrics';
+export {createPauseDetector} from './pause-detector';
+export type {PauseDetector} from './pause-detector';
 export {createRandom, makeSecureId} from './random';
 export type {Random} from './random';
 export {SpanSide, createTracing} from './tracing';
--- /dev/null
+++ b/packages/gateway/src/account-limiter.ts
@@ -0,0 +1,125 @@
+/** Holds requests to the limits of their client accounts. */
+import type {Clock} from '@siskinplank/foundation';
+import type {CallerRequest, ClientAccount} from '@siskinplank/serving';
+import {SpendResult} from '@siskinplank/token-shares';
+import type {TokenShares} from '@siskinplank/token-shares';
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
+
+/** Why a request is over the limit. */
+export interface LimitRefusal {
+  retryAfterMs: number;
+}
+
+/** Takes tokens for requests. */
+export interface AccountLimiter {
+  /** Calls back when the tokens are taken, at once if possible. */
+  take(
+    account: ClientAccount,
+    request: CallerRequest,
+    onResult: (result: Either<LimitRefusal, number>) => void,
+  ): void;
+  /** Gives the tokens of a request that has not run back. */
+  refund(account: ClientAccount, tokens: number): void;
+  /** Tries waiting requests again, because tokens have come. */
+  reconsider(): void;
+}
+
+/** What `createAccountLimiter` needs. */
+export interface AccountLimiterOptions {
+  shares: TokenShares;
+  clock: Clock;
+  /** Some request needs tokens that other gateways hold. */
+  onNeed(): void;
+}
+
+/** Longest wait for tokens of other gateways: some round trips between them. */
+const MAX_WAIT_MS = 150;
+const MIN_RETRY_AFTER_MS = 100;
+
+interface WaitingRequest {
+  account: string;
+  tokens: number;
+  endsAtMs: number;
+  onResult: (result: Either<LimitRefusal, number>) => void;
+}
+
+/** Tokens, or requests, that a request counts for its account. */
+export function countTokens(
+  account: ClientAccount,
+  request: CallerRequest,
+): number {
+  if (!account.countsTokens) return 1;
+  const {promptTokens, maxOutputTokens} = request;
+  if (promptTokens === undefined || maxOutputTokens === undefined) {
+    return account.plainTokens;
+  }
+  return promptTokens + maxOutputTokens;
+}
+
+/** Creates a limiter without waiting requests. */
+export function createAccountLimiter(
+  options: AccountLimiterOptions,
+): AccountLimiter {
+  const {shares, clock} = options;
+  const waiting = new Set<WaitingRequest>();
+
+  const makeRefusal = (
+    account: string,
+    tokens: number,
+    nowMs: number,
+  ): LimitRefusal => ({
+    retryAfterMs: Math.max(
+      MIN_RETRY_AFTER_MS,
+      shares.estimateWaitMs(account, tokens, nowMs),
+    ),
+  });
+
+  const tryAgain = (item: WaitingRequest, nowMs: number): void => {
+    shares.removeWaiting(item.account, item.tokens);
+    const result = shares.retry(item.account, item.tokens, nowMs);
+    if (result === SpendResult.Pending && nowMs < item.endsAtMs) {
+      shares.addWaiting(item.account, item.tokens);
+      return;
+    }
+    waiting.delete(item);
+    item.onResult(
+      result === SpendResult.Spent
+        ? Right(item.tokens)
+        : Left(makeRefusal(item.account, item.tokens, nowMs)),
+    );
+  };
+
+  const reconsider = (): void => {
+    const nowMs = clock.getNowMs();
+    for (const item of [...waiting]) tryAgain(item, nowMs);
+  };
+
+  return {
+    take: (account, request, onResult) => {
+      const nowMs = clock.getNowMs();
+      const tokens = countTokens(account, request);
+      const result = shares.spend(account.name, tokens, nowMs);
+      if (result === SpendResult.Spent) {
+        onResult(Right(tokens));
+        return;
+      }
+      if (result === SpendResult.OverLimit) {
+        onResult(Left(makeRefusal(account.name, tokens, nowMs)));
+        return;
+      }
+      waiting.add({
+        account: account.name,
+        tokens,
+        endsAtMs: nowMs + MAX_WAIT_MS,
+        onResult,
+      });
+      shares.addWaiting(account.name, tokens);
+      options.onNeed();
+      clock.startTimer(MAX_WAIT_MS, reconsider);
+    },
+    refund: (account, tokens) =>
+      shares.refund(account.name, tokens, clock.getNowMs()),
+    reconsider,
+  };
+}
--- a/packages/gateway/src/configuration-replica.ts
+++ b/packages/gateway/src/configuration-replica.ts
@@ -1,12 +1,9 @@
 /** The configuration in force at this gateway. */
+import {createDirectoryWatcher} from '@siskinplank/directory';
+import type {Directory} from '@siskinplank/directory';
 import type {Clock, Logger} from '@siskinplank/foundation';
 import {createRouteTable} from '@siskinplank/serving';
-import type {
-  Directory,
-  RouteTable,
-  ServingConfiguration,
-} from '@siskinplank/serving';
-import {createDirectoryWatcher} from './directory-watcher';
+import type {RouteTable, ServingConfiguration} from '@siskinplank/serving';
 import {CONFIGURATION_APPLIED, CONFIGURATION_OLDER} from './events';
 
 /** What `createConfigurationReplica` needs. */
@@ -27,6 +24,8 @@
   getTable(): RouteTable | undefined;
   /** Time since the copy was known to be the newest; infinite before. */
   getAgeMs(nowMs: number): number;
+  /** Trusts no confirmation from before `nowMs`: the process was paused. */
+  invalidate(nowMs: number): void;
 }
 
 /** Creates a replica that is empty until it is started. */
@@ -35,6 +34,7 @@
 ): ConfigurationReplica {
   const {logger} = options;
   let table: RouteTable | undefined;
+  let invalidBeforeMs = -Infinity;
 
   const apply = (configuration: ServingConfiguration | undefined): void => {
     if (configuration === undefined) return;
@@ -74,11 +74,14 @@
     start: watcher.start,
     stop: watcher.stop,
     getTable: () => table,
+    invalidate: nowMs => {
+      invalidBeforeMs = nowMs;
+      void watcher.refresh();
+    },
     getAgeMs: nowMs => {
       const confirmedAtMs = watcher.getConfirmedAtMs();
-      return confirmedAtMs === undefined || table === undefined
-        ? Infinity
-        : nowMs - confirmedAtMs;
+      if (confirmedAtMs === undefined || table === undefined) return Infinity;
+      return confirmedAtMs < invalidBeforeMs ? Infinity : nowMs - confirmedAtMs;
     },
   };
 }
--- /dev/null
+++ b/packages/gateway/src/demand-counter.ts
@@ -0,0 +1,33 @@
+/** Requests of this gateway by model, for the gateway that gives orders. */
+
+/** Counts requests and the waiting ones. */
+export interface DemandCounter {
+  noteRequest(model: string): void;
+  /** Requests since the start, waiting ones, age of the oldest, by model. */
+  describe(nowMs: number): Record<string, [number, number, number]>;
+}
+
+/**
+ * Creates a counter.
+ *
+ * @param describeWaiting waiting requests by model.
+ */
+export function createDemandCounter(
+  describeWaiting: (
+    nowMs: number,
+  ) => Map<string, {count: number; oldestMs: number}>,
+): DemandCounter {
+  const totals = new Map<string, number>();
+  return {
+    noteRequest: model => void totals.set(model, (totals.get(model) ?? 0) + 1),
+    describe: nowMs => {
+      const described: Record<string, [number, number, number]> = {};
+      const waiting = describeWaiting(nowMs);
+      for (const [model, total] of totals) {
+        const {count, oldestMs} = waiting.get(model) ?? {count: 0, oldestMs: 0};
+        described[model] = [total, count, Math.max(0, Math.round(oldestMs))];
+      }
+      return described;
+    },
+  };
+}
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -26,21 +26,6 @@
   LogLevel.Error,
   'store shows an older configuration; the newer one stays in force',
 );
-export const DIRECTORY_LOST = defineEvent(
-  6012,
-  LogLevel.Warn,
-  'store does not answer; what is known is used further',
-);
-export const DIRECTORY_REGAINED = defineEvent(
-  6013,
-  LogLevel.Info,
-  'store answers again',
-);
-export const ENTRY_MALFORMED = defineEvent(
-  6014,
-  LogLevel.Warn,
-  'entry of the store cannot be decoded and is not used',
-);
 export const UPSTREAM_CHANGED = defineEvent(
   6020,
   LogLevel.Info,
@@ -52,3 +37,13 @@
   LogLevel.Info,
   'attempt at an upstream gave no answer for the caller',
 );
+export const LINK_KEY_FAILED = defineEvent(
+  6040,
+  LogLevel.Warn,
+  'key of the links between gateways could not be read; trying again',
+);
+export const PROCESS_PAUSED = defineEvent(
+  6041,
+  LogLevel.Warn,
+  'process was paused or the time of day jumped; keys are confirmed anew',
+);
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -1,22 +1,32 @@
-/** The gateway: listeners, replicas and the life cycle of the process. */
+/** The gateway: its parts, listeners and the life cycle of the process. */
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
-import {
-  createLeastOutstandingPolicy,
-  createUpstreamTable,
-} from '@siskinplank/dispatch';
+import {createDispatchPolicy, createUpstreamTable} from '@siskinplank/dispatch';
+import {createPauseDetector, makeSecureId} from '@siskinplank/foundation';
 import type {Clock, Logger, Metrics, Random} from '@siskinplank/foundation';
-import {createConnectionPool} from '@siskinplank/http-exchange';
+import type {ConnectionPool} from '@siskinplank/http-exchange';
+import {MessageType} from '@siskinplank/messages';
 import type {PlatformPorts, RouteTable} from '@siskinplank/serving';
 import type {GatewaySettings} from '@siskinplank/settings';
+import {
+  createShareFraction,
+  createTokenShares,
+} from '@siskinplank/token-shares';
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
+import {createAccountLimiter} from './account-limiter';
 import {createConfigurationReplica} from './configuration-replica';
+import {createDemandCounter} from './demand-counter';
+import {createDispatcher} from './dispatcher';
 import {
   GATEWAY_DRAIN_STARTED,
   GATEWAY_STARTED,
   GATEWAY_STOPPED,
+  PROCESS_PAUSED,
 } from './events';
+import {createFleetNode} from './fleet-node';
+import type {FleetNode} from './fleet-node';
+import {createOrderGiver} from './order-giver';
 import {createRequestHandler} from './request-handler';
 import {createUpstreamView} from './upstream-view';
 
@@ -24,6 +34,7 @@
 export interface GatewayOptions {
   settings: GatewaySettings;
   ports: PlatformPorts;
+  pool: ConnectionPool;
   clock: Clock;
   random: Random;
   logger: Logger;
@@ -44,6 +55,14 @@
 }
 
 const DRAIN_POLL_MS = 50;
+/** Period of the checks for pauses, shares and idle connections. */
+const HOUSEKEEPING_MS = 100;
+/** Clocks drift apart by less than this between two checks. */
+const PAUSE_TOLERANCE_MS = 250;
+/** Time for messages that waited during a pause to be read. */
+const AFTER_PAUSE_MS = 500;
+/** Registrations and the lease change rarely; a long wait costs few calls. */
+const FLEET_WATCH_WAIT_MS = 25_000;
 
 function startListening(
   server: Server,
@@ -57,19 +76,28 @@
 
 /** Creates a gateway that does nothing before `start`. */
 export function createGatewayProcess(options: GatewayOptions): GatewayProcess {
-  const {settings, ports, clock, random, logger, metrics} = options;
+  const {settings, ports, pool, clock, random, logger, metrics} = options;
+  const ownName = settings.process.name;
+  const ownIncarnation = makeSecureId(8);
   let isLeaving = false;
   const upstreams = createUpstreamTable();
-  const pool = createConnectionPool({
-    clock,
-    connectTimeoutMs: settings.upstreams.connectTimeoutMs,
-    defaultIdleMs: settings.upstreams.idleMs,
-  });
+  const shares = createTokenShares({extraBurst: settings.limits.extraBurst});
+  const shareFraction = createShareFraction(settings.limits.settleMs);
+  const pauseDetector = createPauseDetector(PAUSE_TOLERANCE_MS);
 
-  const applyLimits = ({configuration}: RouteTable): void => {
-    const {limits} = configuration;
+  const applyConfiguration = ({configuration}: RouteTable): void => {
+    const {limits, accounts} = configuration;
     callerServer.keepAliveTimeout = limits.idleTimeoutMs;
     callerServer.headersTimeout = limits.headerTimeoutMs;
+    shares.setLimits(
+      new Map(
+        (accounts ?? []).map(({name, ratePerSecond, burst}) => [
+          name,
+          {ratePerSecond, burst},
+        ]),
+      ),
+      clock.getNowMs(),
+    );
   };
 
   const watchOptions = {
@@ -81,17 +109,154 @@
   const configuration = createConfigurationReplica({
     ...watchOptions,
     directory: ports.configurations,
-    onApply: applyLimits,
+    onApply: applyConfiguration,
   });
   const view = createUpstreamView({
     ...watchOptions,
+    watchWaitMs: settings.store.upstreamWatchWaitMs,
     directory: ports.upstreams,
-    onChange: usable => upstreams.setUpstreams(usable),
+    onChange: usable => {
+      upstreams.setUpstreams(usable);
+      dispatcher.reconsider();
+    },
+  });
+  const dispatcher = createDispatcher({
+    table: upstreams,
+    policy: createDispatchPolicy(settings.dispatch.policy, random),
+    failureDomain: settings.process.failureDomain,
+    clock,
+    canLoad: (service, model) => {
+      const engine = configuration
+        .getTable()
+        ?.configuration.services.get(service)?.engine;
+      return (
+        engine?.models.has(model) === true &&
+        orders.isSomeoneOrdering(clock.getNowMs())
+      );
+    },
+    loadAdapter: (upstreamId, model, adapter) =>
+      orders.loadAdapter(upstreamId, model, adapter),
+    onWaiting: () => {
+      fleet.sendStateSoon();
+      orders.planSoon();
+    },
+  });
+  const demand = createDemandCounter(dispatcher.describeWaiting);
+  const limiter = createAccountLimiter({
+    shares,
+    clock,
+    onNeed: () => fleet.sendStateSoon(),
+  });
+  const orders = createOrderGiver({
+    objects: ports.sharedObjects,
+    control: ports.upstreamControl,
+    ownName,
+    ownIncarnation,
+    watchWaitMs: FLEET_WATCH_WAIT_MS,
+    retryDelayMs: settings.store.retryDelayMs,
+    leaseMs: settings.orders.leaseMs,
+    openPerCopy: settings.orders.openPerCopy,
+    clock,
+    logger,
+    table: upstreams,
+    demand,
+    getFleet: () => fleet,
+    getRoutes: configuration.getTable,
+    listUpstreams: view.listUsable,
+    isLeaving: () => isLeaving,
+    onHoldings: () => dispatcher.reconsider(),
+  });
+
+  const donate = (nowMs: number): void => {
+    for (const [peer, tokens] of shares.planDonations(nowMs)) {
+      fleet.sendTo(peer, {type: MessageType.TokenDonation, tokens});
+    }
+  };
+
+  const fleet: FleetNode = createFleetNode({
+    objects: ports.sharedObjects,
+    own: {
+      name: ownName,
+      incarnation: ownIncarnation,
+      address: settings.link.address,
+      failureDomain: settings.process.failureDomain,
+      region: settings.process.region,
+    },
+    watchWaitMs: FLEET_WATCH_WAIT_MS,
+    retryDelayMs: settings.store.retryDelayMs,
+    clock,
+    random,
+    logger,
+    collectState: nowMs => ({
+      isLeaving,
+      orderToken: orders.leadership.getHighestToken(),
+      isOrdering: orders.leadership.getTerm() !== undefined,
+      open: upstreams.describeOpen(),
+      demand: demand.describe(nowMs),
+      accounts: shares.describeAccounts(nowMs),
+      suspects: {},
+    }),
+    onPeerState: ({name, state}, nowMs) => {
+      orders.leadership.noteToken(state.orderToken);
+      upstreams.setPeerOpen(name, state.open);
+      shares.notePeer(name, state.accounts);
+      donate(nowMs);
+      const isWaiting = Object.values(state.demand).some(
+        ([, waiting]) => waiting > 0,
+      );
+      if (isWaiting) orders.planSoon();
+    },
+    onPeerLost: name => {
+      upstreams.dropPeer(name);
+      shares.dropPeer(name);
+    },
+    onMessage: (peer, message) => {
+      if (message.type !== MessageType.TokenDonation) {
+        orders.handleMessage(peer, message);
+        return;
+      }
+      shares.deposit(message.tokens, clock.getNowMs());
+      limiter.reconsider();
+    },
+    onMembersChange: () => updateShares(),
   });
+
+  const updateShares = (): void => {
+    const nowMs = clock.getNowMs();
+    const {registry, peers} = fleet;
+    const others = registry.listOthers();
+    const ownRevision = registry.getOwnRevision();
+    const isKnownToAll =
+      ownRevision !== undefined &&
+      others.every(({name}) => {
+        const told = peers.getPeer(name)?.state.directoryRevision ?? 0;
+        return told >= ownRevision;
+      });
+    const fraction = shareFraction.update({
+      gatewayCount: others.length + 1,
+      isRegistered: ownRevision !== undefined,
+      hadPredecessor: registry.hadPredecessor(),
+      isKnownToAll,
+      nowMs,
+    });
+    shares.setFraction(fraction, fraction, nowMs);
+  };
+
+  const noticePause = (): void => {
+    const nowMs = clock.getNowMs();
+    const missedMs = pauseDetector.observe(nowMs, clock.getWallMs());
+    if (missedMs === 0) return;
+    logger.log(PROCESS_PAUSED, {missedMs: Math.round(missedMs)});
+    configuration.invalidate(nowMs);
+    orders.leadership.quiet(nowMs + AFTER_PAUSE_MS);
+  };
+
   const handler = createRequestHandler({
     configuration,
     upstreams,
-    policy: createLeastOutstandingPolicy(random),
+    dispatcher,
+    limiter,
+    demand,
     pool,
     format: ports.exchangeFormat,
     retryBudget: settings.retries,
@@ -100,12 +265,13 @@
     random,
     logger,
     isLeaving: () => isLeaving,
+    onArrival: noticePause,
   });
 
   const isReady = (): boolean =>
     !isLeaving &&
     view.isLoaded() &&
-    configuration.getAgeMs(clock.getNowMs()) < settings.store.maxAgeMs;
+    configuration.getAgeMs(clock.getNowMs()) < settings.store.readyAgeMs;
 
   const callerServer = createServer(
     {maxHeaderSize: settings.caller.maxHeaderBytes, requestTimeout: 0},
@@ -130,10 +296,18 @@
       server.closeIdleConnections();
     });
 
+  const housekeeping = clock.startInterval(HOUSEKEEPING_MS, () => {
+    noticePause();
+    updateShares();
+    pool.closeExpired(clock.getNowMs());
+  });
+
   return {
     start: async () => {
       configuration.start();
       view.start();
+      fleet.start();
+      orders.start();
       const listeners: Array<[Server, ListenAddress]> = [
         [callerServer, settings.caller.address],
         [readinessServer, settings.readiness.address],
@@ -145,6 +319,7 @@
       }
       logger.log(GATEWAY_STARTED, {
         ...settings.caller.address,
+        incarnation: ownIncarnation,
       });
       return Right(undefined);
     },
@@ -152,6 +327,8 @@
       isLeaving = true;
       logger.log(GATEWAY_DRAIN_STARTED, {open: handler.countOpen()});
       const startedAtMs = clock.getNowMs();
+      await orders.stop();
+      fleet.sendStateSoon();
       await clock.waitMs(settings.drain.noticeMs);
       const closed = closeServer(callerServer);
       const endsAtMs = startedAtMs + settings.drain.graceMs;
@@ -162,15 +339,16 @@
       await closed;
     },
     stop: async () => {
+      housekeeping.cancel();
       configuration.stop();
       view.stop();
+      await fleet.stop();
       pool.close();
       for (const server of [readinessServer, metricsServer]) {
         server.closeAllConnections();
         server.close();
       }
       logger.log(GATEWAY_STOPPED, {open: handler.countOpen()});
-      await Promise.resolve();
     },
   };
 }
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -2,7 +2,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createRetryBudget} from '@siskinplank/dispatch';
 import type {
-  DispatchPolicy,
   RetryBudget,
   RetryBudgetOptions,
   UpstreamTable,
@@ -16,8 +15,11 @@
   Route,
 } from '@siskinplank/serving';
 import {Either, Left, Right} from 'purify-ts';
+import type {AccountLimiter} from './account-limiter';
 import {createCallerResponse} from './caller-response';
 import type {ConfigurationReplica} from './configuration-replica';
+import type {DemandCounter} from './demand-counter';
+import type {Dispatcher} from './dispatcher';
 import {REQUEST_ENDED} from './events';
 import {REFUSAL_STATUSES, RefusalCode} from './refusals';
 import type {Refusal} from './refusals';
@@ -28,7 +30,9 @@
 export interface RequestHandlerOptions {
   configuration: ConfigurationReplica;
   upstreams: UpstreamTable;
-  policy: DispatchPolicy;
+  dispatcher: Dispatcher;
+  limiter: AccountLimiter;
+  demand: DemandCounter;
   pool: ConnectionPool;
   format: ExchangeFormat;
   retryBudget: RetryBudgetOptions;
@@ -39,6 +43,8 @@
   logger: Logger;
   /** Whether callers are to leave: the process stops. */
   isLeaving(): boolean;
+  /** Called before a request is admitted. */
+  onArrival(): void;
 }
 
 /** Serves caller requests. */
@@ -120,6 +126,7 @@
     incoming: IncomingMessage,
     outgoing: ServerResponse,
   ): void => {
+    options.onArrival();
     const arrivedAtMs = clock.getNowMs();
     let session: RequestSession | undefined;
     let isClosed = false;
@@ -182,14 +189,21 @@
       session?.abandon();
     });
 
-    const start = (
+    const run = (
       request: CallerRequest,
       admission: Admission,
       body: Buffer | undefined,
+      takenTokens: number,
     ): void => {
-      if (isClosed) return;
-      const budget = getBudget(admission.service);
+      const {route, service, account} = admission;
+      const {model, adapter} = request;
+      const key = adapter === undefined ? model : `${model}/${adapter}`;
+      const promptTokens = request.promptTokens ?? 0;
+      const outputTokens =
+        request.expectedOutputTokens ?? request.maxOutputTokens ?? 0;
+      const budget = getBudget(service);
       budget.noteRequest(clock.getNowMs());
+      if (model !== undefined) options.demand.noteRequest(model);
       session = createRequestSession({
         admitted: {request, ...admission, body, arrivedAtMs},
         response,
@@ -197,25 +211,72 @@
         pool: options.pool,
         clock,
         logger,
-        chooseUpstream: triedIds =>
-          options.policy.chooseUpstream(
-            {
-              service: admission.service,
-              model: request.model,
-              adapter: request.adapter,
-              triedIds,
-            },
-            upstreams.listService(admission.service),
-            clock.getNowMs(),
+        acquireUpstream: (triedIds, onUpstream, onRefused) =>
+          options.dispatcher.acquire({
+            service,
+            model,
+            adapter,
+            promptTokens,
+            triedIds,
+            arrivedAtMs,
+            deadlineAtMs:
+              arrivedAtMs +
+              Math.min(request.deadlineMs ?? Infinity, route.timeoutMs),
+            targetLatencyMs: route.targetLatencyMs,
+            targetPauseMs: route.targetPauseMs,
+            onUpstream,
+            onRefused,
+          }),
+        openAt: entry =>
+          upstreams.open(
+            entry.upstream.id,
+            key ?? '',
+            promptTokens,
+            promptTokens + outputTokens,
           ),
+        isUsable: ({upstream}) =>
+          upstreams.getEntry(upstream.id)?.upstream.startedAtMs ===
+          upstream.startedAtMs,
+        noteFault: ({upstream}, weight) =>
+          upstreams.noteFault(upstream.id, weight, clock.getNowMs()),
         tryRepeat: () => budget.trySpend(clock.getNowMs()),
         sendRefusal,
-        onEnd: outcome =>
-          logEnd(outcome.status, outcome.refusal, outcome, admission),
+        onEnd: outcome => {
+          const hasNotRun =
+            outcome.refusal !== undefined && !outcome.mayHaveRun;
+          if (hasNotRun && account !== undefined) {
+            options.limiter.refund(account, takenTokens);
+          }
+          logEnd(outcome.status, outcome.refusal, outcome, admission);
+        },
       });
       session.start();
     };
 
+    const start = (
+      request: CallerRequest,
+      admission: Admission,
+      body: Buffer | undefined,
+    ): void => {
+      if (isClosed) return;
+      const {account} = admission;
+      if (account === undefined) {
+        run(request, admission, body, 0);
+        return;
+      }
+      options.limiter.take(account, request, taken => {
+        if (isClosed) {
+          taken.ifRight(tokens => options.limiter.refund(account, tokens));
+          return;
+        }
+        taken.caseOf({
+          Left: ({retryAfterMs}) =>
+            refuse({code: RefusalCode.OverLimit, retryAfterMs}, admission),
+          Right: tokens => run(request, admission, body, tokens),
+        });
+      });
+    };
+
     decoded
       .mapLeft((): Refusal => ({code: RefusalCode.BadRequest}))
       .chain(request =>
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -15,7 +15,7 @@
   createEventSplitter,
 } from '@siskinplank/http-exchange';
 import type {EventSplitter} from '@siskinplank/http-exchange';
-import type {UpstreamEntry} from '@siskinplank/dispatch';
+import type {OpenRequest, UpstreamEntry} from '@siskinplank/dispatch';
 import type {Clock, Logger} from '@siskinplank/foundation';
 import {RequestKind, ResponseMeaning, canRepeat} from '@siskinplank/serving';
 import type {
@@ -50,6 +50,8 @@
   upstreamId: string | undefined;
   /** Milliseconds from arrival to the first byte of the answer. */
   firstByteMs: number | undefined;
+  /** Whether an upstream may have run it. */
+  mayHaveRun: boolean;
 }
 
 /** What a session needs. */
@@ -60,8 +62,21 @@
   pool: ConnectionPool;
   clock: Clock;
   logger: Logger;
-  /** Chooses an upstream for the next attempt. */
-  chooseUpstream(triedIds: ReadonlySet<string>): UpstreamEntry | undefined;
+  /**
+   * Finds an upstream for the next attempt, now or later; the result gives the
+   * search up.
+   */
+  acquireUpstream(
+    triedIds: ReadonlySet<string>,
+    onUpstream: (entry: UpstreamEntry) => void,
+    onRefused: (retryAfterMs: number | undefined) => void,
+  ): () => void;
+  /** Notes the request as open at an upstream. */
+  openAt(entry: UpstreamEntry): OpenRequest;
+  /** Whether an upstream can still get requests. */
+  isUsable(entry: UpstreamEntry): boolean;
+  /** Notes a fault of an upstream. */
+  noteFault(entry: UpstreamEntry, weight: number): void;
   /** Takes a second send from the budget of the service. */
   tryRepeat(): boolean;
   sendRefusal(refusal: Refusal): void;
@@ -77,11 +92,19 @@
 
 /** Bodies up to this size are sent whole, so that a broken one can be repeated. */
 const MAX_BUFFERED_BYTES = 262_144;
+/** Weights of faults: a failure that the upstream answered, and a broken answer. */
+const FAILURE_FAULT = 0.15;
+const BREAK_FAULT = 0.5;
+/** Retry-After when upstreams rejected a request or none is left to try. */
+const REJECTED_RETRY_MS = 200;
+/** Pause before a request is sent again to the upstream that rejected it. */
+const SAME_UPSTREAM_DELAY_MS = 60;
 /** Less time than this is no use to an upstream, in milliseconds. */
 const MIN_SEND_MS = 5;
 
 interface Attempt {
   entry: UpstreamEntry;
+  open: OpenRequest;
   exchange: Exchange | undefined;
   meaning: ResponseMeaning | undefined;
   head: ResponseHead | undefined;
@@ -105,6 +128,8 @@
   let mayHaveRun = false;
   let lastEventId: string | undefined;
   let hasEnded = false;
+  let hasResent = false;
+  let stopSearch: (() => void) | undefined;
   let firstByteMs: number | undefined;
 
   const end = (
@@ -114,13 +139,15 @@
   ): void => {
     if (hasEnded) return;
     hasEnded = true;
-    timeoutTimer?.cancel();
+    stopSearch?.();
+    timeoutTimer.cancel();
     options.onEnd({
       status,
       refusal,
       attempts: sentCount,
       upstreamId,
       firstByteMs,
+      mayHaveRun: mayHaveRun || (current?.wasSent ?? false),
     });
   };
 
@@ -128,7 +155,7 @@
     const attempt = current;
     if (attempt === undefined) return;
     current = undefined;
-    attempt.entry.openCount -= 1;
+    attempt.open.end();
     attempt.exchange?.cancel();
   };
 
@@ -143,10 +170,25 @@
     end(status, refusal, undefined);
   };
 
-  const refuseUnserved = (): void => {
+  const refuseUnserved = (retryAfterMs?: number): void => {
     if (mayHaveRun) refuse({code: RefusalCode.OutcomeUnknown}, 502);
-    else if (sentCount > 0) refuse({code: RefusalCode.Rejected}, 503);
-    else refuse({code: RefusalCode.NoUpstream}, 503);
+    else if (sentCount > 0) {
+      refuse(
+        {
+          code: RefusalCode.Rejected,
+          retryAfterMs: retryAfterMs ?? REJECTED_RETRY_MS,
+        },
+        503,
+      );
+    } else {
+      refuse(
+        {
+          code: RefusalCode.NoUpstream,
+          retryAfterMs: retryAfterMs ?? REJECTED_RETRY_MS,
+        },
+        503,
+      );
+    }
   };
 
   const onTimeout = (): void => {
@@ -163,7 +205,7 @@
       attempt: sentCount,
       cause,
       status: attempt.head?.status,
-      openCount: attempt.entry.openCount,
+      open: attempt.entry.open.requests,
       leftMs: Math.round(deadlineAtMs - clock.getNowMs()),
     });
 
@@ -176,18 +218,28 @@
       triedIds.size < route.maxAttempts &&
       deadlineAtMs - clock.getNowMs() > MIN_SEND_MS;
     if (!isPossible) return refuseUnserved();
-    const entry = options.chooseUpstream(triedIds);
-    if (entry === undefined) return refuseUnserved();
-    if (!isFirst && !options.tryRepeat()) return refuseUnserved();
-    return sendTo(entry);
+    stopSearch = options.acquireUpstream(
+      triedIds,
+      entry => {
+        stopSearch = undefined;
+        if (hasEnded) return;
+        if (!isFirst && !options.tryRepeat()) refuseUnserved();
+        else sendTo(entry);
+      },
+      retryAfterMs => {
+        stopSearch = undefined;
+        refuseUnserved(retryAfterMs);
+      },
+    );
   };
 
   const failAttempt = (attempt: Attempt, failure: ExchangeFailure): void => {
     if (current !== attempt) return;
     logAttempt(attempt, `${failure.code}: ${failure.reason}`);
     current = undefined;
-    attempt.entry.openCount -= 1;
+    attempt.open.end();
     if (attempt.wasSent) mayHaveRun = true;
+    options.noteFault(attempt.entry, BREAK_FAULT);
     const wasUntouched = failure.code === ExchangeFailureCode.NotConnected;
     if (wasUntouched) triedIds.add(attempt.entry.upstream.id);
     tryNext();
@@ -195,6 +247,7 @@
 
   const noteFirstByte = (): void => {
     firstByteMs ??= clock.getNowMs() - admitted.arrivedAtMs;
+    current?.open.noteRead();
   };
 
   const startRelay = (attempt: Attempt, head: ResponseHead): void => {
@@ -267,30 +320,64 @@
     end(head.status, undefined, upstream.id);
   };
 
+  /** Tries elsewhere; the failure is the answer when that is not possible. */
+  const repeatFailed = (attempt: Attempt, head: ResponseHead): void => {
+    const giveUp = (): void => {
+      stopSearch = undefined;
+      if (!hasEnded) endAnswer(attempt, head);
+    };
+    stopSearch = options.acquireUpstream(
+      triedIds,
+      entry => {
+        stopSearch = undefined;
+        if (hasEnded) return;
+        if (options.tryRepeat()) sendTo(entry);
+        else giveUp();
+      },
+      giveUp,
+    );
+  };
+
+  /** A request that was rejected: again there, elsewhere, or refused. */
+  const handleRejection = (attempt: Attempt): void => {
+    logAttempt(attempt, String(attempt.meaning));
+    const {entry} = attempt;
+    const hasOthers = triedIds.size < route.maxAttempts;
+    if (hasOthers || hasResent) {
+      tryNext();
+      return;
+    }
+    // The model or adapter may just have been on its way.
+    hasResent = true;
+    clock.startTimer(SAME_UPSTREAM_DELAY_MS, () => {
+      if (hasEnded) return;
+      const isCurrent = options.isUsable(entry);
+      if (isCurrent && options.tryRepeat()) sendTo(entry);
+      else refuseUnserved();
+    });
+  };
+
   const onEnd = (attempt: Attempt): void => {
     const {head} = attempt;
     if (current !== attempt || head === undefined) return;
     current = undefined;
-    attempt.entry.openCount -= 1;
+    attempt.open.end();
     if (attempt.meaning !== ResponseMeaning.Answer) {
-      logAttempt(attempt, String(attempt.meaning));
-      tryNext();
+      handleRejection(attempt);
       return;
     }
     const isFailure = head.status >= 500;
+    if (isFailure) options.noteFault(attempt.entry, FAILURE_FAULT);
     const mayTryAgain =
       isFailure &&
       !response.hasStarted() &&
       canRepeat(route) &&
       triedIds.size < route.maxAttempts;
     if (mayTryAgain) {
-      const entry = options.chooseUpstream(triedIds);
-      if (entry !== undefined && options.tryRepeat()) {
-        logAttempt(attempt, 'failure');
-        mayHaveRun = true;
-        sendTo(entry);
-        return;
-      }
+      logAttempt(attempt, 'failure');
+      mayHaveRun = true;
+      repeatFailed(attempt, head);
+      return;
     }
     if (response.hasStarted() && !attempt.isStreaming) {
       // A resumed stream was answered by a failure after its head was sent.
@@ -305,6 +392,7 @@
     const {upstream} = entry;
     const attempt: Attempt = {
       entry,
+      open: options.openAt(entry),
       exchange: undefined,
       meaning: undefined,
       head: undefined,
@@ -316,7 +404,6 @@
     };
     current = attempt;
     triedIds.add(upstream.id);
-    entry.openCount += 1;
     const headers = format.encodeUpstreamHeaders(request, {
       upstreamId: upstream.id,
       account: admitted.account?.name,
--- a/packages/gateway/src/upstream-view.ts
+++ b/packages/gateway/src/upstream-view.ts
@@ -1,8 +1,9 @@
 /** The upstreams that may get requests, as far as the store has told. */
+import {createDirectoryWatcher} from '@siskinplank/directory';
+import type {Directory} from '@siskinplank/directory';
 import type {Clock, Logger} from '@siskinplank/foundation';
 import {UpstreamState} from '@siskinplank/serving';
-import type {Directory, Upstream} from '@siskinplank/serving';
-import {createDirectoryWatcher} from './directory-watcher';
+import type {Upstream} from '@siskinplank/serving';
 import {UPSTREAM_CHANGED} from './events';
 
 /** What `createUpstreamView` needs. */
@@ -22,6 +23,8 @@
   stop(): void;
   /** Whether a complete list was read. */
   isLoaded(): boolean;
+  /** Upstreams that may get requests. */
+  listUsable(): readonly Upstream[];
 }
 
 /** Creates a view that is empty until it is started. */
@@ -29,6 +32,7 @@
   const {logger} = options;
   const known = new Map<string, Upstream>();
   let isLoaded = false;
+  let usable: readonly Upstream[] = [];
 
   const set = (id: string, upstream: Upstream | undefined): void => {
     const former = known.get(id);
@@ -62,7 +66,7 @@
     onChange: set,
     onSettled: nowMs => {
       isLoaded = true;
-      const usable = [...known.values()].filter(
+      usable = [...known.values()].filter(
         ({state}) => state === UpstreamState.Ready,
       );
       options.onChange(usable, nowMs);
@@ -73,5 +77,6 @@
     start: watcher.start,
     stop: watcher.stop,
     isLoaded: () => isLoaded,
+    listUsable: () => usable,
   };
 }
--- a/packages/messages/src/enums.ts
+++ b/packages/messages/src/enums.ts
@@ -30,6 +30,11 @@
   GrantRequest = 'grant-request',
   Grant = 'grant',
   GrantReturn = 'grant-return',
+  GatewayState = 'gateway-state',
+  TokenDonation = 'token-donation',
+  UpstreamLoads = 'upstream-loads',
+  AdapterRequest = 'adapter-request',
+  AdapterReply = 'adapter-reply',
 }
 
 /** Role of a process. */
--- a/packages/messages/src/types.ts
+++ b/packages/messages/src/types.ts
@@ -10,6 +10,13 @@
   ProcessRole,
   TargetType,
 } from './enums';
+import {
+  adapterReplySchema,
+  adapterRequestSchema,
+  gatewayStateSchema,
+  tokenDonationSchema,
+  upstreamLoadsSchema,
+} from './gateway';
 
 const bytesSchema = z.instanceof(Uint8Array);
 const attemptIdSchema = z.string().min(1).max(64);
@@ -379,6 +386,11 @@
   grantRequestSchema,
   grantSchema,
   grantReturnSchema,
+  gatewayStateSchema,
+  tokenDonationSchema,
+  upstreamLoadsSchema,
+  adapterRequestSchema,
+  adapterReplySchema,
 ]);
 
 export type Message = z.output<typeof messageSchema>;
--- /dev/null
+++ b/packages/model-orders/src/order-desk.ts
@@ -0,0 +1,435 @@
+/** Keeps the ledgers of all upstreams with models and carries out plans. */
+import type {Clock, Logger} from '@siskinplank/foundation';
+import {OrderOperation} from '@siskinplank/serving';
+import type {EngineSpec, Upstream, UpstreamControl} from '@siskinplank/serving';
+import type {ModelDemand} from './demand-tracker';
+import {
+  MOVE_ENDED,
+  MOVE_STARTED,
+  REPORT_FAILED,
+  REPORT_REGAINED,
+} from './events';
+import {createLoadBudget} from './load-budget';
+import {createOrderSender} from './order-sender';
+import {planMoves} from './plan-moves';
+import type {Move, PlannedUpstream} from './plan-moves';
+import {HoldingState, createUpstreamLedger} from './upstream-ledger';
+import type {UpstreamLedger} from './upstream-ledger';
+
+/** What `createOrderDesk` needs. */
+export interface OrderDeskOptions {
+  control: UpstreamControl;
+  clock: Clock;
+  logger: Logger;
+  holder: string;
+  getToken(nowMs: number): number | undefined;
+  onFenced(): void;
+  /** What upstreams hold, or will hold, has changed. */
+  onChange(): void;
+  /** Open requests that one copy serves without getting slow. */
+  openPerCopy: number;
+}
+
+/** What planning needs to know of the traffic. */
+export interface DeskInput {
+  engine: EngineSpec;
+  /** Upstreams of the engine's service. */
+  upstreams: readonly Upstream[];
+  demand: readonly ModelDemand[];
+  /** Open requests by upstream and by model or `model/adapter`. */
+  open: ReadonlyMap<string, ReadonlyMap<string, number>>;
+}
+
+/** An upstream as the desk describes it to all gateways. */
+export interface LedgerSummary {
+  id: string;
+  startedAtMs: number;
+  queuedCount: number;
+  runningCount: number;
+  usedCacheTokens: number;
+  models: ReadonlyArray<{name: string; adapters: readonly string[]}>;
+  changing: string | undefined;
+  changeEndsInMs: number | undefined;
+}
+
+/** Orders of one service. */
+export interface OrderDesk {
+  /** Reads due reports and starts the moves that are worth it. */
+  tick(input: DeskInput, nowMs: number): void;
+  /** Time until the adapter is present, or undefined when it cannot be. */
+  loadAdapter(
+    upstreamId: string,
+    model: string,
+    adapter: string,
+  ): Promise<number | undefined>;
+  summarize(nowMs: number): LedgerSummary[];
+  /** Forgets everything: another gateway gave orders meanwhile. */
+  reset(): void;
+}
+
+/** Time between reports of an upstream that carries out no order. */
+const REPORT_PERIOD_MS = 1_000;
+/** Time between looks at an upstream whose load should have ended. */
+const COMPLETION_POLL_MS = 150;
+/** Loads may take this much longer than expected before they count as lost. */
+const LOAD_PATIENCE = 3;
+/** Longest wait for runs that an unload waits for, in milliseconds. */
+const UNLOAD_PATIENCE_MS = 4_000;
+const ADAPTER_PATIENCE_MS = 400;
+/** Load time of an adapter from the store: 5 to 14 ms on the deployments. */
+const ADAPTER_LOAD_MS = 16;
+/** Time for gateways to hear that a model is about to go. */
+const ANNOUNCE_MS = 25;
+
+/** Creates a desk that knows no upstream. */
+export function createOrderDesk(options: OrderDeskOptions): OrderDesk {
+  const {clock, logger} = options;
+  const sender = createOrderSender(options);
+  const budget = createLoadBudget();
+  let ledgers = new Map<string, UpstreamLedger>();
+  const reading = new Set<UpstreamLedger>();
+  const failing = new Set<string>();
+  let lastInput: DeskInput | undefined;
+
+  const syncLedgers = (upstreams: readonly Upstream[], nowMs: number): void => {
+    const next = new Map<string, UpstreamLedger>();
+    for (const upstream of upstreams) {
+      const known = ledgers.get(upstream.id);
+      const isSame = known?.upstream.startedAtMs === upstream.startedAtMs;
+      if (known !== undefined && isSame) {
+        known.applyRegistration(upstream, nowMs);
+        next.set(upstream.id, known);
+      } else {
+        next.set(upstream.id, createUpstreamLedger(upstream, nowMs));
+      }
+    }
+    ledgers = next;
+  };
+
+  const readReport = async (ledger: UpstreamLedger): Promise<void> => {
+    if (reading.has(ledger)) return;
+    reading.add(ledger);
+    const {id} = ledger.upstream;
+    const isRead = await sender.refresh(ledger);
+    reading.delete(ledger);
+    if (isRead && failing.delete(id))
+      logger.log(REPORT_REGAINED, {upstream: id});
+    if (!isRead && !failing.has(id)) {
+      failing.add(id);
+      logger.log(REPORT_FAILED, {upstream: id});
+    }
+    options.onChange();
+  };
+
+  const readDueReports = (nowMs: number): void => {
+    for (const ledger of ledgers.values()) {
+      if (!ledger.isUsable()) continue;
+      if (nowMs - ledger.reportAtMs < REPORT_PERIOD_MS) continue;
+      if (ledger.report === undefined || !ledger.isOccupied) {
+        void readReport(ledger);
+      }
+    }
+  };
+
+  const waitForModel = async (
+    ledger: UpstreamLedger,
+    model: string,
+    loadMs: number,
+  ): Promise<boolean> => {
+    const startedAtMs = clock.getNowMs();
+    await clock.waitMs(loadMs);
+    const endsAtMs = startedAtMs + loadMs * LOAD_PATIENCE + COMPLETION_POLL_MS;
+    while (clock.getNowMs() < endsAtMs) {
+      if (ledgers.get(ledger.upstream.id) !== ledger) return false;
+      await sender.refresh(ledger);
+      const isHeld = ledger.report?.models.some(({name}) => name === model);
+      if (isHeld === true) return true;
+      await clock.waitMs(COMPLETION_POLL_MS);
+    }
+    return false;
+  };
+
+  const evict = async (
+    ledger: UpstreamLedger,
+    models: readonly string[],
+  ): Promise<boolean> => {
+    if (models.length === 0) return true;
+    const nowMs = clock.getNowMs();
+    for (const model of models) {
+      ledger.setModel(model, HoldingState.Leaving, nowMs);
+    }
+    options.onChange();
+    await clock.waitMs(ANNOUNCE_MS);
+    for (const model of models) {
+      const isSent = await sender.send(ledger, {
+        operation: OrderOperation.Unload,
+        model,
+        adapter: undefined,
+        patienceMs: UNLOAD_PATIENCE_MS,
+      });
+      if (!isSent) return false;
+    }
+    return true;
+  };
+
+  const load = async (
+    ledger: UpstreamLedger,
+    move: Move,
+    loadMs: number,
+  ): Promise<boolean> => {
+    const isSent = await sender.send(ledger, {
+      operation: OrderOperation.Load,
+      model: move.load,
+      adapter: undefined,
+      patienceMs: UNLOAD_PATIENCE_MS,
+    });
+    if (!isSent) return false;
+    const nowMs = clock.getNowMs();
+    // The upstream takes one order at a time, so the unloads are over.
+    for (const model of move.evict) ledger.setModel(model, undefined, nowMs);
+    ledger.setModel(move.load, HoldingState.Arriving, nowMs, nowMs + loadMs);
+    options.onChange();
+    return waitForModel(ledger, move.load, loadMs);
+  };
+
+  const runMove = async (
+    ledger: UpstreamLedger,
+    move: Move,
+    loadMs: number,
+  ): Promise<void> => {
+    const startedAtMs = clock.getNowMs();
+    ledger.isOccupied = true;
+    ledger.setModel(move.load, HoldingState.Arriving, startedAtMs, Infinity);
+    logger.log(MOVE_STARTED, {
+      upstream: move.upstream,
+      load: move.load,
+      evict: move.evict.join(','),
+      gain: Math.round(move.gain * 100) / 100,
+      isStoreLoad: move.isStoreLoad,
+      expectedMs: Math.round(loadMs),
+    });
+    const isEvicted = await evict(ledger, move.evict);
+    const isLoaded = isEvicted && (await load(ledger, move, loadMs));
+    const nowMs = clock.getNowMs();
+    if (isLoaded) {
+      ledger.setModel(move.load, HoldingState.Present, nowMs);
+    }
+    ledger.isOccupied = false;
+    // After a failure only a report tells what the upstream holds.
+    if (!isLoaded) ledger.orderSequence = undefined;
+    logger.log(MOVE_ENDED, {
+      upstream: move.upstream,
+      load: move.load,
+      isLoaded,
+      tookMs: Math.round(nowMs - startedAtMs),
+    });
+    await readReport(ledger);
+  };
+
+  const planUpstream = (
+    ledger: UpstreamLedger,
+    input: DeskInput,
+  ): PlannedUpstream => {
+    const {engine} = input;
+    const openByModel = new Map<string, number>();
+    for (const [key, count] of input.open.get(ledger.upstream.id) ?? []) {
+      const [model] = key.split('/');
+      openByModel.set(model, (openByModel.get(model) ?? 0) + count);
+    }
+    let largestAdapterMb = 0;
+    for (const {adapterMb, adapterCount} of engine.models.values()) {
+      if (adapterCount > 0) {
+        largestAdapterMb = Math.max(largestAdapterMb, adapterMb);
+      }
+    }
+    const serving = [...ledger.models]
+      .filter(([, {state}]) => state !== HoldingState.Leaving)
+      .map(([model]) => model);
+    return {
+      id: ledger.upstream.id,
+      capacityMb: engine.weightsMb - engine.adapterSlots * largestAdapterMb,
+      models: new Set(ledger.models.keys()),
+      serving: new Set(serving),
+      openByModel,
+      inMemory: ledger.inMemory,
+      onDisk: ledger.onDisk,
+      canTakeOrder:
+        ledger.isUsable() && !ledger.isOccupied && ledger.report !== undefined,
+    };
+  };
+
+  const estimateLoadMs = (
+    ledger: UpstreamLedger,
+    engine: EngineSpec,
+    name: string,
+  ): number => {
+    const model = engine.models.get(name);
+    if (model === undefined) return 0;
+    if (ledger.inMemory.has(name)) return model.memoryLoadMs;
+    return ledger.onDisk.has(name) ? model.diskLoadMs : model.storeLoadMs;
+  };
+
+  const startMoves = (input: DeskInput, nowMs: number): void => {
+    if (options.getToken(nowMs) === undefined) return;
+    const {engine} = input;
+    const moves = planMoves({
+      upstreams: [...ledgers.values()]
+        .filter(ledger => ledger.isUsable())
+        .map(ledger => planUpstream(ledger, input)),
+      models: engine.models,
+      demand: input.demand,
+      openPerCopy: options.openPerCopy,
+      storeLoadsLeft: budget.countLeft(engine, nowMs),
+    });
+    for (const move of moves) {
+      const ledger = ledgers.get(move.upstream);
+      if (ledger === undefined) continue;
+      const loadMs = estimateLoadMs(ledger, engine, move.load);
+      if (move.isStoreLoad) budget.spend(loadMs, nowMs);
+      void runMove(ledger, move, loadMs);
+    }
+  };
+
+  const noteAdapterUse = (input: DeskInput, nowMs: number): void => {
+    for (const ledger of ledgers.values()) {
+      const open = input.open.get(ledger.upstream.id);
+      for (const key of open?.keys() ?? []) {
+        const adapter = ledger.adapters.get(key);
+        if (adapter !== undefined) adapter.lastUsedAtMs = nowMs;
+      }
+    }
+  };
+
+  /** Makes room for one adapter; false when all are in use. */
+  const freeAdapterSlot = async (
+    ledger: UpstreamLedger,
+    slots: number,
+  ): Promise<boolean> => {
+    if (ledger.adapters.size < slots) return true;
+    const open = lastInput?.open.get(ledger.upstream.id);
+    const [oldest] = [...ledger.adapters]
+      .filter(
+        ([key, {state}]) =>
+          state === HoldingState.Present && (open?.get(key) ?? 0) === 0,
+      )
+      .sort(([, left], [, right]) => left.lastUsedAtMs - right.lastUsedAtMs);
+    if (oldest === undefined) return false;
+    const [key, holding] = oldest;
+    holding.state = HoldingState.Leaving;
+    options.onChange();
+    const [model, adapter] = key.split('/');
+    const isSent = await sender.send(ledger, {
+      operation: OrderOperation.Unload,
+      model,
+      adapter,
+      patienceMs: ADAPTER_PATIENCE_MS,
+    });
+    if (isSent) ledger.adapters.delete(key);
+    else holding.state = HoldingState.Present;
+    return isSent;
+  };
+
+  const settleAdapters = (nowMs: number): void => {
+    for (const ledger of ledgers.values()) {
+      for (const holding of ledger.adapters.values()) {
+        const hasArrived =
+          holding.state === HoldingState.Arriving &&
+          nowMs >= holding.expectedAtMs;
+        if (hasArrived) holding.state = HoldingState.Present;
+      }
+    }
+  };
+
+  return {
+    tick: (input, nowMs) => {
+      lastInput = input;
+      syncLedgers(input.upstreams, nowMs);
+      settleAdapters(nowMs);
+      noteAdapterUse(input, nowMs);
+      readDueReports(nowMs);
+      startMoves(input, nowMs);
+    },
+    loadAdapter: async (upstreamId, model, adapter) => {
+      const engine = lastInput?.engine;
+      const ledger = ledgers.get(upstreamId);
+      if (engine === undefined || ledger === undefined) return undefined;
+      if (ledger.models.get(model)?.state !== HoldingState.Present) {
+        return undefined;
+      }
+      const key = `${model}/${adapter}`;
+      settleAdapters(clock.getNowMs());
+      const known = ledger.adapters.get(key);
+      if (known?.state === HoldingState.Present) return 0;
+      if (known?.state === HoldingState.Arriving) {
+        const leftMs = known.expectedAtMs - clock.getNowMs();
+        return Number.isFinite(leftMs)
+          ? Math.max(0, leftMs)
+          : ADAPTER_LOAD_MS * 2;
+      }
+      if (known?.state === HoldingState.Leaving) return undefined;
+      if (!(await freeAdapterSlot(ledger, engine.adapterSlots))) {
+        return undefined;
+      }
+      const startedAtMs = clock.getNowMs();
+      ledger.adapters.set(key, {
+        state: HoldingState.Arriving,
+        sinceMs: startedAtMs,
+        expectedAtMs: Infinity,
+        lastUsedAtMs: startedAtMs,
+      });
+      const isSent = await sender.send(ledger, {
+        operation: OrderOperation.Load,
+        model,
+        adapter,
+        patienceMs: ADAPTER_PATIENCE_MS,
+      });
+      const holding = ledger.adapters.get(key);
+      if (!isSent) {
+        // It may still be carried out; a report settles it.
+        return undefined;
+      }
+      if (holding !== undefined) {
+        holding.expectedAtMs = clock.getNowMs() + ADAPTER_LOAD_MS;
+      }
+      options.onChange();
+      return ADAPTER_LOAD_MS;
+    },
+    summarize: nowMs => {
+      settleAdapters(nowMs);
+      return [...ledgers.values()].map(ledger => {
+        const changing = [...ledger.models].find(
+          ([, {state}]) => state === HoldingState.Arriving,
+        );
+        const endsAtMs = changing?.[1].expectedAtMs;
+        const isTimed = endsAtMs !== undefined && Number.isFinite(endsAtMs);
+        return {
+          id: ledger.upstream.id,
+          startedAtMs: ledger.upstream.startedAtMs,
+          queuedCount: ledger.report?.queuedCount ?? 0,
+          runningCount: ledger.report?.runningCount ?? 0,
+          usedCacheTokens: ledger.report?.usedCacheTokens ?? 0,
+          models: [...ledger.models]
+            .filter(([, {state}]) => state === HoldingState.Present)
+            .map(([name]) => ({
+              name,
+              adapters: [...ledger.adapters]
+                .filter(
+                  ([key, {state}]) =>
+                    key.startsWith(`${name}/`) &&
+                    state === HoldingState.Present,
+                )
+                .map(([key]) => key.slice(name.length + 1)),
+            })),
+          changing: changing?.[0],
+          changeEndsInMs: isTimed
+            ? Math.max(0, Math.round(endsAtMs - nowMs))
+            : undefined,
+        };
+      });
+    },
+    reset: () => {
+      ledgers = new Map();
+      lastInput = undefined;
+    },
+  };
+}
--- /dev/null
+++ b/packages/model-orders/src/order-sender.ts
@@ -0,0 +1,146 @@
+/** Sends one order at a time to each upstream and settles what became of it. */
+import type {Clock, Logger} from '@siskinplank/foundation';
+import {OrderOperation, OrderOutcome} from '@siskinplank/serving';
+import type {UpstreamControl} from '@siskinplank/serving';
+import {ORDER_ENDED} from './events';
+import {REPORT_LAG_MS} from './upstream-ledger';
+import type {UpstreamLedger} from './upstream-ledger';
+
+/** What `createOrderSender` needs. */
+export interface OrderSenderOptions {
+  control: UpstreamControl;
+  clock: Clock;
+  logger: Logger;
+  /** Name of this host; the holder that orders bear. */
+  holder: string;
+  /** Fencing token while orders may be given, else undefined. */
+  getToken(nowMs: number): number | undefined;
+  /** Called when an upstream knows a higher token. */
+  onFenced(): void;
+}
+
+/** An order without its sequence and token. */
+export interface OrderRequest {
+  operation: OrderOperation;
+  model: string;
+  adapter: string | undefined;
+  /** Longest time to go on while the upstream is busy, in milliseconds. */
+  patienceMs: number;
+}
+
+/** Sends orders. */
+export interface OrderSender {
+  /** Whether the order took effect or is being carried out. */
+  send(ledger: UpstreamLedger, request: OrderRequest): Promise<boolean>;
+  /** Reads a report; false when there is none. */
+  refresh(ledger: UpstreamLedger): Promise<boolean>;
+}
+
+/** Pause before an order is repeated; an upstream answers within about 10 ms. */
+const REPEAT_DELAY_MS = 60;
+/** Pause between looks at an upstream that carries out another order. */
+const BUSY_DELAY_MS = 80;
+
+/** Creates a sender. */
+export function createOrderSender(options: OrderSenderOptions): OrderSender {
+  const {control, clock, logger} = options;
+  /** Last order of each upstream, to send them one after the other. */
+  const chains = new WeakMap<UpstreamLedger, Promise<unknown>>();
+
+  const refresh = async (ledger: UpstreamLedger): Promise<boolean> => {
+    const askedAtMs = clock.getNowMs();
+    const read = await control.readReport(ledger.upstream);
+    read.ifRight(report => ledger.applyReport(report, askedAtMs));
+    return read.isRight();
+  };
+
+  /** Learns the number of accepted orders once no report can be older. */
+  const learnSequence = async (
+    ledger: UpstreamLedger,
+  ): Promise<number | undefined> => {
+    if (ledger.orderSequence !== undefined) return ledger.orderSequence;
+    const waitMs = ledger.lastOrderAtMs + REPORT_LAG_MS - clock.getNowMs();
+    if (waitMs > 0) await clock.waitMs(waitMs);
+    const read = await control.readReport(ledger.upstream);
+    read.ifRight(report => {
+      ledger.orderSequence = report.orderSequence;
+    });
+    return ledger.orderSequence;
+  };
+
+  const sendOnce = async (
+    ledger: UpstreamLedger,
+    request: OrderRequest,
+  ): Promise<OrderOutcome | undefined> => {
+    const sequence = await learnSequence(ledger);
+    const token = options.getToken(clock.getNowMs());
+    if (sequence === undefined || token === undefined) return undefined;
+    const sentAtMs = clock.getNowMs();
+    ledger.lastOrderAtMs = sentAtMs;
+    const outcome = await control.sendOrder(ledger.upstream, {
+      operation: request.operation,
+      model: request.model,
+      adapter: request.adapter,
+      expectedSequence: sequence,
+      holder: options.holder,
+      token,
+    });
+    ledger.lastOrderAtMs = clock.getNowMs();
+    logger.log(ORDER_ENDED, {
+      upstream: ledger.upstream.id,
+      operation: request.operation,
+      model: request.model,
+      adapter: request.adapter,
+      sequence,
+      token,
+      outcome,
+      tookMs: Math.round(clock.getNowMs() - sentAtMs),
+    });
+    return outcome;
+  };
+
+  const run = async (
+    ledger: UpstreamLedger,
+    request: OrderRequest,
+  ): Promise<boolean> => {
+    const endsAtMs = clock.getNowMs() + request.patienceMs;
+    for (;;) {
+      const outcome = await sendOnce(ledger, request);
+      switch (outcome) {
+        case OrderOutcome.Accepted:
+        case OrderOutcome.Done:
+          ledger.orderSequence = (ledger.orderSequence ?? 0) + 1;
+          return true;
+        case OrderOutcome.Fenced:
+          options.onFenced();
+          return false;
+        case OrderOutcome.Conflict: {
+          // Busy, or the sequence is another one; a report tells them apart.
+          const read = await control.readReport(ledger.upstream);
+          const isBusy = read.map(report => report.isBusy).orDefault(false);
+          if (!isBusy) ledger.orderSequence = undefined;
+          break;
+        }
+        case OrderOutcome.NoAnswer:
+          // The same order with the same sequence takes effect at most once.
+          break;
+        default:
+          return false;
+      }
+      const delayMs =
+        outcome === OrderOutcome.Conflict ? BUSY_DELAY_MS : REPEAT_DELAY_MS;
+      if (clock.getNowMs() + delayMs > endsAtMs) return false;
+      await clock.waitMs(delayMs);
+    }
+  };
+
+  return {
+    send: (ledger, request) => {
+      const before = chains.get(ledger) ?? Promise.resolve();
+      const sent = before.then(() => run(ledger, request));
+      chains.set(ledger, sent);
+      return sent;
+    },
+    refresh,
+  };
+}
--- /dev/null
+++ b/packages/model-orders/src/upstream-ledger.ts
@@ -0,0 +1,163 @@
+/**
+ * What one upstream holds and may still come to hold, as the giver of orders
+ * knows it. An order without an answer counts as carried out until it cannot
+ * be any more, so that memory is never overcommitted.
+ */
+import {UpstreamState} from '@siskinplank/serving';
+import type {EngineSpec, Upstream, UpstreamReport} from '@siskinplank/serving';
+
+/** Progress of a model or adapter. */
+export enum HoldingState {
+  Present = 'present',
+  Arriving = 'arriving',
+  /** Ordered away; still takes its room. */
+  Leaving = 'leaving',
+}
+
+export interface Holding {
+  state: HoldingState;
+  /** When the state was entered. */
+  sinceMs: number;
+  /** When an arriving one is expected to be present. */
+  expectedAtMs: number;
+}
+
+/** Ledger of one upstream. */
+export interface UpstreamLedger {
+  readonly upstream: Upstream;
+  readonly models: Map<string, Holding>;
+  /** By `model/adapter`. */
+  readonly adapters: Map<string, Holding & {lastUsedAtMs: number}>;
+  inMemory: ReadonlySet<string>;
+  onDisk: ReadonlySet<string>;
+  /** Orders accepted so far; undefined while it is not known for sure. */
+  orderSequence: number | undefined;
+  lastOrderAtMs: number;
+  report: UpstreamReport | undefined;
+  reportAtMs: number;
+  /** Whether an order or a move is under way. */
+  isOccupied: boolean;
+  /** Applies a newer registration of the same incarnation. */
+  applyRegistration(upstream: Upstream, nowMs: number): void;
+  /** Applies a report that was asked for at `askedAtMs`. */
+  applyReport(report: UpstreamReport, askedAtMs: number): void;
+  /** Sets a model's state; undefined removes it and its adapters. */
+  setModel(
+    model: string,
+    state: HoldingState | undefined,
+    nowMs: number,
+    expectedAtMs?: number,
+  ): void;
+  countFreeMb(engine: EngineSpec): number;
+  isUsable(): boolean;
+}
+
+/** Reports are up to this old when they arrive, in milliseconds. */
+export const REPORT_LAG_MS = 500;
+
+/** Opens the ledger of an upstream from its registration. */
+export function createUpstreamLedger(
+  registration: Upstream,
+  nowMs: number,
+): UpstreamLedger {
+  let upstream = registration;
+  const models = new Map<string, Holding>();
+  const adapters = new Map<string, Holding & {lastUsedAtMs: number}>();
+
+  const present = (sinceMs: number): Holding => ({
+    state: HoldingState.Present,
+    sinceMs,
+    expectedAtMs: sinceMs,
+  });
+
+  const removeAdaptersOf = (model: string): void => {
+    for (const key of [...adapters.keys()]) {
+      if (key.startsWith(`${model}/`)) adapters.delete(key);
+    }
+  };
+
+  const setModel: UpstreamLedger['setModel'] = (
+    model,
+    state,
+    atMs,
+    expectedAtMs = atMs,
+  ) => {
+    if (state === undefined) {
+      models.delete(model);
+      removeAdaptersOf(model);
+      return;
+    }
+    models.set(model, {state, sinceMs: atMs, expectedAtMs});
+  };
+
+  for (const model of upstream.models ?? []) {
+    models.set(model.name, present(nowMs));
+    for (const adapter of model.adapters) {
+      adapters.set(`${model.name}/${adapter}`, {
+        ...present(nowMs),
+        lastUsedAtMs: nowMs,
+      });
+    }
+  }
+
+  const ledger: UpstreamLedger = {
+    get upstream() {
+      return upstream;
+    },
+    models,
+    adapters,
+    inMemory: new Set(),
+    onDisk: new Set(),
+    orderSequence: undefined,
+    lastOrderAtMs: -Infinity,
+    report: undefined,
+    reportAtMs: -Infinity,
+    isOccupied: false,
+    applyRegistration: next => {
+      upstream = next;
+    },
+    applyReport: (report, askedAtMs) => {
+      ledger.report = report;
+      ledger.reportAtMs = askedAtMs;
+      ledger.inMemory = new Set(report.modelsInMemory);
+      ledger.onDisk = new Set(report.modelsOnDisk);
+      // A report may be older than the last order's effect.
+      const isCurrent = askedAtMs - ledger.lastOrderAtMs > REPORT_LAG_MS;
+      if (!isCurrent || ledger.isOccupied) return;
+      ledger.orderSequence = report.orderSequence;
+      const held = new Set(report.models.map(({name}) => name));
+      for (const name of held) {
+        if (!models.has(name)) setModel(name, HoldingState.Present, askedAtMs);
+      }
+      for (const [name, holding] of [...models]) {
+        if (held.has(name)) holding.state = HoldingState.Present;
+        else if (!report.isBusy) setModel(name, undefined, askedAtMs);
+      }
+      const reported = new Set(report.pendingAdapters);
+      for (const {name, adapters: names} of report.models) {
+        for (const adapter of names) reported.add(`${name}/${adapter}`);
+      }
+      for (const key of [...adapters.keys()]) {
+        if (!reported.has(key)) adapters.delete(key);
+      }
+      for (const key of reported) {
+        if (adapters.has(key)) continue;
+        adapters.set(key, {...present(askedAtMs), lastUsedAtMs: askedAtMs});
+      }
+    },
+    setModel,
+    countFreeMb: engine => {
+      let freeMb = engine.weightsMb;
+      for (const name of models.keys()) {
+        freeMb -= engine.models.get(name)?.weightsMb ?? engine.weightsMb;
+      }
+      for (const key of adapters.keys()) {
+        const [model] = key.split('/');
+        freeMb -= engine.models.get(model)?.adapterMb ?? 0;
+      }
+      return freeMb;
+    },
+    isUsable: () => upstream.state === UpstreamState.Ready,
+  };
+  return ledger;
+}
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -1,4 +1,5 @@
 /** What a gateway needs from the platform it runs on. */
+import type {Directory, SharedObjects} from '@siskinplank/directory';
 import type {Either} from 'purify-ts';
 import type {ServingConfiguration} from './configuration';
 import type {
@@ -6,7 +7,7 @@
   ResponseMeaning,
   UpstreamInstructions,
 } from './requests';
-import type {Upstream} from './upstreams';
+import type {Upstream, UpstreamReport} from './upstreams';
 
 /** Headers of a response, by lower-case name. */
 export type ResponseHeaders = ReadonlyMap<string, string>;
@@ -40,42 +41,52 @@
   ): string[];
 }
 
-/** Why the directory could not be read. */
-export interface DirectoryFailure {
-  reason: string;
-  /** Whether the history asked for is gone, so that a new list is needed. */
-  isHistoryLost: boolean;
+/** What an order asks an upstream for. */
+export enum OrderOperation {
+  Load = 'load',
+  Unload = 'unload',
 }
 
-/** An entry that could not be decoded. */
-export interface MalformedEntry {
-  name: string;
-  reason: string;
+/** An order to an upstream. */
+export interface UpstreamOrder {
+  operation: OrderOperation;
+  model: string;
+  /** The order is about this adapter of the model. */
+  adapter: string | undefined;
+  /** Orders that the upstream has accepted so far; others void the order. */
+  expectedSequence: number;
+  holder: string;
+  /** Fencing token of the holder. */
+  token: number;
 }
 
-/** Configuration or upstreams at one revision of the store. */
-export interface DirectoryList<T> {
-  revision: number;
-  items: ReadonlyMap<string, T>;
-  malformed: readonly MalformedEntry[];
+/** What became of an order. */
+export enum OrderOutcome {
+  /** It is being carried out. */
+  Accepted = 'accepted',
+  /** It already holds, or was carried out at once. */
+  Done = 'done',
+  /** Another order is under way, or the sequence differs. */
+  Conflict = 'conflict',
+  /** A higher fencing token is in use. */
+  Fenced = 'fenced',
+  /** The order cannot be understood there, or another upstream answered. */
+  Refused = 'refused',
+  /** It may have been accepted, or may be carried out later. */
+  NoAnswer = 'no-answer',
 }
 
-/** Changes after a revision; an item that is undefined was removed. */
-export interface DirectoryChanges<T> {
-  revision: number;
-  changes: ReadonlyArray<{name: string; item: T | undefined}>;
-  malformed: readonly MalformedEntry[];
-}
-
-/** One kind of entries that operators or upstreams write and gateways read. */
-export abstract class Directory<T> {
-  abstract list(): Promise<Either<DirectoryFailure, DirectoryList<T>>>;
+/** Orders and reports of upstreams. */
+export abstract class UpstreamControl {
+  abstract sendOrder(
+    upstream: Upstream,
+    order: UpstreamOrder,
+  ): Promise<OrderOutcome>;
 
-  /** Waits up to `waitMs` for changes after `revision`. */
-  abstract watch(
-    revision: number,
-    waitMs: number,
-  ): Promise<Either<DirectoryFailure, DirectoryChanges<T>>>;
+  /** The load of an upstream; Left says why there is none. */
+  abstract readReport(
+    upstream: Upstream,
+  ): Promise<Either<string, UpstreamReport>>;
 }
 
 /** The platform as a gateway sees it. */
@@ -83,6 +94,9 @@
   exchangeFormat: ExchangeFormat;
   configurations: Directory<ServingConfiguration>;
   upstreams: Directory<Upstream>;
+  upstreamControl: UpstreamControl;
+  /** Objects that the gateways share among themselves. */
+  sharedObjects: SharedObjects;
   /** Path that the load balancer asks for readiness. */
   readinessPath: string;
 }
--- a/packages/settings/src/gateway.ts
+++ b/packages/settings/src/gateway.ts
@@ -1,4 +1,5 @@
 /** Schema of the settings of the gateway role. */
+import {DispatchPolicyName} from '@siskinplank/dispatch';
 import {LogLevel} from '@siskinplank/foundation';
 import {z} from 'zod';
 
@@ -33,6 +34,8 @@
   readiness: z.strictObject({address: addressSchema}),
   /** Listener for metrics, in the Prometheus text format. */
   metrics: z.strictObject({address: addressSchema}),
+  /** Listener for links from other gateways. */
+  link: z.strictObject({address: addressSchema}),
   /** The platform's store. */
   store: z.strictObject({
     address: z.string().regex(ADDRESS, 'expected IP:PORT'),
@@ -40,6 +43,8 @@
     timeoutMs: durationMsSchema.default(1_000),
     /** Longest wait of a watch; bounds the age of an unchanged copy. */
     watchWaitMs: durationMsSchema.default(1_500),
+    /** Longest wait of the watch on the upstreams. */
+    upstreamWatchWaitMs: durationMsSchema.default(10_000),
     /** Wait before a failed call is repeated. */
     retryDelayMs: durationMsSchema.default(200),
     /**
@@ -47,7 +52,29 @@
      * time within which a withdrawn key must stop working.
      */
     maxAgeMs: durationMsSchema,
+    /** Age of the configuration from which on the gateway is not ready. */
+    readyAgeMs: durationMsSchema,
   }),
+  /** Limits of client accounts over all gateways. */
+  limits: z.strictObject({
+    /** Tokens above each account's burst, so that one large request fits. */
+    extraBurst: z.number().min(0),
+    /** Time within which every gateway has seen a change of the gateways. */
+    settleMs: durationMsSchema.default(35_000),
+  }),
+  orders: z.strictObject({
+    /** Time within which two gateways must not order the same upstream. */
+    leaseMs: durationMsSchema,
+    /** Open requests that one copy of a model serves without getting slow. */
+    openPerCopy: z.number().positive().default(8),
+  }),
+  dispatch: z
+    .strictObject({
+      policy: z
+        .enum(DispatchPolicyName)
+        .default(DispatchPolicyName.EstimatedLatency),
+    })
+    .prefault({}),
   upstreams: z
     .strictObject({
       /** Longest wait for a connection. */
--- /dev/null
+++ b/packages/token-shares/src/account-share.ts
@@ -0,0 +1,90 @@
+/**
+ * One gateway's share of the tokens of one client account. Tokens come from
+ * two sources only: the gateway's part of the rate, and other gateways, which
+ * give up what they hand over. The sum over all gateways therefore never grows
+ * faster than the rate, whatever messages are lost, late or cut off.
+ */
+
+/** Limits of one share. */
+export interface ShareLimits {
+  /** Tokens that accrue each second. */
+  ratePerSecond: number;
+  /** Tokens up to which they accrue. */
+  capTokens: number;
+}
+
+/** Level of one share. */
+export interface AccountShare {
+  /** Sets the limits that hold from now on. */
+  setLimits(limits: ShareLimits, nowMs: number): void;
+  getLevel(nowMs: number): number;
+  /** Takes `tokens` if the level allows it. */
+  trySpend(tokens: number, nowMs: number): boolean;
+  /** Gives tokens that were taken and not used back. */
+  refund(tokens: number, nowMs: number): void;
+  /** Takes at most `tokens` to hand them over; returns how many. */
+  withdraw(tokens: number, nowMs: number): number;
+  /** Adds tokens that another gateway handed over. */
+  deposit(tokens: number, nowMs: number): void;
+}
+
+/**
+ * Time for which a level above the cap is kept for the request it was asked
+ * for; afterwards the excess is dropped, because the giver's share has room
+ * again and would fill up a second time.
+ */
+export const EXCESS_KEPT_MS = 300;
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Creates an empty share: what an earlier process held is not known. */
+export function createAccountShare(nowMs: number): AccountShare {
+  let limits: ShareLimits = {ratePerSecond: 0, capTokens: 0};
+  let level = 0;
+  let accruedAtMs = nowMs;
+  let excessEndsAtMs = nowMs;
+
+  const accrue = (atMs: number): void => {
+    const elapsedMs = Math.max(0, atMs - accruedAtMs);
+    accruedAtMs = Math.max(accruedAtMs, atMs);
+    if (level > limits.capTokens) {
+      if (atMs >= excessEndsAtMs) level = limits.capTokens;
+      return;
+    }
+    const gained = (limits.ratePerSecond * elapsedMs) / MILLISECONDS_PER_SECOND;
+    level = Math.min(limits.capTokens, level + gained);
+  };
+
+  return {
+    setLimits: (next, atMs) => {
+      accrue(atMs);
+      limits = next;
+      accrue(atMs);
+    },
+    getLevel: atMs => {
+      accrue(atMs);
+      return level;
+    },
+    trySpend: (tokens, atMs) => {
+      accrue(atMs);
+      if (tokens > level) return false;
+      level -= tokens;
+      return true;
+    },
+    refund: (tokens, atMs) => {
+      accrue(atMs);
+      level = Math.min(Math.max(level, limits.capTokens), level + tokens);
+    },
+    withdraw: (tokens, atMs) => {
+      accrue(atMs);
+      const taken = Math.max(0, Math.min(tokens, level));
+      level -= taken;
+      return taken;
+    },
+    deposit: (tokens, atMs) => {
+      accrue(atMs);
+      level += tokens;
+      if (level > limits.capTokens) excessEndsAtMs = atMs + EXCESS_KEPT_MS;
+    },
+  };
+}
--- /dev/null
+++ b/packages/token-shares/src/index.ts
@@ -0,0 +1,12 @@
+/** Limits of client accounts as shares of tokens that gateways hold and hand to each other. */
+export {createAccountShare} from './account-share';
+export type {AccountShare, ShareLimits} from './account-share';
+export {SpendResult, createTokenShares} from './token-shares';
+export type {
+  AccountLimit,
+  PeerAccounts,
+  TokenShares,
+  TokenSharesOptions,
+} from './token-shares';
+export {createShareFraction} from './share-fraction';
+export type {FractionInput, ShareFraction} from './share-fraction';
