Trust reports only once no order can be younger, and see resets after data

Also: the silence of a holder counts from when it was last heard; a gateway that stops goes on giving orders until another one can.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -17,5 +17,5 @@
   createDispatchPolicy,
 } from './policies';
 export type {DispatchChoice, DispatchRequest} from './policies';
-export {decideWait} from './patience';
+export {planWait} from './patience';
 export type {WaitDecision, WaitInput} from './patience';
--- a/packages/dispatch/src/patience.ts
+++ b/packages/dispatch/src/patience.ts
@@ -38,7 +38,7 @@
 const MIN_RETRY_MS = 50;
 
 /** Decides whether a request waits on. */
-export function decideWait(input: WaitInput): WaitDecision {
+export function planWait(input: WaitInput): WaitDecision {
   const patienceMs =
     PATIENCE_SHARE *
     Math.max(
--- a/packages/fleet/src/peer-table.ts
+++ b/packages/fleet/src/peer-table.ts
@@ -25,6 +25,8 @@
   /** Gateways heard of within the silence limit. */
   listHeard(nowMs: number): readonly Peer[];
   getPeer(name: string): Peer | undefined;
+  /** When a gateway was last heard of, also if it is silent now. */
+  getHeardAtMs(name: string): number | undefined;
   /** Drops gateways that were silent for too long; returns their names. */
   dropSilent(nowMs: number): readonly string[];
 }
@@ -36,6 +38,7 @@
  */
 export function createPeerTable(silenceMs: number, logger: Logger): PeerTable {
   const peers = new Map<string, Peer>();
+  const heardAt = new Map<string, number>();
   return {
     noteState: (name, incarnation, state, nowMs) => {
       const known = peers.get(name);
@@ -48,6 +51,7 @@
         logger.log(PEER_HEARD, {peer: name, incarnation});
       }
       peers.set(name, {name, incarnation, state, heardAtMs: nowMs});
+      heardAt.set(name, nowMs);
       return true;
     },
     listHeard: nowMs =>
@@ -55,6 +59,7 @@
         ({heardAtMs}) => nowMs - heardAtMs < silenceMs,
       ),
     getPeer: name => peers.get(name),
+    getHeardAtMs: name => heardAt.get(name),
     dropSilent: nowMs => {
       const silent = [...peers.values()].filter(
         ({heardAtMs}) => nowMs - heardAtMs >= silenceMs,
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -1,5 +1,5 @@
 /** Finds an upstream for each request; lets requests wait for models and adapters. */
-import {decideWait} from '@siskinplank/dispatch';
+import {planWait} from '@siskinplank/dispatch';
 import type {
   DispatchPolicy,
   UpstreamEntry,
@@ -161,7 +161,7 @@
       else prepareAdapter(item, choice.entry, model, adapter);
       return;
     }
-    const decision = decideWait({
+    const decision = planWait({
       arrivedAtMs: ticket.arrivedAtMs,
       deadlineAtMs: ticket.deadlineAtMs,
       targetLatencyMs: ticket.targetLatencyMs,
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -327,7 +327,8 @@
       isLeaving = true;
       logger.log(GATEWAY_DRAIN_STARTED, {open: handler.countOpen()});
       const startedAtMs = clock.getNowMs();
-      await orders.stop();
+      callerServer.closeIdleConnections();
+      await orders.handOver();
       fleet.sendStateSoon();
       await clock.waitMs(settings.drain.noticeMs);
       const closed = closeServer(callerServer);
@@ -340,6 +341,7 @@
     },
     stop: async () => {
       housekeeping.cancel();
+      await orders.stop();
       configuration.stop();
       view.stop();
       await fleet.stop();
--- a/packages/gateway/src/order-giver.ts
+++ b/packages/gateway/src/order-giver.ts
@@ -41,6 +41,8 @@
 export interface OrderGiver {
   leadership: OrderLeadership;
   start(): void;
+  /** Gives the orders up if another gateway can take them over. */
+  handOver(): Promise<void>;
   stop(): Promise<void>;
   /** Whether some gateway, this one included, gives orders now. */
   isSomeoneOrdering(nowMs: number): boolean;
@@ -104,7 +106,8 @@
           ...heard.filter(({state}) => !state.isLeaving).map(({name}) => name),
         ],
         holderIncarnation: peer?.incarnation ?? record?.incarnation,
-        holderHeardAtMs: peer?.heardAtMs,
+        holderHeardAtMs:
+          holder === undefined ? undefined : peers.getHeardAtMs(holder),
       };
     },
   });
@@ -286,6 +289,13 @@
         clock.startInterval(TELL_PERIOD_MS, tell),
       );
     },
+    handOver: async () => {
+      const canFollow = options
+        .getFleet()
+        .peers.listHeard(clock.getNowMs())
+        .some(({state}) => !state.isLeaving);
+      if (canFollow) await leadership.release();
+    },
     stop: async () => {
       for (const timer of timers) timer.cancel();
       planTimer?.cancel();
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -128,6 +128,7 @@
   ): void => {
     options.onArrival();
     const arrivedAtMs = clock.getNowMs();
+    const configurationAgeMs = configuration.getAgeMs(arrivedAtMs);
     let session: RequestSession | undefined;
     let isClosed = false;
     openCount += 1;
@@ -161,7 +162,7 @@
             : Math.round(outcome.firstByteMs),
         totalMs: Math.round(clock.getNowMs() - arrivedAtMs),
         configuration: configuration.getTable()?.configuration.version,
-        configurationAgeMs: Math.round(configuration.getAgeMs(arrivedAtMs)),
+        configurationAgeMs: Math.round(configurationAgeMs),
       });
 
     const sendRefusal = (refusal: Refusal): void =>
@@ -182,6 +183,10 @@
       logEnd(REFUSAL_STATUSES[refusal.code], refusal, {}, admission);
     };
 
+    // A response that began before the stop could not ask for the close.
+    outgoing.on('finish', () => {
+      if (options.isLeaving()) incoming.socket.destroySoon();
+    });
     outgoing.on('close', () => {
       if (isClosed) return;
       isClosed = true;
--- a/packages/http-exchange/src/connection.ts
+++ b/packages/http-exchange/src/connection.ts
@@ -73,7 +73,12 @@
 /** Opens a connection. */
 export function createConnection(options: ConnectionOptions): Connection {
   const {target, clock} = options;
-  const socket = connect({host: target.host, port: target.port, noDelay: true});
+  const socket = connect({
+    host: target.host,
+    port: target.port,
+    noDelay: true,
+    allowHalfOpen: true,
+  });
   let isConnected = false;
   let isClosed = false;
   let servedCount = 0;
@@ -168,15 +173,29 @@
     }
     if (flight === undefined && !isClosed) options.onIdle(connection);
   });
-  socket.on('end', () => {
+  const handleEnd = (): void => {
+    if (flight === undefined) {
+      close();
+      return;
+    }
     const finished = parser.finish();
-    if (flight === undefined) close();
-    else {
-      const reason = finished.isLeft()
-        ? String(finished.extract())
-        : 'connection ended without a response';
-      fail(ExchangeFailureCode.BrokenOff, reason);
+    const reason = finished.isLeft()
+      ? String(finished.extract())
+      : 'connection ended without a response';
+    fail(ExchangeFailureCode.BrokenOff, reason);
+  };
+
+  socket.on('end', () => {
+    if (!parser.endsWithConnection()) {
+      handleEnd();
+      return;
     }
+    // libuv reports a reset that arrives together with data as an orderly end.
+    // The error is still pending at the socket, and a write of nothing shows it.
+    socket.write(Buffer.alloc(0), error => {
+      if (error) fail(ExchangeFailureCode.BrokenOff, error.message);
+      else handleEnd();
+    });
   });
   socket.on('error', error =>
     fail(ExchangeFailureCode.BrokenOff, error.message),
--- /dev/null
+++ b/packages/http-exchange/src/response-parser.test.ts
@@ -0,0 +1,117 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {createResponseParser} from './response-parser';
+
+interface Parsed {
+  statuses: number[];
+  bodies: string[];
+  ended: number;
+  problem: string | undefined;
+}
+
+/** Feeds `text` in pieces that end at `cuts`. */
+function parseText(text: string, cuts: readonly number[] = []): Parsed {
+  const parsed: Parsed = {
+    statuses: [],
+    bodies: [],
+    ended: 0,
+    problem: undefined,
+  };
+  const parser = createResponseParser(
+    {
+      onHead: head => {
+        parsed.statuses.push(head.status);
+        parsed.bodies.push('');
+      },
+      onBody: piece => {
+        parsed.bodies[parsed.bodies.length - 1] += piece.toString('latin1');
+      },
+      onEnd: () => {
+        parsed.ended += 1;
+      },
+    },
+    () => false,
+  );
+  const bytes = Buffer.from(text, 'latin1');
+  const ends = [...cuts.filter(cut => cut < bytes.length), bytes.length];
+  let start = 0;
+  for (const end of ends.sort((left, right) => left - right)) {
+    let rest = bytes.subarray(start, end);
+    start = end;
+    while (rest.length > 0) {
+      const read = parser.execute(rest);
+      if (read.isLeft()) {
+        parsed.problem = String(read.extract());
+        return parsed;
+      }
+      rest = rest.subarray(read.unsafeCoerce());
+    }
+  }
+  return parsed;
+}
+
+const CHUNKED =
+  'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n' +
+  '5\r\nhello\r\n6;x=1\r\n world\r\n0\r\nTrailer: t\r\n\r\n';
+const FIXED = 'HTTP/1.1 404 Not Found\r\nContent-Length: 4\r\n\r\ngone';
+
+describe('response parser', () => {
+  it('reads the same responses however the bytes are cut', () => {
+    const text = CHUNKED + FIXED + 'HTTP/1.1 204 No Content\r\n\r\n' + CHUNKED;
+    const whole = parseText(text);
+    expect(whole).toMatchObject({
+      statuses: [200, 404, 204, 200],
+      bodies: ['hello world', 'gone', '', 'hello world'],
+      ended: 4,
+    });
+    fc.assert(
+      fc.property(fc.array(fc.nat(text.length), {maxLength: 30}), cuts => {
+        expect(parseText(text, cuts)).toEqual(whole);
+      }),
+    );
+  });
+
+  it('reads past interim responses', () => {
+    const parsed = parseText(`HTTP/1.1 100 Continue\r\n\r\n${FIXED}`);
+    expect(parsed).toMatchObject({statuses: [404], ended: 1});
+  });
+
+  it.each([
+    [
+      'a length and a transfer coding',
+      'Content-Length: 3\r\nTransfer-Encoding: chunked',
+    ],
+    ['two lengths', 'Content-Length: 3\r\nContent-Length: 4'],
+    ['a malformed length', 'Content-Length: 3x'],
+    ['another transfer coding', 'Transfer-Encoding: gzip, chunked'],
+    ['a space before the colon', 'Content-Length : 3'],
+  ])('refuses %s', (_name, headers) => {
+    const parsed = parseText(`HTTP/1.1 200 OK\r\n${headers}\r\n\r\nabc`);
+    expect(parsed.problem).toBeDefined();
+  });
+
+  it.each(['x\r\n', '5 5\r\n', '-1\r\n', '\r\n'])(
+    'refuses the chunk size %j',
+    size => {
+      const parsed = parseText(
+        `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${size}`,
+      );
+      expect(parsed.problem).toBeDefined();
+    },
+  );
+
+  it('refuses a chunk that is longer than its size', () => {
+    const parsed = parseText(
+      'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n',
+    );
+    expect(parsed.problem).toBeDefined();
+  });
+
+  it('never throws on arbitrary bytes', () => {
+    fc.assert(
+      fc.property(fc.string({maxLength: 300}), text => {
+        parseText(`HTTP/1.1 200 OK\r\n${text}`, [7, 40]);
+      }),
+    );
+  });
+});
--- a/packages/http-exchange/src/response-parser.ts
+++ b/packages/http-exchange/src/response-parser.ts
@@ -36,6 +36,8 @@
   execute(bytes: Buffer): Either<string, number>;
   /** The connection has ended; Left when that broke a response off. */
   finish(): Either<string, void>;
+  /** Whether the end of the connection will complete the response. */
+  endsWithConnection(): boolean;
   /** Whether no byte of a response has been read since the last one ended. */
   isIdle(): boolean;
 }
@@ -285,6 +287,7 @@
       const isBetween = state === ParserState.Head && pendingBytes === 0;
       return isBetween ? Right(undefined) : Left('response was broken off');
     },
+    endsWithConnection: () => state === ParserState.UntilClose,
     isIdle: () => state === ParserState.Head && pendingBytes === 0,
   };
 }
--- a/packages/model-orders/src/order-desk.ts
+++ b/packages/model-orders/src/order-desk.ts
@@ -69,6 +69,8 @@
 
 /** Time between reports of an upstream that carries out no order. */
 const REPORT_PERIOD_MS = 1_000;
+/** Time between reports while it is not known what an upstream holds. */
+const RECOVERY_PERIOD_MS = 250;
 /** Time between looks at an upstream whose load should have ended. */
 const COMPLETION_POLL_MS = 150;
 /** Loads may take this much longer than expected before they count as lost. */
@@ -124,10 +126,9 @@
   const readDueReports = (nowMs: number): void => {
     for (const ledger of ledgers.values()) {
       if (!ledger.isUsable()) continue;
-      if (nowMs - ledger.reportAtMs < REPORT_PERIOD_MS) continue;
-      if (ledger.report === undefined || !ledger.isOccupied) {
-        void readReport(ledger);
-      }
+      const periodMs = ledger.isKnown ? REPORT_PERIOD_MS : RECOVERY_PERIOD_MS;
+      if (nowMs - ledger.reportAtMs < periodMs || ledger.isOccupied) continue;
+      void readReport(ledger);
     }
   };
 
@@ -166,6 +167,7 @@
         model,
         adapter: undefined,
         patienceMs: UNLOAD_PATIENCE_MS,
+        mayBeBusy: model !== models[0],
       });
       if (!isSent) return false;
     }
@@ -182,6 +184,7 @@
       model: move.load,
       adapter: undefined,
       patienceMs: UNLOAD_PATIENCE_MS,
+      mayBeBusy: move.evict.length > 0,
     });
     if (!isSent) return false;
     const nowMs = clock.getNowMs();
@@ -216,7 +219,7 @@
     }
     ledger.isOccupied = false;
     // After a failure only a report tells what the upstream holds.
-    if (!isLoaded) ledger.orderSequence = undefined;
+    if (!isLoaded) ledger.isKnown = false;
     logger.log(MOVE_ENDED, {
       upstream: move.upstream,
       load: move.load,
@@ -253,8 +256,7 @@
       openByModel,
       inMemory: ledger.inMemory,
       onDisk: ledger.onDisk,
-      canTakeOrder:
-        ledger.isUsable() && !ledger.isOccupied && ledger.report !== undefined,
+      canTakeOrder: ledger.isUsable() && !ledger.isOccupied && ledger.isKnown,
     };
   };
 
@@ -323,6 +325,7 @@
       model,
       adapter,
       patienceMs: ADAPTER_PATIENCE_MS,
+      mayBeBusy: false,
     });
     if (isSent) ledger.adapters.delete(key);
     else holding.state = HoldingState.Present;
@@ -353,6 +356,7 @@
       const engine = lastInput?.engine;
       const ledger = ledgers.get(upstreamId);
       if (engine === undefined || ledger === undefined) return undefined;
+      if (!ledger.isKnown && !ledger.isOccupied) return undefined;
       if (ledger.models.get(model)?.state !== HoldingState.Present) {
         return undefined;
       }
@@ -382,6 +386,7 @@
         model,
         adapter,
         patienceMs: ADAPTER_PATIENCE_MS,
+        mayBeBusy: false,
       });
       const holding = ledger.adapters.get(key);
       if (!isSent) {
--- a/packages/model-orders/src/order-sender.ts
+++ b/packages/model-orders/src/order-sender.ts
@@ -24,8 +24,10 @@
   operation: OrderOperation;
   model: string;
   adapter: string | undefined;
-  /** Longest time to go on while the upstream is busy, in milliseconds. */
+  /** Longest time to go on without an answer or while busy, in milliseconds. */
   patienceMs: number;
+  /** Whether an own order may still keep the upstream busy. */
+  mayBeBusy: boolean;
 }
 
 /** Sends orders. */
@@ -36,8 +38,10 @@
   refresh(ledger: UpstreamLedger): Promise<boolean>;
 }
 
-/** Pause before an order is repeated; an upstream answers within about 10 ms. */
+/** First pause before an order is repeated; it doubles from time to time. */
 const REPEAT_DELAY_MS = 60;
+/** Conflicts without a busy report for longer than this are no matter of lag. */
+const CONFLICT_PATIENCE_MS = 2 * REPORT_LAG_MS;
 /** Pause between looks at an upstream that carries out another order. */
 const BUSY_DELAY_MS = 80;
 
@@ -99,12 +103,22 @@
     return outcome;
   };
 
+  /** Waits for a report that is younger than all orders. */
+  const distrust = (ledger: UpstreamLedger): void => {
+    ledger.isKnown = false;
+    ledger.orderSequence = undefined;
+    ledger.lastOrderAtMs = clock.getNowMs();
+  };
+
   const run = async (
     ledger: UpstreamLedger,
     request: OrderRequest,
   ): Promise<boolean> => {
-    const endsAtMs = clock.getNowMs() + request.patienceMs;
-    for (;;) {
+    const startedAtMs = clock.getNowMs();
+    let repeatDelayMs = REPEAT_DELAY_MS;
+    let delayMs = 0;
+    do {
+      if (delayMs > 0) await clock.waitMs(delayMs);
       const outcome = await sendOnce(ledger, request);
       switch (outcome) {
         case OrderOutcome.Accepted:
@@ -115,23 +129,30 @@
           options.onFenced();
           return false;
         case OrderOutcome.Conflict: {
-          // Busy, or the sequence is another one; a report tells them apart.
+          // Busy with an own order, or changed by somebody else's.
+          const triedMs = clock.getNowMs() - startedAtMs;
           const read = await control.readReport(ledger.upstream);
           const isBusy = read.map(report => report.isBusy).orDefault(false);
-          if (!isBusy) ledger.orderSequence = undefined;
+          const mayPass = isBusy || triedMs < CONFLICT_PATIENCE_MS;
+          if (!request.mayBeBusy || !mayPass) {
+            distrust(ledger);
+            return false;
+          }
+          delayMs = BUSY_DELAY_MS;
           break;
         }
         case OrderOutcome.NoAnswer:
           // The same order with the same sequence takes effect at most once.
+          delayMs = repeatDelayMs;
+          repeatDelayMs *= 2;
           break;
         default:
+          distrust(ledger);
           return false;
       }
-      const delayMs =
-        outcome === OrderOutcome.Conflict ? BUSY_DELAY_MS : REPEAT_DELAY_MS;
-      if (clock.getNowMs() + delayMs > endsAtMs) return false;
-      await clock.waitMs(delayMs);
-    }
+    } while (clock.getNowMs() + delayMs < startedAtMs + request.patienceMs);
+    distrust(ledger);
+    return false;
   };
 
   return {
--- a/packages/model-orders/src/upstream-ledger.ts
+++ b/packages/model-orders/src/upstream-ledger.ts
@@ -35,8 +35,13 @@
   lastOrderAtMs: number;
   report: UpstreamReport | undefined;
   reportAtMs: number;
-  /** Whether an order or a move is under way. */
+  /** Whether a move is under way. */
   isOccupied: boolean;
+  /**
+   * Whether the ledger is known to be complete. It is not at first, since an
+   * order of another gateway may still be carried out, nor after a conflict.
+   */
+  isKnown: boolean;
   /** Applies a newer registration of the same incarnation. */
   applyRegistration(upstream: Upstream, nowMs: number): void;
   /** Applies a report that was asked for at `askedAtMs`. */
@@ -113,6 +118,7 @@
     report: undefined,
     reportAtMs: -Infinity,
     isOccupied: false,
+    isKnown: false,
     applyRegistration: next => {
       upstream = next;
     },
@@ -122,8 +128,11 @@
       ledger.inMemory = new Set(report.modelsInMemory);
       ledger.onDisk = new Set(report.modelsOnDisk);
       // A report may be older than the last order's effect.
-      const isCurrent = askedAtMs - ledger.lastOrderAtMs > REPORT_LAG_MS;
+      const quietSinceMs = Math.max(ledger.lastOrderAtMs, nowMs);
+      const isCurrent = askedAtMs - quietSinceMs > REPORT_LAG_MS;
       if (!isCurrent || ledger.isOccupied) return;
+      // What is on its way under a foreign order is not told.
+      ledger.isKnown = !report.isBusy;
       ledger.orderSequence = report.orderSequence;
       const held = new Set(report.models.map(({name}) => name));
       for (const name of held) {
