Answer requests that cross a side process's announcement to leave

Change: the process still refuses with "not run" for 500 ms after the announcement. Gateways have no such gap: they speak to upstreams directly, and a caller's request that crosses the close of its connection was never read.

--- a/packages/side/src/constants.ts
+++ b/packages/side/src/constants.ts
@@ -9,6 +9,12 @@
 export const MAX_FINISHED_ATTEMPTS = 100_000;
 /** Time that an attempt without a link waits for a Resume. */
 export const RESUME_WINDOW_MS = 10_000;
+/**
+ * Time for which a process that leaves still answers requests, so that entry
+ * processes have read the announcement: a round trip between regions (16 ms)
+ * and a busy event loop at both ends.
+ */
+export const CROSSING_MS = 500;
 /** Period of deadline checks. */
 export const SWEEP_PERIOD_MS = 50;
 /** Bytes read from the upstream ahead of the receiver's credit. */
--- a/packages/side/src/process.test.ts
+++ b/packages/side/src/process.test.ts
@@ -115,6 +115,26 @@
     expect(entry.readBody(attemptId)).toBe(text);
   });
 
+  // INV-11/rolling-sides failed once with a request that was on its way while
+  // the idle process announced that it leaves, and closed its links at once.
+  it('answers a request that crosses its announcement to leave', async () => {
+    const {bench, entry} = await startBench((_request, response) =>
+      response.end('done'),
+    );
+    const stopped = bench.side.drain().then(() => bench.side.stop());
+    await clock.waitMs(100);
+    const attemptId = entry.open({idempotent: false});
+    await vi.waitFor(() =>
+      expect(entry.list(MessageType.Refused, attemptId)).toHaveLength(1),
+    );
+    const [refused] = entry.list(MessageType.Refused, attemptId);
+    expect(refused).toMatchObject({
+      code: RefusalCode.Draining,
+      runState: RunState.NotRun,
+    });
+    await stopped;
+  });
+
   // A duplicated or late order must not run twice.
   it('runs an attempt once and refuses a queried id for ever', async () => {
     let calls = 0;
--- a/packages/side/src/process.ts
+++ b/packages/side/src/process.ts
@@ -195,6 +195,7 @@
     logger.log(events.DRAIN_STARTED, {open: table.listOpen().length});
     membership.setOwnState(MemberState.Leaving);
     reporter.reportAll();
+    const announcedAtMs = clock.getNowMs();
     const {graceMs} = settings.drain;
     // Entry processes run them elsewhere, or wait for the return of this one.
     controller.refuseQueued(RefusalCode.Draining, 'the upstream is leaving');
@@ -206,6 +207,11 @@
       }),
     ]);
     graceTimer?.cancel();
+    // Requests that were sent before the announcement was read get an answer.
+    const announcedForMs = clock.getNowMs() - announcedAtMs;
+    await clock.waitMs(
+      Math.max(0, Math.min(constants.CROSSING_MS, graceMs) - announcedForMs),
+    );
     logger.log(events.DRAIN_ENDED, {open: dispatcher.listRunning().length});
   };
 
