Let token shares accrue from the start of the process

Ruled out: uneven parts of the rate; the refusals came before the first donation.

Change: shares accrue from the start of the process once its part is known; an account that this process has seen appear starts with its burst, unless it was removed within a minute. Refusals carry the readings that decided them.

--- a/packages/foundation/src/clock.ts
+++ b/packages/foundation/src/clock.ts
@@ -10,6 +10,8 @@
 export interface Clock {
   /** Monotonic time in milliseconds; only differences have a meaning. */
   getNowMs(): number;
+  /** Reading of the monotonic time at the start of the process. */
+  getStartedMs(): number;
   /** Wall-clock time in milliseconds since the Unix epoch, for records only. */
   getWallMs(): number;
   /** Runs `callback` once after `delayMs` milliseconds. */
@@ -24,6 +26,8 @@
 export function createSystemClock(): Clock {
   return {
     getNowMs: () => performance.now(),
+    // performance.now() counts from the start of the process.
+    getStartedMs: () => 0,
     getWallMs: () => Date.now(),
     startTimer: (delayMs, callback) => {
       const handle = setTimeout(callback, delayMs);
@@ -70,6 +74,7 @@
     schedule({dueMs: nowMs + delayMs, periodMs: undefined, callback});
   return {
     getNowMs: () => nowMs,
+    getStartedMs: () => startMs,
     getWallMs: () => nowMs,
     startTimer,
     startInterval: (periodMs, callback) =>
--- a/packages/gateway/src/account-limiter.ts
+++ b/packages/gateway/src/account-limiter.ts
@@ -2,13 +2,14 @@
 import type {Clock} from '@siskinplank/foundation';
 import type {CallerRequest, ClientAccount} from '@siskinplank/serving';
 import {SpendResult} from '@siskinplank/token-shares';
-import type {TokenShares} from '@siskinplank/token-shares';
+import type {LimitReadings, TokenShares} from '@siskinplank/token-shares';
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 
 /** Why a request is over the limit. */
 export interface LimitRefusal {
   retryAfterMs: number;
+  readings: LimitReadings;
 }
 
 /** Takes tokens for requests. */
@@ -73,6 +74,7 @@
       MIN_RETRY_AFTER_MS,
       shares.estimateWaitMs(account, tokens, nowMs),
     ),
+    readings: shares.describeLimit(account, nowMs),
   });
 
   const tryAgain = (item: WaitingRequest, nowMs: number): void => {
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -81,7 +81,10 @@
   const ownIncarnation = makeSecureId(8);
   let isLeaving = false;
   const upstreams = createUpstreamTable();
-  const shares = createTokenShares({extraBurst: settings.limits.extraBurst});
+  const shares = createTokenShares({
+    extraBurst: settings.limits.extraBurst,
+    startedAtMs: clock.getStartedMs(),
+  });
   const shareFraction = createShareFraction(settings.limits.settleMs);
   const pauseDetector = createPauseDetector(PAUSE_TOLERANCE_MS);
 
--- a/packages/measure/src/capacity/event-clock.ts
+++ b/packages/measure/src/capacity/event-clock.ts
@@ -98,6 +98,7 @@
     new Promise(resolve => setImmediate(resolve));
 
   return {
+    getStartedMs: () => 0,
     getNowMs: () => nowMs,
     getWallMs: () => 1_790_000_000_000 + nowMs,
     startTimer: (delayMs, callback) => schedule(delayMs, undefined, callback),
--- a/packages/testing/src/clock/freezable-clock.ts
+++ b/packages/testing/src/clock/freezable-clock.ts
@@ -47,6 +47,7 @@
     stop: () => {
       isStopped = true;
     },
+    getStartedMs: () => 0,
     getNowMs: () => base.getNowMs() + offsetMs,
     getWallMs: () => base.getNowMs(),
     startTimer,
--- a/packages/token-shares/src/account-share.ts
+++ b/packages/token-shares/src/account-share.ts
@@ -37,14 +37,23 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
-/** Creates an empty share: what an earlier process held is not known. */
-export function createAccountShare(nowMs: number): AccountShare {
+/**
+ * Creates a share that holds `initialLevel` tokens.
+ *
+ * @param accruesFromMs time from which tokens accrue once there are limits.
+ */
+export function createAccountShare(
+  accruesFromMs: number,
+  initialLevel = 0,
+): AccountShare {
   let limits: ShareLimits = {ratePerSecond: 0, capTokens: 0};
-  let level = 0;
-  let accruedAtMs = nowMs;
-  let excessEndsAtMs = nowMs;
+  let level = initialLevel;
+  let accruedAtMs = accruesFromMs;
+  let excessEndsAtMs = accruesFromMs;
+  let hasLimits = false;
 
   const accrue = (atMs: number): void => {
+    if (!hasLimits) return;
     const elapsedMs = Math.max(0, atMs - accruedAtMs);
     accruedAtMs = Math.max(accruedAtMs, atMs);
     if (level > limits.capTokens) {
@@ -59,6 +68,8 @@
     setLimits: (next, atMs) => {
       accrue(atMs);
       limits = next;
+      // Until the part of this gateway is known, nothing is counted as accrued.
+      if (next.ratePerSecond > 0) hasLimits = true;
       accrue(atMs);
     },
     getLevel: atMs => {
--- a/packages/token-shares/src/index.ts
+++ b/packages/token-shares/src/index.ts
@@ -4,6 +4,7 @@
 export {SpendResult, createTokenShares} from './token-shares';
 export type {
   AccountLimit,
+  LimitReadings,
   PeerAccounts,
   TokenShares,
   TokenSharesOptions,
--- a/packages/token-shares/src/token-shares.test.ts
+++ b/packages/token-shares/src/token-shares.test.ts
@@ -45,7 +45,10 @@
     [ACCOUNT, {ratePerSecond: scenario.ratePerSecond, burst: scenario.burst}],
   ]);
   const createGateway = (nowMs: number): TokenShares => {
-    const shares = createTokenShares({extraBurst: scenario.extraBurst});
+    const shares = createTokenShares({
+      extraBurst: scenario.extraBurst,
+      startedAtMs: nowMs,
+    });
     shares.setLimits(limits, nowMs);
     shares.setFraction(
       1 / scenario.gatewayCount,
@@ -234,6 +237,29 @@
   });
 });
 
+describe('start of token shares', () => {
+  const limits = new Map([[ACCOUNT, {ratePerSecond: 1_000, burst: 1_000}]]);
+
+  it('accrue from the start of the process, once their part is known', () => {
+    const shares = createTokenShares({extraBurst: 0, startedAtMs: 0});
+    shares.setLimits(limits, 600);
+    expect(shares.spend(ACCOUNT, 100, 700)).toBe(SpendResult.OverLimit);
+    shares.setFraction(0.5, 0.5, 800);
+    expect(shares.describeLimit(ACCOUNT, 800).ownLevel).toBeCloseTo(400);
+  });
+
+  it('give an account that appears its burst, but not twice', () => {
+    const shares = createTokenShares({extraBurst: 0, startedAtMs: 0});
+    shares.setLimits(new Map(), 0);
+    shares.setFraction(0.5, 0.5, 0);
+    shares.setLimits(limits, 1_000);
+    expect(shares.spend(ACCOUNT, 500, 1_000)).toBe(SpendResult.Spent);
+    shares.setLimits(new Map(), 1_100);
+    shares.setLimits(limits, 1_200);
+    expect(shares.spend(ACCOUNT, 100, 1_200)).toBe(SpendResult.OverLimit);
+  });
+});
+
 describe('share fraction', () => {
   const input = {
     gatewayCount: 4,
--- a/packages/token-shares/src/token-shares.ts
+++ b/packages/token-shares/src/token-shares.ts
@@ -27,9 +27,24 @@
   OverLimit = 'over-limit',
 }
 
+/** Limit and levels of one account. */
+export interface LimitReadings {
+  ratePerSecond: number;
+  /** Tokens held here. */
+  ownLevel: number;
+  /** Tokens that the peers said they hold. */
+  peerLevel: number;
+}
+
+/** What `createTokenShares` needs. */
 export interface TokenSharesOptions {
   /** Tokens added to each account's burst, so that one large request fits. */
   extraBurst: number;
+  /**
+   * Start of this process. Its predecessor has spent nothing since, so that the
+   * shares accrue from then on, as soon as the part of this gateway is known.
+   */
+  startedAtMs: number;
 }
 
 /** Shares of one gateway. */
@@ -52,6 +67,8 @@
   deposit(tokens: Readonly<Record<string, number>>, nowMs: number): void;
   /** Time until the account may have `tokens` again, in milliseconds. */
   estimateWaitMs(account: string, tokens: number, nowMs: number): number;
+  /** What a refusal is decided from. */
+  describeLimit(account: string, nowMs: number): LimitReadings;
   /** Tokens held and needed, for the peers. */
   describeAccounts(nowMs: number): Record<string, [number, number]>;
   /** Takes tokens out for each peer in need; they must be sent then. */
@@ -72,6 +89,8 @@
 /** Demand that a gateway keeps tokens for, beyond what waits. */
 const AHEAD_MS = 300;
 const MILLISECONDS_PER_SECOND = 1_000;
+/** Time after which what a removed account spent counts no more. */
+const REMOVED_MS = 60_000;
 /** Donations below this are not worth a message. */
 const MIN_DONATION_TOKENS = 1;
 
@@ -80,9 +99,27 @@
   let states = new Map<string, AccountState>();
   /** Levels and unserved needs of the peers, by account. */
   const peers = new Map<string, Map<string, {level: number; need: number}>>();
+  const removedAtMs = new Map<string, number>();
+  let hasLimits = false;
   let rateFraction = 0;
   let capFraction = 0;
 
+  /**
+   * An account that this process has seen appear has spent nothing and starts
+   * with its burst, unless it was removed a moment before.
+   */
+  const createShare = (
+    account: string,
+    limit: AccountLimit,
+    nowMs: number,
+  ): AccountShare => {
+    if (!hasLimits) return createAccountShare(options.startedAtMs);
+    const removed = removedAtMs.get(account);
+    const mayHaveSpent = removed !== undefined && nowMs - removed < REMOVED_MS;
+    const burst = (limit.burst + options.extraBurst) * capFraction;
+    return createAccountShare(nowMs, mayHaveSpent ? 0 : burst);
+  };
+
   const applyLimits = (state: AccountState, nowMs: number): void =>
     state.share.setLimits(
       {
@@ -179,7 +216,7 @@
       const next = new Map<string, AccountState>();
       for (const [account, limit] of limits) {
         const state = states.get(account) ?? {
-          share: createAccountShare(nowMs),
+          share: createShare(account, limit, nowMs),
           limit,
           waitingTokens: 0,
           demandPerSecond: 0,
@@ -189,7 +226,11 @@
         applyLimits(state, nowMs);
         next.set(account, state);
       }
+      for (const account of states.keys()) {
+        if (!next.has(account)) removedAtMs.set(account, nowMs);
+      }
       states = next;
+      hasLimits = true;
     },
     setFraction: (nextRate, nextCap, nowMs) => {
       if (nextRate === rateFraction && nextCap === capFraction) return;
@@ -233,6 +274,11 @@
       const missing = Math.max(0, tokens + state.waitingTokens - total);
       return (missing * MILLISECONDS_PER_SECOND) / state.limit.ratePerSecond;
     },
+    describeLimit: (account, nowMs) => ({
+      ratePerSecond: states.get(account)?.limit.ratePerSecond ?? 0,
+      ownLevel: states.get(account)?.share.getLevel(nowMs) ?? 0,
+      peerLevel: sumPeerLevels(account),
+    }),
     describeAccounts: nowMs => {
       const described: Record<string, [number, number]> = {};
       for (const [account, state] of states) {
