Let batch requests wait longer for the plan of a load

Cause: requests for models that nobody holds were refused 0.7 s after their arrival when no load was planned yet, although callers of batch reports wait for 24 s before the first event.

Change: the time in which a load may still be planned is 0.4 of the caller's patience, 0.7 s at least.

--- /dev/null
+++ b/packages/dispatch/src/patience.test.ts
@@ -0,0 +1,42 @@
+import {describe, expect, it} from 'vitest';
+import {planWait} from './patience';
+import type {WaitInput} from './patience';
+
+const INPUT: WaitInput = {
+  arrivedAtMs: 0,
+  deadlineAtMs: 15_000,
+  targetLatencyMs: 800,
+  targetPauseMs: 300,
+  expectedAtMs: undefined,
+  canBeLoaded: true,
+  nowMs: 0,
+};
+
+describe('waiting for a model', () => {
+  it('waits for a load that ends before the caller gives up', () => {
+    expect(planWait({...INPUT, expectedAtMs: 2_000}).isRefused).toBe(false);
+  });
+
+  it('refuses at once when the load ends too late, and says when', () => {
+    const decision = planWait({...INPUT, expectedAtMs: 6_000, nowMs: 100});
+    expect(decision).toEqual({isRefused: true, retryAfterMs: 5_900});
+  });
+
+  it('refuses at once when nobody can load the model', () => {
+    expect(planWait({...INPUT, canBeLoaded: false}).isRefused).toBe(true);
+  });
+
+  it('gives the planning some time and no more', () => {
+    expect(planWait({...INPUT, nowMs: 900}).isRefused).toBe(false);
+    expect(planWait({...INPUT, nowMs: 1_300}).isRefused).toBe(true);
+    // Callers with an objective of seconds can wait for a turn.
+    const batch = {...INPUT, targetLatencyMs: 6_000, deadlineAtMs: 25_000};
+    expect(planWait({...batch, nowMs: 5_000}).isRefused).toBe(false);
+    expect(planWait({...batch, nowMs: 9_000}).isRefused).toBe(true);
+  });
+
+  it('never waits past the deadline', () => {
+    const input = {...INPUT, deadlineAtMs: 1_000, expectedAtMs: 1_100};
+    expect(planWait(input).isRefused).toBe(true);
+  });
+});
--- a/packages/dispatch/src/patience.ts
+++ b/packages/dispatch/src/patience.ts
@@ -32,7 +32,9 @@
 /** Part of that patience after which waiting is no use. */
 const PATIENCE_SHARE = 0.85;
 /** Time that the giver of orders needs to plan a load. */
-const PLAN_MS = 700;
+const MIN_PLAN_MS = 700;
+/** Part of the patience in which a load may still be planned. */
+const PLAN_SHARE = 0.4;
 /** Retry-After when it is not known when a model will be present. */
 const UNKNOWN_RETRY_MS = 1_000;
 const MIN_RETRY_MS = 50;
@@ -56,6 +58,7 @@
     const leftMs = Math.max(MIN_RETRY_MS, expectedAtMs - nowMs);
     return {isRefused: !isInTime, retryAfterMs: leftMs};
   }
-  const isPlanLate = nowMs - input.arrivedAtMs > PLAN_MS || nowMs > lastAtMs;
+  const planMs = Math.max(MIN_PLAN_MS, patienceMs * PLAN_SHARE);
+  const isPlanLate = nowMs - input.arrivedAtMs > planMs || nowMs > lastAtMs;
   return {isRefused: isPlanLate, retryAfterMs: UNKNOWN_RETRY_MS};
 }
