Leave silent upstreams and share what gateways see of faults and leaving

Change: a request that may be repeated leaves an upstream that is silent while its streams should tell something; lapsed entries are used 2 s longer around an outage; gateways tell each other which upstreams leave and which fail, and a slow one is avoided by its pauses between events. Counters and latency histograms are served on the metrics address.

Ruled out: closing every silent request, which would double work that is only queued: the whole upstream must be silent.

--- a/packages/directory/src/directory-watcher.ts
+++ b/packages/directory/src/directory-watcher.ts
@@ -20,11 +20,18 @@
   clock: Clock;
   logger: Logger;
   /** A complete list, which replaces everything known. */
-  onList(items: ReadonlyMap<string, T>, nowMs: number): void;
+  onList(items: ReadonlyMap<string, T>, nowMs: number, revision: number): void;
   /** One change; undefined when the entry is gone or cannot be decoded. */
-  onChange(name: string, item: T | undefined, nowMs: number): void;
+  onChange(
+    name: string,
+    item: T | undefined,
+    nowMs: number,
+    revision: number,
+  ): void;
   /** All changes of one answer were reported. */
   onSettled(nowMs: number): void;
+  /** The store stopped answering, or answers again; before its changes. */
+  onConnection?(isConnected: boolean, nowMs: number): void;
 }
 
 /** Follows a directory until it is stopped. */
@@ -71,13 +78,18 @@
     }
   };
 
+  /** To be called before the changes of the answer are reported. */
+  const noteAnswer = (nextRevision: number, nowMs: number): void => {
+    if (isConnected) return;
+    isConnected = true;
+    logger.log(DIRECTORY_REGAINED, {directory: name, revision: nextRevision});
+    options.onConnection?.(true, nowMs);
+  };
+
   const noteSuccess = (sentAtMs: number, nextRevision: number): void => {
     confirmedAtMs = Math.max(confirmedAtMs ?? -Infinity, sentAtMs);
     revision = Math.max(revision ?? 0, nextRevision);
     lastRevision = revision;
-    if (isConnected) return;
-    isConnected = true;
-    logger.log(DIRECTORY_REGAINED, {directory: name, revision: nextRevision});
   };
 
   const noteFailure = ({code, reason}: StoreFailure): void => {
@@ -93,6 +105,7 @@
           ? undefined
           : Math.round(clock.getNowMs() - confirmedAtMs),
     });
+    options.onConnection?.(false, clock.getNowMs());
   };
 
   /** Lists everything; false when the call failed. */
@@ -107,9 +120,10 @@
       Right: list => {
         const nowMs = clock.getNowMs();
         reportMalformed(list.malformed);
+        noteAnswer(list.revision, nowMs);
         // A watch may have told of later changes meanwhile.
         if (list.revision >= (revision ?? 0)) {
-          options.onList(list.items, nowMs);
+          options.onList(list.items, nowMs, list.revision);
           options.onSettled(nowMs);
         }
         noteSuccess(sentAtMs, list.revision);
@@ -134,10 +148,11 @@
       Right: ({changes, malformed, revision: nextRevision}) => {
         const nowMs = clock.getNowMs();
         reportMalformed(malformed);
+        noteAnswer(nextRevision, nowMs);
         // A list that was read meanwhile holds these changes already.
         if (nextRevision < (revision ?? 0)) return true;
         for (const change of changes) {
-          options.onChange(change.name, change.item, nowMs);
+          options.onChange(change.name, change.item, nowMs, nextRevision);
         }
         if (changes.length > 0) {
           options.onSettled(nowMs);
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -19,3 +19,7 @@
 export type {DispatchChoice, DispatchRequest} from './policies';
 export {planWait} from './patience';
 export type {WaitDecision, WaitInput} from './patience';
+export {createUpstreamProgress} from './progress';
+export type {UpstreamProgress} from './progress';
+export {MoveReason, planMove} from './stalls';
+export type {MoveInput} from './stalls';
--- a/packages/dispatch/src/policies.ts
+++ b/packages/dispatch/src/policies.ts
@@ -85,6 +85,14 @@
 const OTHER_DOMAIN_MS = 8;
 /** Delay that one recent fault stands for, in ms. */
 const FAULT_MS = 600;
+/** Delay that the lack of a connection a moment ago stands for, in ms. */
+const UNREACHABLE_MS = 2_000;
+/** Delay that a silence of all requests stands for, in ms. */
+const STALLED_MS = 3_000;
+/** Delay for each multiple of the shortest pause that a slow upstream makes. */
+const SLOW_MS = 150;
+/** Pauses up to this multiple of the shortest are a matter of load. */
+const USUAL_PAUSES = 2;
 /** Estimates closer than this are equal: others choose at the same time. */
 const NOISE_MS = 6;
 
@@ -101,6 +109,20 @@
   ): DispatchChoice | undefined {
     let best: DispatchChoice | undefined;
     let bestMs = Infinity;
+    const {model} = request;
+    let shortestPauseMs = Infinity;
+    for (const {progress} of entries) {
+      if (model === undefined) break;
+      const pauseMs = progress.getPauseMs(model, nowMs) ?? Infinity;
+      shortestPauseMs = Math.min(shortestPauseMs, pauseMs);
+    }
+    const estimateSlowness = ({progress}: UpstreamEntry): number => {
+      if (model === undefined) return 0;
+      const pauseMs = progress.getPauseMs(model, nowMs);
+      if (pauseMs === undefined) return 0;
+      const multiple = pauseMs / Math.max(1, shortestPauseMs);
+      return Math.max(0, multiple - USUAL_PAUSES) * SLOW_MS;
+    };
     for (const entry of entries) {
       if (!canServeModel(entry, request)) continue;
       const needsAdapter = !hasAdapter(entry, request);
@@ -113,6 +135,9 @@
         (needsAdapter ? ADAPTER_MS : 0) +
         (isNear ? 0 : OTHER_DOMAIN_MS) +
         entry.getFaultWeight(nowMs) * FAULT_MS +
+        (entry.isUnreachable(nowMs) ? UNREACHABLE_MS : 0) +
+        (entry.progress.isStalled(nowMs) ? STALLED_MS : 0) +
+        estimateSlowness(entry) +
         this.random.getNext() * NOISE_MS;
       if (estimateMs >= bestMs) continue;
       bestMs = estimateMs;
--- /dev/null
+++ b/packages/dispatch/src/stalls.test.ts
@@ -0,0 +1,91 @@
+import {describe, expect, it} from 'vitest';
+import {createUpstreamProgress} from './progress';
+import {MoveReason, planMove} from './stalls';
+import type {MoveInput} from './stalls';
+
+const QUIET: MoveInput = {
+  canRepeat: true,
+  isStream: true,
+  hasEvents: false,
+  silentMs: 0,
+  upstreamSilentMs: 0,
+  isUpstreamStalled: false,
+  targetLatencyMs: 800,
+};
+
+describe('moves away from silent upstreams', () => {
+  it('moves no request that may run only once', () => {
+    const input = {
+      ...QUIET,
+      canRepeat: false,
+      silentMs: 9_000,
+      upstreamSilentMs: 9_000,
+      isUpstreamStalled: true,
+    };
+    expect(planMove(input)).toBeUndefined();
+  });
+
+  // The load: an upstream goes dark under running streams. Callers abandon a
+  // stream after 2 to 3 s without an event.
+  it('moves a stream when all streams of its upstream are silent', () => {
+    const input = {...QUIET, hasEvents: true, silentMs: 1_200};
+    expect(planMove(input)).toBeUndefined();
+    expect(planMove({...input, isUpstreamStalled: true})).toBe(
+      MoveReason.Stalled,
+    );
+  });
+
+  it('waits in the queue of an upstream that answers others', () => {
+    const input = {...QUIET, silentMs: 1_800, upstreamSilentMs: 20};
+    expect(planMove(input)).toBeUndefined();
+    expect(planMove({...input, upstreamSilentMs: 1_800})).toBe(
+      MoveReason.Unanswered,
+    );
+  });
+
+  it('repeats a plain request after some multiples of its target', () => {
+    const input = {...QUIET, isStream: false, targetLatencyMs: 150};
+    expect(planMove({...input, silentMs: 400})).toBeUndefined();
+    expect(planMove({...input, silentMs: 460})).toBe(MoveReason.Unanswered);
+  });
+});
+
+describe('progress of an upstream', () => {
+  it('is stalled when no stream of several has bytes', () => {
+    const progress = createUpstreamProgress();
+    progress.addStream(0);
+    progress.addStream(0);
+    progress.noteBytes(100);
+    expect(progress.isStalled(700)).toBe(false);
+    expect(progress.isStalled(900)).toBe(true);
+    progress.noteBytes(901);
+    expect(progress.isStalled(1_000)).toBe(false);
+  });
+
+  it('gives a lone stream more time, and none without streams', () => {
+    const progress = createUpstreamProgress();
+    progress.addStream(0);
+    expect(progress.isStalled(900)).toBe(false);
+    expect(progress.isStalled(1_200)).toBe(true);
+    progress.removeStream();
+    expect(progress.isStalled(9_000)).toBe(false);
+  });
+
+  it('counts silence from the first request without an answer', () => {
+    const progress = createUpstreamProgress();
+    expect(progress.getSilenceMs(500)).toBe(0);
+    progress.noteSent(500);
+    progress.noteSent(800);
+    expect(progress.getSilenceMs(1_000)).toBe(500);
+    progress.noteBytes(1_000);
+    expect(progress.getSilenceMs(5_000)).toBe(0);
+  });
+
+  it('forgets pauses that are seconds old', () => {
+    const progress = createUpstreamProgress();
+    progress.notePause('m', 40, 0);
+    progress.notePause('m', 80, 100);
+    expect(progress.getPauseMs('m', 200)).toBeGreaterThan(40);
+    expect(progress.getPauseMs('m', 4_000)).toBeUndefined();
+  });
+});
--- a/packages/dispatch/src/upstream-table.ts
+++ b/packages/dispatch/src/upstream-table.ts
@@ -1,5 +1,7 @@
 /** What one gateway knows of each upstream: what it holds and what is open there. */
 import type {Upstream} from '@siskinplank/serving';
+import {createUpstreamProgress} from './progress';
+import type {UpstreamProgress} from './progress';
 
 /** Open requests of one model, or of one adapter of it. */
 export interface OpenCount {
@@ -32,8 +34,11 @@
   readonly open: Readonly<OpenCount>;
   /** Open requests of this gateway, by model or `model/adapter`. */
   readonly own: ReadonlyMap<string, OpenCount>;
-  /** Weight of the faults seen lately, 0 when there were none. */
+  readonly progress: UpstreamProgress;
+  /** Weight of the faults seen lately by all gateways, 0 when there were none. */
   getFaultWeight(nowMs: number): number;
+  /** Whether no connection could be opened lately. */
+  isUnreachable(nowMs: number): boolean;
 }
 
 /** A request of this gateway that is open at an upstream. */
@@ -67,6 +72,16 @@
   ): OpenRequest;
   /** Notes a fault of an upstream. */
   noteFault(id: string, weight: number, nowMs: number): void;
+  /** Notes that no connection could be opened. */
+  noteUnreachable(id: string, nowMs: number): void;
+  /** Faults that a peer has seen, by upstream. */
+  setPeerFaults(
+    peer: string,
+    faults: Readonly<Record<string, number>>,
+    nowMs: number,
+  ): void;
+  /** Faults that this gateway has seen lately, for the others. */
+  describeFaults(nowMs: number): Record<string, number>;
   getEntry(id: string): UpstreamEntry | undefined;
   listService(service: string): readonly UpstreamEntry[];
   /** Open requests of this gateway, for the others. */
@@ -87,10 +102,22 @@
   >;
   faultWeight: number;
   faultAtMs: number;
+  peerFaults: Map<string, {weight: number; atMs: number}>;
+  unreachableAtMs: number;
 }
 
 /** Time constant with which faults are forgotten. */
 const FAULT_TIME_MS = 3_000;
+/** Faults of others count for a part, since a link may be at fault. */
+const PEER_FAULT_SHARE = 0.4;
+/** Faults below this are not worth telling. */
+const MIN_TOLD_FAULT = 0.1;
+/** Time for which an upstream without a connection is tried last. */
+const UNREACHABLE_MS = 1_500;
+
+function computeDecayed(weight: number, elapsedMs: number): number {
+  return weight * Math.exp(-Math.max(0, elapsedMs) / FAULT_TIME_MS);
+}
 
 function createOpenCount(): OpenCount {
   return {requests: 0, unreadTokens: 0, tokens: 0};
@@ -139,11 +166,22 @@
       open: createOpenCount(),
       own: new Map(),
       peers: new Map(),
+      progress: createUpstreamProgress(),
       faultWeight: 0,
       faultAtMs: 0,
-      getFaultWeight: nowMs =>
-        state.faultWeight *
-        Math.exp(-Math.max(0, nowMs - state.faultAtMs) / FAULT_TIME_MS),
+      peerFaults: new Map(),
+      unreachableAtMs: -Infinity,
+      getFaultWeight: nowMs => {
+        let told = 0;
+        for (const {weight, atMs} of state.peerFaults.values()) {
+          told += computeDecayed(weight, nowMs - atMs);
+        }
+        return (
+          computeDecayed(state.faultWeight, nowMs - state.faultAtMs) +
+          told * PEER_FAULT_SHARE
+        );
+      },
+      isUnreachable: nowMs => nowMs - state.unreachableAtMs < UNREACHABLE_MS,
     };
     for (const [peer, open] of peerOpen) {
       const told = open[upstream.id];
@@ -216,6 +254,7 @@
     dropPeer: peer => {
       peerOpen.delete(peer);
       for (const entry of entries.values()) {
+        entry.peerFaults.delete(peer);
         if (entry.peers.delete(peer)) sumOpen(entry);
       }
     },
@@ -245,9 +284,31 @@
     noteFault: (id, weight, nowMs) => {
       const entry = entries.get(id);
       if (entry === undefined) return;
-      entry.faultWeight = entry.getFaultWeight(nowMs) + weight;
+      entry.faultWeight =
+        computeDecayed(entry.faultWeight, nowMs - entry.faultAtMs) + weight;
       entry.faultAtMs = nowMs;
     },
+    noteUnreachable: (id, nowMs) => {
+      const entry = entries.get(id);
+      if (entry !== undefined) entry.unreachableAtMs = nowMs;
+    },
+    setPeerFaults: (peer, faults, nowMs) => {
+      for (const [id, entry] of entries) {
+        const weight = faults[id];
+        if (weight === undefined) entry.peerFaults.delete(peer);
+        else entry.peerFaults.set(peer, {weight, atMs: nowMs});
+      }
+    },
+    describeFaults: nowMs => {
+      const described: Record<string, number> = {};
+      for (const [id, {faultWeight, faultAtMs}] of entries) {
+        const weight = computeDecayed(faultWeight, nowMs - faultAtMs);
+        if (weight >= MIN_TOLD_FAULT) {
+          described[id] = Math.round(weight * 100) / 100;
+        }
+      }
+      return described;
+    },
     getEntry: id => entries.get(id),
     listService: service => byService.get(service) ?? [],
     describeOpen: () => {
--- a/packages/foundation/src/metrics.ts
+++ b/packages/foundation/src/metrics.ts
@@ -25,6 +25,8 @@
     buckets: readonly number[],
     labels?: readonly L[],
   ): Histogram<L>;
+  /** Calls back before the metrics are rendered, to set gauges. */
+  onRender(callback: () => void): void;
   /** The registry's content in the Prometheus text format. */
   renderText(): Promise<string>;
 }
@@ -36,6 +38,7 @@
   options: {withProcessMetrics?: boolean} = {},
 ): Metrics {
   const registry = new Registry();
+  const renderCallbacks: Array<() => void> = [];
   if (options.withProcessMetrics) {
     collectDefaultMetrics({register: registry, prefix: METRIC_PREFIX});
   }
@@ -62,6 +65,10 @@
         labelNames: labels,
         registers: [registry],
       }),
-    renderText: () => registry.metrics(),
+    onRender: callback => void renderCallbacks.push(callback),
+    renderText: () => {
+      for (const callback of renderCallbacks) callback();
+      return registry.metrics();
+    },
   };
 }
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -31,12 +31,22 @@
   LogLevel.Info,
   'upstream appeared, changed its state or left',
 );
+export const UPSTREAM_LAPSED = defineEvent(
+  6021,
+  LogLevel.Warn,
+  'entry of an upstream vanished around an outage of the store; it is used a little longer',
+);
 export const REQUEST_ENDED = defineEvent(6030, LogLevel.Info, 'request ended');
 export const ATTEMPT_ENDED = defineEvent(
   6031,
   LogLevel.Info,
   'attempt at an upstream gave no answer for the caller',
 );
+export const REQUEST_MOVED = defineEvent(
+  6032,
+  LogLevel.Warn,
+  'request leaves a silent upstream for another one',
+);
 export const LINK_KEY_FAILED = defineEvent(
   6040,
   LogLevel.Warn,
--- /dev/null
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -0,0 +1,118 @@
+/** Counters and latency histograms of a gateway. */
+import type {Metrics} from '@siskinplank/foundation';
+import type {SessionOutcome} from './request-session';
+import type {Refusal} from './refusals';
+
+/** Readings that gauges take when they are rendered. */
+export interface GatewayReadings {
+  openRequests: number;
+  waitingRequests: number;
+  upstreamConnections: number;
+  /** Infinite before the first configuration. */
+  configurationAgeMs: number;
+  isOrdering: boolean;
+  peers: number;
+}
+
+/** Records what happens to requests. */
+export interface GatewayMetrics {
+  noteRequest(
+    kind: string,
+    status: number,
+    refusal: Refusal | undefined,
+    outcome: Partial<SessionOutcome>,
+    totalMs: number,
+  ): void;
+  noteMoved(reason: string): void;
+}
+
+/** Seconds; the targets of the routes lie between 0.1 and 6. */
+const LATENCY_BUCKETS = [
+  0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6,
+];
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Registers the metrics; gauges call `read` when they are rendered. */
+export function createGatewayMetrics(
+  metrics: Metrics,
+  read: () => GatewayReadings,
+): GatewayMetrics {
+  const requests = metrics.createCounter(
+    'gateway_requests_total',
+    'Requests by kind of route, status class and refusal',
+    ['kind', 'status', 'refusal'],
+  );
+  const repeats = metrics.createCounter(
+    'gateway_repeats_total',
+    'Attempts beyond the first of each request',
+  );
+  const moves = metrics.createCounter(
+    'gateway_moved_requests_total',
+    'Requests that left a silent upstream, by reason',
+    ['reason'],
+  );
+  const firstBytes = metrics.createHistogram(
+    'gateway_first_byte_seconds',
+    'Time from the head of a request to the first byte of its answer',
+    LATENCY_BUCKETS,
+    ['kind'],
+  );
+  const totals = metrics.createHistogram(
+    'gateway_request_seconds',
+    'Time from the head of a request to its end',
+    LATENCY_BUCKETS,
+    ['kind'],
+  );
+  const createGauge = (
+    name: string,
+    help: string,
+    select: (readings: GatewayReadings) => number,
+  ): void => {
+    const gauge = metrics.createGauge(name, help);
+    metrics.onRender(() => gauge.set(select(read())));
+  };
+  createGauge('gateway_open_requests', 'Requests without a final answer', r =>
+    Number(r.openRequests),
+  );
+  createGauge(
+    'gateway_waiting_requests',
+    'Requests that wait for a model or an adapter',
+    r => r.waitingRequests,
+  );
+  createGauge(
+    'gateway_upstream_connections',
+    'Connections to upstreams',
+    r => r.upstreamConnections,
+  );
+  createGauge(
+    'gateway_configuration_age_seconds',
+    'Time since the configuration was known to be the newest',
+    r => r.configurationAgeMs / MILLISECONDS_PER_SECOND,
+  );
+  createGauge(
+    'gateway_is_ordering',
+    'Whether this gateway gives the orders',
+    r => Number(r.isOrdering),
+  );
+  createGauge('gateway_peers', 'Other gateways heard of', r => r.peers);
+
+  return {
+    noteRequest: (kind, status, refusal, outcome, totalMs) => {
+      const statusClass =
+        status === 0 ? 'none' : `${Math.floor(status / 100)}xx`;
+      requests.inc({
+        kind,
+        status: statusClass,
+        refusal: refusal?.code ?? 'none',
+      });
+      const attempts = outcome.attempts ?? 0;
+      if (attempts > 1) repeats.inc(attempts - 1);
+      if (outcome.firstByteMs !== undefined) {
+        const seconds = outcome.firstByteMs / MILLISECONDS_PER_SECOND;
+        firstBytes.observe({kind}, seconds);
+      }
+      totals.observe({kind}, totalMs / MILLISECONDS_PER_SECOND);
+    },
+    noteMoved: reason => moves.inc({reason}),
+  };
+}
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -26,8 +26,10 @@
 } from './events';
 import {createFleetNode} from './fleet-node';
 import type {FleetNode} from './fleet-node';
+import {createGatewayMetrics} from './gateway-metrics';
 import {createOrderGiver} from './order-giver';
 import {createRequestHandler} from './request-handler';
+import {createStoreHealth} from './store-health';
 import {createUpstreamView} from './upstream-view';
 
 /** What `createGatewayProcess` needs. */
@@ -109,15 +111,19 @@
     clock,
     logger,
   };
+  const storeHealth = createStoreHealth();
   const configuration = createConfigurationReplica({
     ...watchOptions,
     directory: ports.configurations,
     onApply: applyConfiguration,
+    onConnection: (isConnected, nowMs) =>
+      storeHealth.noteConnection('configuration', isConnected, nowMs),
   });
   const view = createUpstreamView({
     ...watchOptions,
     watchWaitMs: settings.store.upstreamWatchWaitMs,
     directory: ports.upstreams,
+    storeHealth,
     onChange: usable => {
       upstreams.setUpstreams(usable);
       dispatcher.reconsider();
@@ -197,11 +203,14 @@
       open: upstreams.describeOpen(),
       demand: demand.describe(nowMs),
       accounts: shares.describeAccounts(nowMs),
-      suspects: {},
+      faults: upstreams.describeFaults(nowMs),
+      leaving: view.listLeaving(nowMs).map(told => [...told]),
     }),
     onPeerState: ({name, state}, nowMs) => {
       orders.leadership.noteToken(state.orderToken);
       upstreams.setPeerOpen(name, state.open);
+      upstreams.setPeerFaults(name, state.faults, nowMs);
+      view.noteLeaving(state.leaving, nowMs);
       shares.notePeer(name, state.accounts);
       donate(nowMs);
       const isWaiting = Object.values(state.demand).some(
@@ -267,6 +276,21 @@
     clock,
     random,
     logger,
+    metrics: createGatewayMetrics(metrics, () => {
+      const nowMs = clock.getNowMs();
+      let waitingRequests = 0;
+      for (const {count} of dispatcher.describeWaiting(nowMs).values()) {
+        waitingRequests += count;
+      }
+      return {
+        openRequests: handler.countOpen(),
+        waitingRequests,
+        upstreamConnections: pool.countConnections(),
+        configurationAgeMs: configuration.getAgeMs(nowMs),
+        isOrdering: orders.leadership.getTerm() !== undefined,
+        peers: fleet.peers.listHeard(nowMs).length,
+      };
+    }),
     isLeaving: () => isLeaving,
     onArrival: noticePause,
   });
@@ -301,6 +325,7 @@
 
   const housekeeping = clock.startInterval(HOUSEKEEPING_MS, () => {
     noticePause();
+    handler.checkProgress();
     updateShares();
     pool.closeExpired(clock.getNowMs());
   });
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -8,6 +8,7 @@
 } from '@siskinplank/dispatch';
 import type {Clock, Logger, Random} from '@siskinplank/foundation';
 import type {ConnectionPool} from '@siskinplank/http-exchange';
+import type {LimitReadings} from '@siskinplank/token-shares';
 import type {
   CallerRequest,
   ClientAccount,
@@ -15,12 +16,14 @@
   Route,
 } from '@siskinplank/serving';
 import {Either, Left, Right} from 'purify-ts';
+import {countTokens} from './account-limiter';
 import type {AccountLimiter} from './account-limiter';
 import {createCallerResponse} from './caller-response';
 import type {ConfigurationReplica} from './configuration-replica';
 import type {DemandCounter} from './demand-counter';
 import type {Dispatcher} from './dispatcher';
 import {REQUEST_ENDED} from './events';
+import type {GatewayMetrics} from './gateway-metrics';
 import {REFUSAL_STATUSES, RefusalCode} from './refusals';
 import type {Refusal} from './refusals';
 import {createRequestSession} from './request-session';
@@ -41,6 +44,7 @@
   clock: Clock;
   random: Random;
   logger: Logger;
+  metrics: GatewayMetrics;
   /** Whether callers are to leave: the process stops. */
   isLeaving(): boolean;
   /** Called before a request is admitted. */
@@ -52,6 +56,8 @@
   handle(incoming: IncomingMessage, outgoing: ServerResponse): void;
   /** Requests without a final answer. */
   countOpen(): number;
+  /** Looks for requests at silent upstreams. */
+  checkProgress(): void;
 }
 
 interface Admission {
@@ -69,6 +75,7 @@
 ): RequestHandler {
   const {configuration, upstreams, clock, random, logger, format} = options;
   const budgets = new Map<string, RetryBudget>();
+  const sessions = new Set<RequestSession>();
   let openCount = 0;
 
   const getBudget = (service: string): RetryBudget => {
@@ -138,6 +145,9 @@
       incoming.url ?? '/',
       incoming.rawHeaders,
     );
+    let tokens: number | undefined;
+    let modelKey: string | undefined;
+    let limit: LimitReadings | undefined;
     const attemptId = decoded.map(request => request.attemptId).orDefault('');
 
     const logEnd = (
@@ -145,25 +155,34 @@
       refusal: Refusal | undefined,
       outcome: Partial<SessionOutcome>,
       admission: Partial<Admission>,
-    ): void =>
+    ): void => {
+      const totalMs = clock.getNowMs() - arrivedAtMs;
+      const kind = admission.route?.kind ?? 'none';
+      options.metrics.noteRequest(kind, status, refusal, outcome, totalMs);
       logger.log(REQUEST_ENDED, {
         request: attemptId,
         status,
+        tokens,
+        limitPerSecond: limit?.ratePerSecond,
+        ownLevel: limit && Math.round(limit.ownLevel),
+        peerLevel: limit && Math.round(limit.peerLevel),
         code: refusal?.code,
         retryAfterMs: refusal?.retryAfterMs,
         route: admission.route?.name,
         account: admission.account?.name,
         service: admission.service,
+        model: modelKey,
         upstream: outcome.upstreamId,
         attempts: outcome.attempts,
         firstByteMs:
           outcome.firstByteMs === undefined
             ? undefined
             : Math.round(outcome.firstByteMs),
-        totalMs: Math.round(clock.getNowMs() - arrivedAtMs),
+        totalMs: Math.round(totalMs),
         configuration: configuration.getTable()?.configuration.version,
         configurationAgeMs: Math.round(configurationAgeMs),
       });
+    };
 
     const sendRefusal = (refusal: Refusal): void =>
       response.sendOwn(
@@ -191,7 +210,9 @@
       if (isClosed) return;
       isClosed = true;
       openCount -= 1;
-      session?.abandon();
+      if (session === undefined) return;
+      sessions.delete(session);
+      session.abandon();
     });
 
     const run = (
@@ -203,14 +224,17 @@
       const {route, service, account} = admission;
       const {model, adapter} = request;
       const key = adapter === undefined ? model : `${model}/${adapter}`;
+      modelKey = key;
       const promptTokens = request.promptTokens ?? 0;
       const outputTokens =
         request.expectedOutputTokens ?? request.maxOutputTokens ?? 0;
+      const deadlineAtMs =
+        arrivedAtMs + Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
       const budget = getBudget(service);
       budget.noteRequest(clock.getNowMs());
       if (model !== undefined) options.demand.noteRequest(model);
       session = createRequestSession({
-        admitted: {request, ...admission, body, arrivedAtMs},
+        admitted: {request, ...admission, body, arrivedAtMs, deadlineAtMs},
         response,
         format,
         pool: options.pool,
@@ -224,9 +248,7 @@
             promptTokens,
             triedIds,
             arrivedAtMs,
-            deadlineAtMs:
-              arrivedAtMs +
-              Math.min(request.deadlineMs ?? Infinity, route.timeoutMs),
+            deadlineAtMs,
             targetLatencyMs: route.targetLatencyMs,
             targetPauseMs: route.targetPauseMs,
             onUpstream,
@@ -244,6 +266,9 @@
           upstream.startedAtMs,
         noteFault: ({upstream}, weight) =>
           upstreams.noteFault(upstream.id, weight, clock.getNowMs()),
+        noteMoved: options.metrics.noteMoved,
+        noteUnreachable: ({upstream}) =>
+          upstreams.noteUnreachable(upstream.id, clock.getNowMs()),
         tryRepeat: () => budget.trySpend(clock.getNowMs()),
         sendRefusal,
         onEnd: outcome => {
@@ -255,6 +280,7 @@
           logEnd(outcome.status, outcome.refusal, outcome, admission);
         },
       });
+      sessions.add(session);
       session.start();
     };
 
@@ -265,6 +291,7 @@
     ): void => {
       if (isClosed) return;
       const {account} = admission;
+      if (account !== undefined) tokens = countTokens(account, request);
       if (account === undefined) {
         run(request, admission, body, 0);
         return;
@@ -275,8 +302,10 @@
           return;
         }
         taken.caseOf({
-          Left: ({retryAfterMs}) =>
-            refuse({code: RefusalCode.OverLimit, retryAfterMs}, admission),
+          Left: ({retryAfterMs, readings}) => {
+            limit = readings;
+            refuse({code: RefusalCode.OverLimit, retryAfterMs}, admission);
+          },
           Right: tokens => run(request, admission, body, tokens),
         });
       });
@@ -315,5 +344,12 @@
       });
   };
 
-  return {handle, countOpen: () => openCount};
+  return {
+    handle,
+    countOpen: () => openCount,
+    checkProgress: () => {
+      const nowMs = clock.getNowMs();
+      for (const session of sessions) session.checkProgress(nowMs);
+    },
+  };
 }
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -3,31 +3,33 @@
  * upstreams, the relay of the answer, and the answer to give when there is
  * none. What may be repeated follows from the route's kind.
  */
+import {planMove} from '@siskinplank/dispatch';
+import type {
+  MoveReason,
+  OpenRequest,
+  UpstreamEntry,
+} from '@siskinplank/dispatch';
+import type {Clock, Logger} from '@siskinplank/foundation';
+import {ExchangeFailureCode} from '@siskinplank/http-exchange';
 import type {
   ConnectionPool,
-  Exchange,
   ExchangeFailure,
   ResponseHead,
 } from '@siskinplank/http-exchange';
-import {
-  ExchangeFailureCode,
-  HeadVerdict,
-  createEventSplitter,
-} from '@siskinplank/http-exchange';
-import type {EventSplitter} from '@siskinplank/http-exchange';
-import type {OpenRequest, UpstreamEntry} from '@siskinplank/dispatch';
-import type {Clock, Logger} from '@siskinplank/foundation';
-import {RequestKind, ResponseMeaning, canRepeat} from '@siskinplank/serving';
+import {RequestKind, canRepeat} from '@siskinplank/serving';
 import type {
   CallerRequest,
   ClientAccount,
   ExchangeFormat,
+  ResponseMeaning,
   Route,
 } from '@siskinplank/serving';
 import type {CallerResponse} from './caller-response';
-import {ATTEMPT_ENDED} from './events';
+import {ATTEMPT_ENDED, REQUEST_MOVED} from './events';
 import {RefusalCode} from './refusals';
 import type {Refusal} from './refusals';
+import {startAttempt} from './upstream-attempt';
+import type {Attempt} from './upstream-attempt';
 
 /** A request that was admitted. */
 export interface AdmittedRequest {
@@ -39,6 +41,8 @@
   body: Buffer | undefined;
   /** Monotonic time at which its head had arrived. */
   arrivedAtMs: number;
+  /** Monotonic time at which the caller or the route gives up. */
+  deadlineAtMs: number;
 }
 
 /** How a request ended. */
@@ -77,6 +81,8 @@
   isUsable(entry: UpstreamEntry): boolean;
   /** Notes a fault of an upstream. */
   noteFault(entry: UpstreamEntry, weight: number): void;
+  noteUnreachable(entry: UpstreamEntry): void;
+  noteMoved(reason: MoveReason): void;
   /** Takes a second send from the budget of the service. */
   tryRepeat(): boolean;
   sendRefusal(refusal: Refusal): void;
@@ -88,13 +94,14 @@
   start(): void;
   /** The caller has left; upstreams are told at once. */
   abandon(): void;
+  /** Leaves a silent upstream if the request may be repeated. */
+  checkProgress(nowMs: number): void;
 }
 
-/** Bodies up to this size are sent whole, so that a broken one can be repeated. */
-const MAX_BUFFERED_BYTES = 262_144;
-/** Weights of faults: a failure that the upstream answered, and a broken answer. */
+/** Weights of faults: an upstream's own failure, a broken answer, silence. */
 const FAILURE_FAULT = 0.15;
 const BREAK_FAULT = 0.5;
+const SILENCE_FAULT = 1;
 /** Retry-After when upstreams rejected a request or none is left to try. */
 const REJECTED_RETRY_MS = 200;
 /** Pause before a request is sent again to the upstream that rejected it. */
@@ -102,33 +109,21 @@
 /** Less time than this is no use to an upstream, in milliseconds. */
 const MIN_SEND_MS = 5;
 
-interface Attempt {
-  entry: UpstreamEntry;
-  open: OpenRequest;
-  exchange: Exchange | undefined;
-  meaning: ResponseMeaning | undefined;
-  head: ResponseHead | undefined;
-  pieces: Buffer[];
-  bufferedBytes: number;
-  isStreaming: boolean;
-  splitter: EventSplitter | undefined;
-  wasSent: boolean;
-}
-
 /** Creates a session that does nothing before `start`. */
 export function createRequestSession(options: SessionOptions): RequestSession {
-  const {admitted, response, format, pool, clock, logger} = options;
-  const {request, route} = admitted;
-  const deadlineAtMs =
-    admitted.arrivedAtMs +
-    Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
+  const {admitted, response, format, clock, logger} = options;
+  const {request, route, deadlineAtMs} = admitted;
+  const isRepeatable = canRepeat(route);
   const triedIds = new Set<string>();
   let current: Attempt | undefined;
   let sentCount = 0;
+  /** Whether an earlier attempt may have run. */
   let mayHaveRun = false;
   let lastEventId: string | undefined;
   let hasEnded = false;
   let hasResent = false;
+  /** Whether the next send has its place in the budget already. */
+  let hasPaidRepeat = false;
   let stopSearch: (() => void) | undefined;
   let firstByteMs: number | undefined;
 
@@ -147,16 +142,17 @@
       attempts: sentCount,
       upstreamId,
       firstByteMs,
-      mayHaveRun: mayHaveRun || (current?.wasSent ?? false),
+      mayHaveRun,
     });
   };
 
+  /** Gives the current attempt up; the upstream may have run it. */
   const dropAttempt = (): void => {
-    const attempt = current;
-    if (attempt === undefined) return;
+    const dropped = current;
     current = undefined;
-    attempt.open.end();
-    attempt.exchange?.cancel();
+    if (dropped === undefined) return;
+    if (dropped.wasSent()) mayHaveRun = true;
+    dropped.drop();
   };
 
   const refuse = (refusal: Refusal, status: number): void => {
@@ -170,31 +166,18 @@
     end(status, refusal, undefined);
   };
 
-  const refuseUnserved = (retryAfterMs?: number): void => {
+  const refuseUnserved = (retryAfterMs = REJECTED_RETRY_MS): void => {
     if (mayHaveRun) refuse({code: RefusalCode.OutcomeUnknown}, 502);
     else if (sentCount > 0) {
-      refuse(
-        {
-          code: RefusalCode.Rejected,
-          retryAfterMs: retryAfterMs ?? REJECTED_RETRY_MS,
-        },
-        503,
-      );
+      refuse({code: RefusalCode.Rejected, retryAfterMs}, 503);
     } else {
-      refuse(
-        {
-          code: RefusalCode.NoUpstream,
-          retryAfterMs: retryAfterMs ?? REJECTED_RETRY_MS,
-        },
-        503,
-      );
+      refuse({code: RefusalCode.NoUpstream, retryAfterMs}, 503);
     }
   };
 
   const onTimeout = (): void => {
-    const wasSent = current?.wasSent ?? false;
     dropAttempt();
-    if (mayHaveRun || wasSent) refuse({code: RefusalCode.TimedOut}, 504);
+    if (mayHaveRun) refuse({code: RefusalCode.TimedOut}, 504);
     else refuse({code: RefusalCode.NoUpstream}, 503);
   };
 
@@ -204,146 +187,107 @@
       upstream: attempt.entry.upstream.id,
       attempt: sentCount,
       cause,
-      status: attempt.head?.status,
+      status: attempt.getHead()?.status,
       open: attempt.entry.open.requests,
       leftMs: Math.round(deadlineAtMs - clock.getNowMs()),
     });
 
-  /** Another attempt, or the final answer. */
-  const tryNext = (): void => {
-    if (hasEnded) return;
-    const isFirst = sentCount === 0;
-    const isPossible =
-      (canRepeat(route) || !mayHaveRun) &&
-      triedIds.size < route.maxAttempts &&
-      deadlineAtMs - clock.getNowMs() > MIN_SEND_MS;
-    if (!isPossible) return refuseUnserved();
+  /** Searches an upstream; `onNone` gets the advice when there is none. */
+  const search = (
+    isRepeat: boolean,
+    onNone: (retryAfterMs: number | undefined) => void,
+  ): void => {
     stopSearch = options.acquireUpstream(
       triedIds,
       entry => {
         stopSearch = undefined;
         if (hasEnded) return;
-        if (!isFirst && !options.tryRepeat()) refuseUnserved();
-        else sendTo(entry);
+        const isPaid = !isRepeat || hasPaidRepeat || options.tryRepeat();
+        hasPaidRepeat = false;
+        if (isPaid) sendTo(entry);
+        else onNone(undefined);
       },
       retryAfterMs => {
         stopSearch = undefined;
-        refuseUnserved(retryAfterMs);
+        if (!hasEnded) onNone(retryAfterMs);
       },
     );
   };
 
-  const failAttempt = (attempt: Attempt, failure: ExchangeFailure): void => {
-    if (current !== attempt) return;
-    logAttempt(attempt, `${failure.code}: ${failure.reason}`);
-    current = undefined;
-    attempt.open.end();
-    if (attempt.wasSent) mayHaveRun = true;
-    options.noteFault(attempt.entry, BREAK_FAULT);
-    const wasUntouched = failure.code === ExchangeFailureCode.NotConnected;
-    if (wasUntouched) triedIds.add(attempt.entry.upstream.id);
-    tryNext();
+  const canTryAnother = (): boolean =>
+    (isRepeatable || !mayHaveRun) &&
+    triedIds.size < route.maxAttempts &&
+    deadlineAtMs - clock.getNowMs() > MIN_SEND_MS;
+
+  /** Another attempt, or the final answer. */
+  const tryNext = (): void => {
+    if (hasEnded) return;
+    if (canTryAnother()) search(sentCount > 0, refuseUnserved);
+    else refuseUnserved();
   };
 
   const noteFirstByte = (): void => {
     firstByteMs ??= clock.getNowMs() - admitted.arrivedAtMs;
-    current?.open.noteRead();
   };
 
-  const startRelay = (attempt: Attempt, head: ResponseHead): void => {
-    attempt.isStreaming = true;
+  const onPiece = (
+    attempt: Attempt,
+    head: ResponseHead,
+    piece: Buffer,
+    eventId: string | undefined,
+  ): void => {
     noteFirstByte();
+    lastEventId = eventId ?? lastEventId;
     if (!response.hasStarted()) response.startStream(head);
+    if (!response.writePiece(piece)) attempt.pause();
   };
 
-  const onHead = (attempt: Attempt, head: ResponseHead): HeadVerdict => {
-    const meaning = format.resolveMeaning(
-      head.status,
-      head.headers,
-      request.attemptId,
-    );
-    if (meaning === ResponseMeaning.Stray) return HeadVerdict.Skip;
-    attempt.meaning = meaning;
-    attempt.head = head;
-    if (meaning === ResponseMeaning.Unusable) return HeadVerdict.Reject;
-    if (meaning !== ResponseMeaning.Answer) return HeadVerdict.Accept;
-    const isSuccess = head.status >= 200 && head.status < 300;
-    if (route.kind === RequestKind.Stream && isSuccess) {
-      attempt.splitter = createEventSplitter();
-    }
-    return HeadVerdict.Accept;
-  };
-
-  const relay = (attempt: Attempt, bytes: Buffer): void => {
-    if (!response.writePiece(bytes)) attempt.exchange?.pause();
+  const deliver = (
+    attempt: Attempt,
+    head: ResponseHead,
+    body: Buffer,
+    wasInPieces: boolean,
+  ): void => {
+    noteFirstByte();
+    if (wasInPieces) response.endStream();
+    else response.sendWhole(head, body);
+    end(head.status, undefined, attempt.entry.upstream.id);
   };
 
-  const onData = (attempt: Attempt, piece: Buffer): void => {
-    if (current !== attempt || attempt.head === undefined) return;
-    if (attempt.meaning !== ResponseMeaning.Answer) return;
-    if (attempt.splitter !== undefined) {
-      const events = attempt.splitter.push(piece);
-      if (events.length === 0) return;
-      if (!attempt.isStreaming) startRelay(attempt, attempt.head);
-      lastEventId = events.at(-1)?.id ?? lastEventId;
-      relay(
-        attempt,
-        events.length === 1
-          ? events[0].bytes
-          : Buffer.concat(events.map(({bytes}) => bytes)),
-      );
+  const onAnswer = (
+    attempt: Attempt,
+    head: ResponseHead,
+    body: Buffer,
+    wasInPieces: boolean,
+  ): void => {
+    current = undefined;
+    const isFailure = head.status >= 500;
+    if (isFailure) options.noteFault(attempt.entry, FAILURE_FAULT);
+    if (!response.hasStarted()) {
+      if (!isFailure || !isRepeatable || !canTryAnother()) {
+        deliver(attempt, head, body, wasInPieces);
+        return;
+      }
+      logAttempt(attempt, 'failure');
+      mayHaveRun = true;
+      search(true, () => deliver(attempt, head, body, wasInPieces));
       return;
     }
-    if (attempt.isStreaming) {
-      relay(attempt, piece);
+    if (wasInPieces) {
+      deliver(attempt, head, body, wasInPieces);
       return;
     }
-    attempt.pieces.push(piece);
-    attempt.bufferedBytes += piece.length;
-    if (attempt.bufferedBytes <= MAX_BUFFERED_BYTES) return;
-    startRelay(attempt, attempt.head);
-    for (const buffered of attempt.pieces) relay(attempt, buffered);
-    attempt.pieces = [];
-  };
-
-  const endAnswer = (attempt: Attempt, head: ResponseHead): void => {
-    const {upstream} = attempt.entry;
-    if (attempt.splitter !== undefined && !attempt.isStreaming) {
-      startRelay(attempt, head);
-    }
-    if (attempt.isStreaming) {
-      response.endStream();
-    } else {
-      noteFirstByte();
-      response.sendWhole(head, Buffer.concat(attempt.pieces));
-    }
-    end(head.status, undefined, upstream.id);
-  };
-
-  /** Tries elsewhere; the failure is the answer when that is not possible. */
-  const repeatFailed = (attempt: Attempt, head: ResponseHead): void => {
-    const giveUp = (): void => {
-      stopSearch = undefined;
-      if (!hasEnded) endAnswer(attempt, head);
-    };
-    stopSearch = options.acquireUpstream(
-      triedIds,
-      entry => {
-        stopSearch = undefined;
-        if (hasEnded) return;
-        if (options.tryRepeat()) sendTo(entry);
-        else giveUp();
-      },
-      giveUp,
-    );
+    // A resumed stream was answered otherwise after its head was sent.
+    response.breakOff();
+    const refusal = {code: RefusalCode.OutcomeUnknown};
+    end(0, refusal, attempt.entry.upstream.id);
   };
 
   /** A request that was rejected: again there, elsewhere, or refused. */
-  const handleRejection = (attempt: Attempt): void => {
-    logAttempt(attempt, String(attempt.meaning));
-    const {entry} = attempt;
-    const hasOthers = triedIds.size < route.maxAttempts;
-    if (hasOthers || hasResent) {
+  const onRejection = (attempt: Attempt, meaning: ResponseMeaning): void => {
+    current = undefined;
+    logAttempt(attempt, meaning);
+    if (triedIds.size < route.maxAttempts || hasResent) {
       tryNext();
       return;
     }
@@ -351,59 +295,28 @@
     hasResent = true;
     clock.startTimer(SAME_UPSTREAM_DELAY_MS, () => {
       if (hasEnded) return;
-      const isCurrent = options.isUsable(entry);
-      if (isCurrent && options.tryRepeat()) sendTo(entry);
+      const isPossible = options.isUsable(attempt.entry);
+      if (isPossible && options.tryRepeat()) sendTo(attempt.entry);
       else refuseUnserved();
     });
   };
 
-  const onEnd = (attempt: Attempt): void => {
-    const {head} = attempt;
-    if (current !== attempt || head === undefined) return;
+  const onFailure = (attempt: Attempt, failure: ExchangeFailure): void => {
     current = undefined;
-    attempt.open.end();
-    if (attempt.meaning !== ResponseMeaning.Answer) {
-      handleRejection(attempt);
-      return;
-    }
-    const isFailure = head.status >= 500;
-    if (isFailure) options.noteFault(attempt.entry, FAILURE_FAULT);
-    const mayTryAgain =
-      isFailure &&
-      !response.hasStarted() &&
-      canRepeat(route) &&
-      triedIds.size < route.maxAttempts;
-    if (mayTryAgain) {
-      logAttempt(attempt, 'failure');
-      mayHaveRun = true;
-      repeatFailed(attempt, head);
-      return;
-    }
-    if (response.hasStarted() && !attempt.isStreaming) {
-      // A resumed stream was answered by a failure after its head was sent.
-      response.breakOff();
-      end(0, {code: RefusalCode.OutcomeUnknown}, attempt.entry.upstream.id);
-      return;
+    logAttempt(attempt, `${failure.code}: ${failure.reason}`);
+    if (attempt.wasSent()) mayHaveRun = true;
+    else sentCount -= 1;
+    options.noteFault(attempt.entry, BREAK_FAULT);
+    if (failure.code === ExchangeFailureCode.NotConnected) {
+      options.noteUnreachable(attempt.entry);
     }
-    endAnswer(attempt, head);
+    tryNext();
   };
 
   const sendTo = (entry: UpstreamEntry): void => {
     const {upstream} = entry;
-    const attempt: Attempt = {
-      entry,
-      open: options.openAt(entry),
-      exchange: undefined,
-      meaning: undefined,
-      head: undefined,
-      pieces: [],
-      bufferedBytes: 0,
-      isStreaming: false,
-      splitter: undefined,
-      wasSent: false,
-    };
-    current = attempt;
     triedIds.add(upstream.id);
+    sentCount += 1;
     const headers = format.encodeUpstreamHeaders(request, {
       upstreamId: upstream.id,
       account: admitted.account?.name,
@@ -411,29 +324,65 @@
       rank: undefined,
       lastEventId,
     });
-    attempt.exchange = pool.send(
-      {
-        key: `${upstream.id}/${upstream.startedAtMs}`,
-        host: upstream.address.host,
-        port: upstream.address.port,
-      },
-      {
+    let wasInPieces = false;
+    const attempt = startAttempt({
+      entry,
+      open: options.openAt(entry),
+      request: {
         method: request.method,
         target: request.target,
         headers,
         body: admitted.body,
       },
-      {
-        onSend: () => {
-          attempt.wasSent = true;
-          sentCount += 1;
+      model: request.model,
+      isStream: route.kind === RequestKind.Stream,
+      pool: options.pool,
+      clock,
+      resolveMeaning: ({status, headers: answered}) =>
+        format.resolveMeaning(status, answered, request.attemptId),
+      observer: {
+        onPiece: (head, piece, eventId) => {
+          wasInPieces = true;
+          onPiece(attempt, head, piece, eventId);
         },
-        onHead: head => onHead(attempt, head),
-        onData: piece => onData(attempt, piece),
-        onEnd: () => onEnd(attempt),
-        onFailure: failure => failAttempt(attempt, failure),
+        onAnswer: (head, body) => onAnswer(attempt, head, body, wasInPieces),
+        onRejection: meaning => onRejection(attempt, meaning),
+        onFailure: failure => onFailure(attempt, failure),
       },
-    );
+    });
+    current = attempt;
+  };
+
+  const checkProgress = (nowMs: number): void => {
+    const attempt = current;
+    if (hasEnded || attempt === undefined || !attempt.wasSent()) return;
+    if (triedIds.size >= route.maxAttempts) return;
+    const {progress, upstream} = attempt.entry;
+    const silentMs = attempt.getSilentMs(nowMs);
+    const upstreamSilentMs = progress.getSilenceMs(nowMs);
+    const reason = planMove({
+      canRepeat: isRepeatable,
+      isStream: route.kind === RequestKind.Stream,
+      hasEvents: attempt.hasEvents(),
+      silentMs,
+      upstreamSilentMs,
+      isUpstreamStalled: progress.isStalled(nowMs),
+      targetLatencyMs: route.targetLatencyMs,
+    });
+    if (reason === undefined || !options.tryRepeat()) return;
+    logger.log(REQUEST_MOVED, {
+      request: request.attemptId,
+      upstream: upstream.id,
+      reason,
+      silentMs: Math.round(silentMs),
+      upstreamSilentMs: Math.round(upstreamSilentMs),
+      lastEventId,
+    });
+    options.noteMoved(reason);
+    options.noteFault(attempt.entry, SILENCE_FAULT);
+    hasPaidRepeat = true;
+    dropAttempt();
+    tryNext();
   };
 
   const timeoutTimer = clock.startTimer(
@@ -441,10 +390,11 @@
     onTimeout,
   );
 
-  response.onDrain(() => current?.exchange?.resume());
+  response.onDrain(() => current?.resume());
 
   return {
     start: tryNext,
+    checkProgress,
     abandon: () => {
       if (hasEnded) return;
       dropAttempt();
--- /dev/null
+++ b/packages/gateway/src/upstream-view.test.ts
@@ -0,0 +1,158 @@
+import {Directory} from '@siskinplank/directory';
+import type {
+  DirectoryChanges,
+  DirectoryList,
+  StoreFailure,
+} from '@siskinplank/directory';
+import {createManualClock} from '@siskinplank/foundation';
+import type {Logger, ManualClock} from '@siskinplank/foundation';
+import {UpstreamState} from '@siskinplank/serving';
+import type {Upstream} from '@siskinplank/serving';
+import {Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
+import {describe, expect, it} from 'vitest';
+import {createStoreHealth} from './store-health';
+import type {StoreHealth} from './store-health';
+import {createUpstreamView} from './upstream-view';
+import type {UpstreamView} from './upstream-view';
+
+const SILENT_LOGGER: Logger = {
+  log: () => undefined,
+  withFields: () => SILENT_LOGGER,
+};
+
+/** Answers each watch when a change is made. */
+class FakeDirectory extends Directory<Upstream> {
+  readonly items = new Map<string, Upstream>();
+  revision = 1;
+  private answer: ((changes: DirectoryChanges<Upstream>) => void) | undefined;
+
+  list(): Promise<Either<StoreFailure, DirectoryList<Upstream>>> {
+    return Promise.resolve(
+      Right({
+        revision: this.revision,
+        items: new Map(this.items),
+        malformed: [],
+      }),
+    );
+  }
+
+  watch(): Promise<Either<StoreFailure, DirectoryChanges<Upstream>>> {
+    return new Promise(resolve => {
+      this.answer = changes => resolve(Right(changes));
+    });
+  }
+
+  setEntry(name: string, item: Upstream | undefined): void {
+    this.revision += 1;
+    if (item === undefined) this.items.delete(name);
+    else this.items.set(name, item);
+    const changes = [{name, item}];
+    this.answer?.({revision: this.revision, changes, malformed: []});
+  }
+}
+
+function makeUpstream(id: string, state = UpstreamState.Ready): Upstream {
+  return {
+    id,
+    service: 'llm',
+    address: {host: '10.0.0.1', port: 80},
+    failureDomain: 'a',
+    softwareVersion: '',
+    slots: 8,
+    state,
+    startedAtMs: 1,
+    models: undefined,
+    orderSequence: 0,
+    remainingMs: undefined,
+  };
+}
+
+interface Bench {
+  clock: ManualClock;
+  directory: FakeDirectory;
+  health: StoreHealth;
+  view: UpstreamView;
+  settle(durationMs?: number): Promise<void>;
+  listIds(): string[];
+}
+
+async function startBench(): Promise<Bench> {
+  const clock = createManualClock();
+  const directory = new FakeDirectory();
+  directory.items.set('u1', makeUpstream('u1'));
+  directory.items.set('u2', makeUpstream('u2'));
+  const health = createStoreHealth();
+  const view = createUpstreamView({
+    directory,
+    watchWaitMs: 1_000,
+    retryDelayMs: 100,
+    storeHealth: health,
+    clock,
+    logger: SILENT_LOGGER,
+    onChange: () => undefined,
+  });
+  const settle = async (durationMs = 0): Promise<void> => {
+    for (let turn = 0; turn < 30; turn += 1) await Promise.resolve();
+    clock.runFor(durationMs);
+    for (let turn = 0; turn < 30; turn += 1) await Promise.resolve();
+  };
+  view.start();
+  await settle();
+  return {
+    clock,
+    directory,
+    health,
+    view,
+    settle,
+    listIds: () => view.listUsable().map(({id}) => id),
+  };
+}
+
+describe('view of the upstreams', () => {
+  it('drops an upstream that drains or is removed', async () => {
+    const {directory, listIds, settle} = await startBench();
+    directory.setEntry('u1', makeUpstream('u1', UpstreamState.Draining));
+    await settle(300);
+    expect(listIds()).toEqual(['u2']);
+    directory.setEntry('u2', undefined);
+    await settle(300);
+    expect(listIds()).toEqual([]);
+  });
+
+  // Entries lapse while the store is away; living upstreams are back 2 s after
+  // its return.
+  it('keeps upstreams whose entries lapsed during an outage', async () => {
+    const {clock, directory, health, listIds, settle} = await startBench();
+    health.noteConnection('other', false, clock.getNowMs());
+    await settle(3_000);
+    health.noteConnection('other', true, clock.getNowMs());
+    directory.setEntry('u1', undefined);
+    await settle(300);
+    directory.setEntry('u2', undefined);
+    await settle(300);
+    expect(listIds()).toEqual(['u1', 'u2']);
+    directory.setEntry('u2', makeUpstream('u2'));
+    await settle(300);
+    await settle(1_800);
+    expect(listIds()).toEqual(['u2']);
+  });
+
+  it('takes the word of another gateway that an upstream leaves', async () => {
+    const {listIds, settle, view} = await startBench();
+    view.noteLeaving([['u1', 1, 5]], 0);
+    await settle();
+    expect(listIds()).toEqual(['u2']);
+  });
+
+  it('ignores old words about an upstream that is back', async () => {
+    const {directory, listIds, settle, view} = await startBench();
+    directory.setEntry('u1', undefined);
+    await settle(300);
+    directory.setEntry('u1', makeUpstream('u1'));
+    await settle(300);
+    view.noteLeaving([['u1', 1, 2]], 600);
+    view.noteLeaving([['u2', 9, 50]], 600);
+    expect(listIds()).toEqual(['u2', 'u1']);
+  });
+});
--- a/packages/messages/src/gateway.ts
+++ b/packages/messages/src/gateway.ts
@@ -38,8 +38,13 @@
   ),
   /** By client account: tokens that the sender holds, and tokens it needs. */
   accounts: z.record(z.string(), z.tuple([z.number(), amountSchema])),
-  /** Faults seen at upstreams: upstream, and their weight in the last seconds. */
-  suspects: z.record(z.string(), amountSchema),
+  /** Weight of the faults seen in the last seconds, by upstream. */
+  faults: z.record(z.string(), amountSchema),
+  /**
+   * Upstreams that leave or are gone, each with the time of its start and the
+   * revision of the store that told so.
+   */
+  leaving: z.array(z.tuple([z.string(), z.number(), countSchema])),
 });
 
 /** Hands tokens of client accounts over to the receiver. */
