Keep repeats within the budget over all gateways

Cause: each gateway had the whole slack of the retry budget, so that five gateways together could send 290 repeats in ten seconds where 58 are allowed, and a process that started again had its part once more.

Change: a gateway has the part of the slack that it has of the rates, as a token bucket that starts empty. Keys are trusted 250 ms less, because a pause below that goes unnoticed.

Before and after: the new property test over restarts sees 108 repeats beyond the share of the requests before, and never more than 54 after.

--- /dev/null
+++ b/packages/dispatch/src/retry-budget.test.ts
@@ -0,0 +1,72 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {createRetryBudget} from './retry-budget';
+import type {RetryBudget} from './retry-budget';
+
+const BOUND = {ratio: 0.2, slack: 54, windowMs: 10_000};
+
+/** Most repeats in any window less the share of the requests in it. */
+function computeExcess(requests: number[], repeats: number[]): number {
+  let most = -Infinity;
+  for (const endMs of repeats) {
+    const isInside = (atMs: number): boolean =>
+      atMs > endMs - BOUND.windowMs && atMs <= endMs;
+    const spent = repeats.filter(isInside).length;
+    most = Math.max(
+      most,
+      spent - BOUND.ratio * requests.filter(isInside).length,
+    );
+  }
+  return most;
+}
+
+describe('budget of repeats', () => {
+  // The load: every upstream of a service fails, and all gateways would repeat
+  // each request; some of them are killed and start again meanwhile.
+  it('holds over all gateways, restarts included', () => {
+    const stepMs = 100;
+    fc.assert(
+      fc.property(
+        fc.integer({min: 1, max: 25}),
+        fc.array(
+          fc.record({
+            gateway: fc.nat({max: 24}),
+            restarts: fc.boolean(),
+            requests: fc.nat({max: 4}),
+          }),
+          {minLength: 250, maxLength: 400},
+        ),
+        (count, steps) => {
+          const create = (nowMs: number): RetryBudget =>
+            createRetryBudget(BOUND, () => 1 / count, nowMs);
+          const budgets = Array.from({length: count}, () => create(0));
+          const requests: number[] = [];
+          const repeats: number[] = [];
+          steps.forEach((step, index) => {
+            const nowMs = 12_000 + index * stepMs;
+            const own = step.gateway % count;
+            if (step.restarts) budgets[own] = create(nowMs);
+            for (let sent = 0; sent < step.requests; sent += 1) {
+              budgets[own].noteRequest(nowMs);
+              requests.push(nowMs);
+            }
+            for (const budget of budgets) {
+              while (budget.trySpend(nowMs)) repeats.push(nowMs);
+            }
+          });
+          expect(computeExcess(requests, repeats)).toBeLessThanOrEqual(
+            BOUND.slack,
+          );
+        },
+      ),
+      {numRuns: 60},
+    );
+  });
+
+  it('lets a burst of broken streams go on elsewhere', () => {
+    const budget = createRetryBudget(BOUND, () => 1 / 4, 0);
+    let spent = 0;
+    while (budget.trySpend(12_000)) spent += 1;
+    expect(spent).toBe(6);
+  });
+});
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -82,6 +82,8 @@
   const ownName = settings.process.name;
   const ownIncarnation = makeSecureId(8);
   let isLeaving = false;
+  /** Part of the rates and of the retry budget that belongs to this gateway. */
+  let fleetPart = 0;
   const upstreams = createUpstreamTable();
   const shares = createTokenShares({
     extraBurst: settings.limits.extraBurst,
@@ -244,14 +246,14 @@
         const told = peers.getPeer(name)?.state.directoryRevision ?? 0;
         return told >= ownRevision;
       });
-    const fraction = shareFraction.update({
+    fleetPart = shareFraction.update({
       gatewayCount: others.length + 1,
       isRegistered: ownRevision !== undefined,
       hadPredecessor: registry.hadPredecessor(),
       isKnownToAll,
       nowMs,
     });
-    shares.setFraction(fraction, fraction, nowMs);
+    shares.setFraction(fleetPart, fleetPart, nowMs);
   };
 
   const noticePause = (): void => {
@@ -272,7 +274,9 @@
     pool,
     format: ports.exchangeFormat,
     retryBudget: settings.retries,
-    maxConfigurationAgeMs: settings.store.maxAgeMs,
+    getFleetPart: () => fleetPart,
+    // A pause that is too short to be noticed must not stretch the age.
+    maxConfigurationAgeMs: settings.store.maxAgeMs - PAUSE_TOLERANCE_MS,
     clock,
     random,
     logger,
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -39,6 +39,8 @@
   pool: ConnectionPool;
   format: ExchangeFormat;
   retryBudget: RetryBudgetOptions;
+  /** Part of what all gateways may use together that belongs to this one. */
+  getFleetPart(): number;
   /** Age of the configuration from which on keys are not trusted. */
   maxConfigurationAgeMs: number;
   clock: Clock;
@@ -81,7 +83,11 @@
   const getBudget = (service: string): RetryBudget => {
     const known = budgets.get(service);
     if (known !== undefined) return known;
-    const budget = createRetryBudget(options.retryBudget);
+    const budget = createRetryBudget(
+      options.retryBudget,
+      options.getFleetPart,
+      clock.getStartedMs(),
+    );
     budgets.set(service, budget);
     return budget;
   };
--- a/packages/settings/src/gateway.ts
+++ b/packages/settings/src/gateway.ts
@@ -83,7 +83,7 @@
       idleMs: durationMsSchema.default(4_000),
     })
     .prefault({}),
-  /** Sends beyond the first of each request, as this gateway may make them. */
+  /** Sends beyond the first of each request, over all gateways. */
   retries: z.strictObject({
     ratio: z.number().min(0).max(1),
     slack: z.number().min(0),
