Weigh the loss of an only copy by the time to load it again

Change: the risk of an only copy is the rate of losses times the shortest load from anywhere.

Ruled out: counting an idle load as nearly free (0.1 instead of 1 request a second).

--- a/packages/model-orders/src/plan-moves.test.ts
+++ b/packages/model-orders/src/plan-moves.test.ts
@@ -135,6 +135,37 @@
     expect(moves).toEqual([]);
   });
 
+  // The load: upstreams crash, and a model comes back from the store in 8 s.
+  it('keeps a second copy of a model that takes long to load', () => {
+    const upstreams = [
+      makeUpstream('a', ['hot']),
+      makeUpstream('b', ['small']),
+    ];
+    const demand = [makeDemand('hot', {requestsPerSecond: 12, averageOpen: 6})];
+    const slow = [...MODELS].map(
+      ([name, model]) => [name, {...model, storeLoadMs: 8_000}] as const,
+    );
+    expect(
+      plan({upstreams, demand, models: new Map(slow)}).some(
+        ({load}) => load === 'hot',
+      ),
+    ).toBe(true);
+    // Weights on the disk of another upstream are cover enough.
+    const warm = [
+      ...upstreams,
+      {
+        ...makeUpstream('c', []),
+        onDisk: new Set(['hot']),
+        canTakeOrder: false,
+      },
+    ];
+    expect(
+      plan({upstreams: warm, demand, models: new Map(slow)}).some(
+        ({load}) => load === 'hot',
+      ),
+    ).toBe(false);
+  });
+
   it('keeps within the loads that the weight store allows', () => {
     const upstreams = ['a', 'b', 'c'].map(id => makeUpstream(id, []));
     const demand = ['hot', 'idle', 'rare'].map(model =>
--- a/packages/model-orders/src/plan-moves.ts
+++ b/packages/model-orders/src/plan-moves.ts
@@ -57,6 +57,12 @@
 /** Time that an upstream takes to drop a model that nothing uses: 0.3 to 0.5 s. */
 const EVICTION_SECONDS = 0.45;
 
+/**
+ * Upstreams lost each second for each upstream: crashes, notices of some
+ * seconds and replacements on the days of the deployments.
+ */
+const LOSSES_PER_SECOND = 1 / 80;
+
 interface Candidate {
   upstream: PlannedUpstream;
   evict: string[];
@@ -69,14 +75,15 @@
   demand: ModelDemand | undefined,
   copies: number,
   openPerCopy: number,
+  recoverySeconds: number,
 ): number {
   const rate = Math.max(LATENT_RATE, demand?.requestsPerSecond ?? 0);
   const waiting = demand?.waitingCount ?? 0;
   if (copies <= 0) return rate + waiting;
   const openEach = ((demand?.averageOpen ?? 0) + waiting) / copies;
   const excess = Math.min(1, Math.max(0, openEach / openPerCopy - 1));
-  // A second copy also covers the loss of an upstream.
-  const risk = copies === 1 ? 0.03 : 0;
+  // The loss of the only copy leaves its requests unserved until a load ends.
+  const risk = copies === 1 ? LOSSES_PER_SECOND * recoverySeconds : 0;
   return rate * (excess + risk);
 }
 
@@ -101,8 +108,24 @@
   const used = new Set<string>();
   let storeLoadsLeft = input.storeLoadsLeft;
 
+  /** Time to load a model again after its only copy is lost. */
+  const recoverySeconds = new Map<string, number>();
+  for (const model of models.values()) {
+    let shortestMs = model.storeLoadMs;
+    for (const upstream of upstreams) {
+      if (upstream.serving.has(model.name)) continue;
+      shortestMs = Math.min(shortestMs, estimateLoadMs(upstream, model));
+    }
+    recoverySeconds.set(model.name, shortestMs / 1_000);
+  }
+
   const harm = (model: string, count: number): number =>
-    computeHarm(demandByModel.get(model), count, openPerCopy);
+    computeHarm(
+      demandByModel.get(model),
+      count,
+      openPerCopy,
+      recoverySeconds.get(model) ?? 0,
+    );
 
   const computeEvictionCost = (
     upstream: PlannedUpstream,
