Remove the registrations of gateways that are gone

Cause: nothing called `forget`, so a host that is replaced at another address left its registration behind for ever. It counts as a gateway, and the living ones have a smaller part of every rate and of the retry budget with each replacement.

Change: the gateway that gives orders removes registrations of gateways that were silent for 60 s. A gateway that finds its own registration removed registers again, and has no part of the rates until all others know it.

Ruled out: removal at SIGTERM, since a restart under the same name is common and would change every part twice; heartbeats in the store, which cost a call of each gateway for each other one.

Before: three tests fail without the change (forget is not reached, the own removal is not noticed, the part stays). After: they pass.

--- a/packages/fleet/src/events.ts
+++ b/packages/fleet/src/events.ts
@@ -39,5 +39,10 @@
 export const GATEWAY_FORGOTTEN = defineEvent(
   6213,
   LogLevel.Info,
-  'registration of a gateway that is gone was removed',
+  'registration of a gateway that was silent for long is removed',
+);
+export const REGISTRATION_REMOVED = defineEvent(
+  6214,
+  LogLevel.Warn,
+  'own registration was removed; this gateway registers again',
 );
--- /dev/null
+++ b/packages/fleet/src/gateway-registry.test.ts
@@ -0,0 +1,88 @@
+import {
+  LogLevel,
+  createLogger,
+  createManualClock,
+} from '@siskinplank/foundation';
+import {MemoryObjects} from '@siskinplank/testing';
+import {describe, expect, it} from 'vitest';
+import {listForgettable} from './forget';
+import {createGatewayRegistry} from './gateway-registry';
+import type {GatewayRegistry} from './gateway-registry';
+import {GATEWAYS_KIND} from './records';
+
+const clock = createManualClock();
+
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 20; turn += 1) {
+    clock.runFor(1);
+    await Promise.resolve();
+  }
+}
+
+function startRegistry(objects: MemoryObjects, name: string): GatewayRegistry {
+  const registry = createGatewayRegistry({
+    objects,
+    own: {
+      name,
+      incarnation: `${name}-1`,
+      address: {host: '10.0.0.1', port: 7600},
+      failureDomain: 'a',
+      region: 'r',
+    },
+    watchWaitMs: 1_000,
+    retryDelayMs: 100,
+    clock,
+    logger: createLogger({
+      level: LogLevel.Info,
+      fields: {},
+      write: () => undefined,
+      getWallMs: clock.getWallMs,
+    }),
+    onChange: () => undefined,
+  });
+  registry.start();
+  return registry;
+}
+
+describe('registrations of gateways', () => {
+  // The load: a host is replaced at another address, and its registration
+  // would take a part of every rate for ever.
+  it('are removed for gateways that are gone', async () => {
+    const objects = new MemoryObjects();
+    const first = startRegistry(objects, 'gone');
+    const second = startRegistry(objects, 'living');
+    await settle();
+    first.stop();
+    expect(second.listOthers().map(({name}) => name)).toEqual(['gone']);
+    expect(await second.forget('gone')).toBe(true);
+    await settle();
+    expect(second.listOthers()).toEqual([]);
+  });
+
+  it('come back for a gateway that lives, and count from then on', async () => {
+    const objects = new MemoryObjects();
+    const alive = startRegistry(objects, 'alive');
+    const other = startRegistry(objects, 'other');
+    await settle();
+    const formerRevision = alive.getOwnRevision() ?? 0;
+    await other.forget('alive');
+    await settle();
+    expect(alive.getOwnRevision()).toBeGreaterThan(formerRevision);
+    const listed = await objects.listObjects(GATEWAYS_KIND);
+    expect(listed.map(({items}) => items.length).extract()).toBe(2);
+  });
+
+  it('are kept while a gateway may come back', () => {
+    const input = {
+      names: ['silent', 'heard', 'unheard'],
+      getHeardAtMs: (name: string) =>
+        ({silent: 1_000, heard: 50_000})[name] ?? undefined,
+      listeningSinceMs: 0,
+    };
+    expect(listForgettable({...input, nowMs: 59_000})).toEqual([]);
+    expect(listForgettable({...input, nowMs: 62_000})).toEqual([
+      'silent',
+      'unheard',
+    ]);
+  });
+});
--- a/packages/fleet/src/gateway-registry.ts
+++ b/packages/fleet/src/gateway-registry.ts
@@ -6,7 +6,12 @@
 } from '@siskinplank/directory';
 import type {SharedObject, SharedObjects} from '@siskinplank/directory';
 import type {Clock, Logger} from '@siskinplank/foundation';
-import {GATEWAY_REGISTERED, REGISTRATION_FAILED} from './events';
+import {
+  GATEWAY_FORGOTTEN,
+  GATEWAY_REGISTERED,
+  REGISTRATION_FAILED,
+  REGISTRATION_REMOVED,
+} from './events';
 import {GATEWAYS_KIND, decodeGateway, encodeGateway} from './records';
 import type {GatewayRecord} from './types';
 
@@ -30,7 +35,10 @@
   listOthers(): readonly GatewayRecord[];
   /** Revision up to which the registrations are known. */
   getRevision(): number;
-  /** Revision of the own registration; undefined until it is acknowledged. */
+  /**
+   * Revision of the own registration; undefined until it is acknowledged, and
+   * while it was removed by another gateway.
+   */
   getOwnRevision(): number | undefined;
   /** Whether a registration of this name existed before this process. */
   hadPredecessor(): boolean;
@@ -62,18 +70,22 @@
     settleDelayMs: 0,
     clock,
     logger,
-    onList: items => {
+    onList: (items, _nowMs, revision) => {
       others.clear();
       revisions.clear();
+      if (!items.has(own.name)) noteOwnRemoval(revision);
       for (const [name, {record, revision}] of items) {
         revisions.set(name, revision);
         if (name !== own.name) others.set(name, record);
       }
     },
-    onChange: (name, item) => {
+    onChange: (name, item, _nowMs, revision) => {
       if (item === undefined) revisions.delete(name);
       else revisions.set(name, item.revision);
-      if (name === own.name) return;
+      if (name === own.name) {
+        if (item === undefined) noteOwnRemoval(revision);
+        return;
+      }
       if (item === undefined) others.delete(name);
       else others.set(name, item.record);
     },
@@ -129,6 +141,15 @@
     });
   };
 
+  /** Registers again: the others took this gateway for gone. */
+  const noteOwnRemoval = (revision: number): void => {
+    if (ownRevision === undefined || revision <= ownRevision) return;
+    logger.log(REGISTRATION_REMOVED, {revision, former: ownRevision});
+    ownRevision = undefined;
+    hadPredecessor = false;
+    void runRegistration();
+  };
+
   const runRegistration = async (): Promise<void> => {
     let former: SharedObject | undefined;
     while (isRunning && ownRevision === undefined) {
@@ -157,6 +178,14 @@
       const revision = revisions.get(name);
       if (revision === undefined) return false;
       const deleted = await objects.deleteObject(GATEWAYS_KIND, name, revision);
+      logger.log(GATEWAY_FORGOTTEN, {
+        peer: name,
+        revision,
+        outcome: deleted.caseOf<string>({
+          Left: ({code}) => code,
+          Right: () => 'removed',
+        }),
+      });
       return deleted.isRight();
     },
   };
--- a/packages/gateway/src/fleet-node.ts
+++ b/packages/gateway/src/fleet-node.ts
@@ -3,6 +3,7 @@
   createGatewayRegistry,
   createPeerTable,
   ensureLinkKey,
+  listForgettable,
 } from '@siskinplank/fleet';
 import type {
   GatewayRecord,
@@ -37,6 +38,8 @@
   onPeerLost(name: string): void;
   onMessage(peer: string, message: Message): void;
   onMembersChange(nowMs: number): void;
+  /** Whether this gateway may remove registrations: one at a time does. */
+  mayForget(): boolean;
 }
 
 /** The fleet as one gateway takes part in it. */
@@ -65,6 +68,8 @@
   backoffBaseMs: 50,
   backoffMaxMs: 500,
 };
+/** Period of the looks for registrations of gateways that are gone. */
+const FORGET_PERIOD_MS = 10_000;
 const LINK_KEY_ID = 'gateways';
 
 /** Creates a node that does nothing before `start`. */
@@ -75,6 +80,7 @@
   let sequence = 0;
   let soonTimer: Timer | undefined;
   let isStopped = false;
+  let listeningSinceMs = clock.getNowMs();
   const connected = new Map<string, GatewayRecord>();
 
   const network: PeerNetwork = createPeerNetwork({
@@ -147,6 +153,17 @@
     }
   };
 
+  const forgetGone = (): void => {
+    if (!options.mayForget()) return;
+    const gone = listForgettable({
+      names: registry.listOthers().map(({name}) => name),
+      getHeardAtMs: peers.getHeardAtMs,
+      listeningSinceMs,
+      nowMs: clock.getNowMs(),
+    });
+    for (const name of gone) void registry.forget(name);
+  };
+
   network.subscribe([MessageType.GatewayState], (link, state) => {
     const nowMs = clock.getNowMs();
     const {name, incarnation} = link.peer;
@@ -193,11 +210,13 @@
     registry,
     peers,
     start: () => {
+      listeningSinceMs = clock.getNowMs();
       registry.start();
       void startNetwork();
       timers.push(
         clock.startInterval(STATE_PERIOD_MS, sendState),
         clock.startInterval(STATE_PERIOD_MS / 2, dropSilent),
+        clock.startInterval(FORGET_PERIOD_MS, forgetGone),
       );
     },
     stop: async () => {
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -233,6 +233,7 @@
       limiter.reconsider();
     },
     onMembersChange: () => updateShares(),
+    mayForget: () => orders.leadership.getTerm() !== undefined,
   });
 
   const updateShares = (): void => {
--- /dev/null
+++ b/packages/testing/src/platform/memory-objects.ts
@@ -0,0 +1,112 @@
+/** The shared objects of a store, in memory, for tests in one process. */
+import {SharedObjects, StoreFailureCode} from '@siskinplank/directory';
+import type {
+  SharedObject,
+  SharedObjectChange,
+  SharedObjectChanges,
+  SharedObjectList,
+  StoreFailure,
+} from '@siskinplank/directory';
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
+
+type StoreResult<T> = Promise<Either<StoreFailure, T>>;
+
+interface LoggedChange extends SharedObjectChange {
+  kind: string;
+  revision: number;
+}
+
+/** A store that keeps its whole history and never fails. */
+export class MemoryObjects extends SharedObjects {
+  private revision = 1;
+  private readonly objects = new Map<string, SharedObject>();
+  private readonly history: LoggedChange[] = [];
+  private waiting: Array<() => void> = [];
+
+  listObjects(kind: string): StoreResult<SharedObjectList> {
+    const items = [...this.objects]
+      .filter(([key]) => key.startsWith(`${kind}/`))
+      .map(([, object]) => object);
+    return Promise.resolve(Right({revision: this.revision, items}));
+  }
+
+  /** Waits for a change without a limit. */
+  async watchObjects(
+    kind: string,
+    revision: number,
+  ): StoreResult<SharedObjectChanges> {
+    for (;;) {
+      const changes = this.history.filter(
+        change => change.kind === kind && change.revision > revision,
+      );
+      if (changes.length > 0) return Right({revision: this.revision, changes});
+      await new Promise<void>(resolve => this.waiting.push(resolve));
+    }
+  }
+
+  createObject(
+    kind: string,
+    name: string,
+    content: unknown,
+  ): StoreResult<SharedObject> {
+    const current = this.objects.get(`${kind}/${name}`);
+    if (current !== undefined) return this.refuse(current);
+    return this.write(kind, name, content);
+  }
+
+  replaceObject(
+    kind: string,
+    name: string,
+    content: unknown,
+    revision: number,
+  ): StoreResult<SharedObject> {
+    const current = this.objects.get(`${kind}/${name}`);
+    if (current?.revision !== revision) return this.refuse(current);
+    return this.write(kind, name, content);
+  }
+
+  deleteObject(
+    kind: string,
+    name: string,
+    revision: number,
+  ): StoreResult<void> {
+    const current = this.objects.get(`${kind}/${name}`);
+    if (current?.revision !== revision) return this.refuse(current);
+    this.objects.delete(`${kind}/${name}`);
+    this.note(kind, current, true);
+    return Promise.resolve(Right(undefined));
+  }
+
+  private refuse<T>(current: SharedObject | undefined): StoreResult<T> {
+    return Promise.resolve(
+      Left({
+        code:
+          current === undefined
+            ? StoreFailureCode.NotFound
+            : StoreFailureCode.Conflict,
+        reason: 'another revision',
+        ...(current === undefined ? {} : {current}),
+      }),
+    );
+  }
+
+  private write(
+    kind: string,
+    name: string,
+    content: unknown,
+  ): StoreResult<SharedObject> {
+    const object = {name, content, revision: this.revision + 1};
+    this.objects.set(`${kind}/${name}`, object);
+    this.note(kind, object, false);
+    return Promise.resolve(Right(object));
+  }
+
+  private note(kind: string, object: SharedObject, isRemoved: boolean): void {
+    this.revision += 1;
+    this.history.push({kind, object, isRemoved, revision: this.revision});
+    const waiting = this.waiting;
+    this.waiting = [];
+    for (const wake of waiting) wake();
+  }
+}
--- a/packages/token-shares/src/share-fraction.ts
+++ b/packages/token-shares/src/share-fraction.ts
@@ -41,7 +41,12 @@
       for (const [count, seenAtMs] of [...counts]) {
         if (nowMs - seenAtMs > settleMs) counts.delete(count);
       }
-      if (!input.isRegistered) return 0;
+      if (!input.isRegistered) {
+        // Others may have raised their parts: it must be made known once more.
+        registeredAtMs = undefined;
+        mayAccrue = false;
+        return 0;
+      }
       registeredAtMs ??= nowMs;
       const hasSettled = nowMs - registeredAtMs > settleMs;
       if (input.hadPredecessor || input.isKnownToAll || hasSettled) {
--- a/packages/token-shares/src/token-shares.test.ts
+++ b/packages/token-shares/src/token-shares.test.ts
@@ -289,4 +289,14 @@
     expect(fraction.update({...removed, nowMs: 900})).toBe(0.25);
     expect(fraction.update({...removed, nowMs: 1_100})).toBe(1 / 3);
   });
+
+  it('has no part while the own registration is gone, nor before all know', () => {
+    const fraction = createShareFraction(1_000);
+    fraction.update({...input, isKnownToAll: true});
+    const gone = {...input, isRegistered: false, isKnownToAll: true};
+    expect(fraction.update({...gone, nowMs: 2_000})).toBe(0);
+    expect(fraction.update({...input, nowMs: 2_100})).toBe(0);
+    const known = {...input, nowMs: 2_200, isKnownToAll: true};
+    expect(fraction.update(known)).toBe(0.25);
+  });
 });
