Count loads when they begin, and doubt copies that a load may have displaced

The trace shows 9 loads planned from the store and 11 planned from copies in the same span; a server has room for two models in memory and about six on disk, and each load displaces the oldest, but the desk went on trusting a report from before it. Loads were also counted when they were planned, seconds before an unload let them begin.

Tests fail without the change.

--- /dev/null
+++ b/packages/model-orders/src/load-budget.test.ts
@@ -0,0 +1,114 @@
+import {UpstreamState} from '@siskinplank/serving';
+import type {EngineSpec, Upstream, UpstreamReport} from '@siskinplank/serving';
+import {describe, expect, it} from 'vitest';
+import {createLoadBudget} from './load-budget';
+import {REPORT_LAG_MS, createUpstreamLedger} from './upstream-ledger';
+
+const ENGINE: EngineSpec = {
+  slots: 8,
+  cacheTokens: 1_000,
+  weightsMb: 100,
+  adapterSlots: 0,
+  loadsPerSecond: 2.1,
+  models: new Map([
+    [
+      'a',
+      {
+        name: 'a',
+        weightsMb: 40,
+        storeLoadMs: 1_200,
+        diskLoadMs: 700,
+        memoryLoadMs: 500,
+        adapterCount: 0,
+        adapterMb: 0,
+      },
+    ],
+  ]),
+};
+const WINDOW_MS = 5_000;
+/** Loads that may begin in a window: the rate, a tenth more, and 3. */
+const CEILING = 2.1 * 5 * 1.1 + 3;
+
+const UPSTREAM: Upstream = {
+  id: 'u',
+  service: 'llm',
+  address: {host: '10.0.0.1', port: 80},
+  failureDomain: 'a',
+  softwareVersion: '',
+  slots: 8,
+  state: UpstreamState.Ready,
+  startedAtMs: 1,
+  models: [],
+  orderSequence: 0,
+  remainingMs: undefined,
+};
+
+function makeReport(copies: string[]): UpstreamReport {
+  return {
+    models: [],
+    isBusy: false,
+    orderSequence: 0,
+    queuedCount: 0,
+    runningCount: 0,
+    usedCacheTokens: 0,
+    totalCacheTokens: 0,
+    pendingAdapters: [],
+    modelsInMemory: copies,
+    modelsOnDisk: copies,
+  };
+}
+
+describe('loads from the weight store', () => {
+  // The load: loads are planned at once and begin together, after unloads that
+  // wait for runs of different length.
+  it('stay below the ceiling when they begin later than planned', () => {
+    const budget = createLoadBudget();
+    const begun: number[] = [];
+    const planned: Array<(beginsAtMs: number) => void> = [];
+    for (let nowMs = 0; nowMs <= 20_000; nowMs += 50) {
+      for (let left = budget.countLeft(ENGINE, nowMs); left > 0; left -= 1) {
+        const reservation = budget.reserve(100);
+        planned.push(beginsAtMs => {
+          reservation.begin(beginsAtMs);
+          begun.push(beginsAtMs);
+        });
+      }
+      // For four seconds no upstream is free; then all are.
+      const isFree = nowMs % 5_000 >= 4_000;
+      if (isFree) for (const begin of planned.splice(0)) begin(nowMs);
+    }
+    for (const endMs of begun) {
+      const inWindow = begun.filter(
+        atMs => atMs > endMs - WINDOW_MS && atMs <= endMs,
+      );
+      expect(inWindow.length).toBeLessThanOrEqual(CEILING);
+    }
+    expect(begun.length).toBeGreaterThan(10);
+  });
+
+  it('give their place back when they do not begin', () => {
+    const budget = createLoadBudget();
+    budget.countLeft(ENGINE, 0);
+    expect(budget.countLeft(ENGINE, 1_000)).toBe(3);
+    const reservation = budget.reserve(1_200);
+    expect(budget.countLeft(ENGINE, 1_000)).toBe(2);
+    reservation.cancel();
+    expect(budget.countLeft(ENGINE, 1_000)).toBe(3);
+  });
+
+  // The load: models are moved one after the other on one upstream, whose disk
+  // has room for few copies.
+  it('are expected where a load may have displaced the copy', () => {
+    const ledger = createUpstreamLedger(UPSTREAM, 0);
+    ledger.applyReport(makeReport(['a', 'b']), 1_000);
+    ledger.noteCopies('c', 2_000);
+    expect(ledger.onDisk.has('a')).toBe(false);
+    // This report may be older than the load's effect.
+    ledger.applyReport(makeReport(['a', 'b']), 2_000 + REPORT_LAG_MS - 1);
+    expect(ledger.onDisk.has('a')).toBe(false);
+    expect(ledger.areCopiesKnown()).toBe(false);
+    ledger.applyReport(makeReport(['b', 'c']), 2_000 + REPORT_LAG_MS);
+    expect([...ledger.onDisk]).toEqual(['b', 'c']);
+    expect(ledger.areCopiesKnown()).toBe(true);
+  });
+});
--- a/packages/model-orders/src/load-budget.ts
+++ b/packages/model-orders/src/load-budget.ts
@@ -5,12 +5,20 @@
  */
 import type {EngineSpec} from '@siskinplank/serving';
 
+/** A load that was planned and may begin later, when its upstream has room. */
+export interface LoadReservation {
+  /** The load begins now, or may have begun. */
+  begin(nowMs: number): void;
+  /** The load will not begin. */
+  cancel(): void;
+}
+
 /** Tokens of one gateway's term. */
 export interface LoadBudget {
-  /** Loads that may begin at `nowMs`. */
+  /** Loads that may be planned at `nowMs`. */
   countLeft(engine: EngineSpec, nowMs: number): number;
-  /** Notes a load that takes about `loadMs`. */
-  spend(loadMs: number, nowMs: number): void;
+  /** Keeps a place for a load that takes about `loadMs`. */
+  reserve(loadMs: number): LoadReservation;
 }
 
 /** Loads that may begin at once after a pause. */
@@ -22,6 +30,7 @@
   let tokens = 1;
   let filledAtMs: number | undefined;
   let running: number[] = [];
+  let reserved = 0;
   return {
     countLeft: (engine, nowMs) => {
       const elapsedMs = nowMs - (filledAtMs ?? nowMs);
@@ -41,14 +50,26 @@
           (engine.loadsPerSecond * longestLoadMs) / MILLISECONDS_PER_SECOND,
         ),
       );
-      return Math.max(
-        0,
-        Math.min(Math.floor(tokens), mostAtOnce - running.length),
-      );
+      const left = Math.min(Math.floor(tokens), mostAtOnce - running.length);
+      return Math.max(0, left - reserved);
     },
-    spend: (loadMs, nowMs) => {
-      tokens -= 1;
-      running.push(nowMs + loadMs);
+    reserve: loadMs => {
+      let isOpen = true;
+      reserved += 1;
+      const settle = (): boolean => {
+        const wasOpen = isOpen;
+        if (wasOpen) reserved -= 1;
+        isOpen = false;
+        return wasOpen;
+      };
+      return {
+        begin: nowMs => {
+          if (!settle()) return;
+          tokens -= 1;
+          running.push(nowMs + loadMs);
+        },
+        cancel: () => void settle(),
+      };
     },
   };
 }
--- a/packages/model-orders/src/order-desk.ts
+++ b/packages/model-orders/src/order-desk.ts
@@ -11,6 +11,7 @@
   REPORT_REGAINED,
 } from './events';
 import {createLoadBudget} from './load-budget';
+import type {LoadReservation} from './load-budget';
 import {createOrderSender} from './order-sender';
 import {planMoves} from './plan-moves';
 import type {Move, PlannedUpstream} from './plan-moves';
@@ -132,7 +133,8 @@
   const readDueReports = (nowMs: number): void => {
     for (const ledger of ledgers.values()) {
       if (!ledger.isUsable()) continue;
-      const periodMs = ledger.isKnown ? REPORT_PERIOD_MS : RECOVERY_PERIOD_MS;
+      const isComplete = ledger.isKnown && ledger.areCopiesKnown();
+      const periodMs = isComplete ? REPORT_PERIOD_MS : RECOVERY_PERIOD_MS;
       if (nowMs - ledger.reportAtMs < periodMs || ledger.isOccupied) continue;
       void readReport(ledger);
     }
@@ -184,6 +186,7 @@
     ledger: UpstreamLedger,
     move: Move,
     loadMs: number,
+    reservation: LoadReservation | undefined,
   ): Promise<boolean> => {
     const isSent = await sender.send(ledger, {
       operation: OrderOperation.Load,
@@ -192,8 +195,10 @@
       patienceMs: UNLOAD_PATIENCE_MS,
       mayBeBusy: move.evict.length > 0,
     });
-    if (!isSent) return false;
     const nowMs = clock.getNowMs();
+    // An order that was not answered may have begun a load as well.
+    reservation?.begin(nowMs);
+    if (!isSent) return false;
     // The upstream takes one order at a time, so the unloads are over.
     for (const model of move.evict) ledger.setModel(model, undefined, nowMs);
     ledger.setModel(move.load, HoldingState.Arriving, nowMs, nowMs + loadMs);
@@ -205,6 +210,7 @@
     ledger: UpstreamLedger,
     move: Move,
     loadMs: number,
+    reservation: LoadReservation | undefined,
   ): Promise<void> => {
     const startedAtMs = clock.getNowMs();
     ledger.isOccupied = true;
@@ -218,8 +224,11 @@
       expectedMs: Math.round(loadMs),
     });
     const isEvicted = await evict(ledger, move.evict);
-    const isLoaded = isEvicted && (await load(ledger, move, loadMs));
+    const isLoaded =
+      isEvicted && (await load(ledger, move, loadMs, reservation));
+    reservation?.cancel();
     const nowMs = clock.getNowMs();
+    ledger.noteCopies(move.load, nowMs);
     if (isLoaded) {
       ledger.setModel(move.load, HoldingState.Present, nowMs);
     }
@@ -293,8 +302,8 @@
       const ledger = ledgers.get(move.upstream);
       if (ledger === undefined) continue;
       const loadMs = estimateLoadMs(ledger, engine, move.load);
-      if (move.isStoreLoad) budget.spend(loadMs, nowMs);
-      void runMove(ledger, move, loadMs);
+      const reservation = move.isStoreLoad ? budget.reserve(loadMs) : undefined;
+      void runMove(ledger, move, loadMs, reservation);
     }
   };
 
--- a/packages/model-orders/src/upstream-ledger.ts
+++ b/packages/model-orders/src/upstream-ledger.ts
@@ -28,6 +28,7 @@
   readonly models: Map<string, Holding>;
   /** By `model/adapter`. */
   readonly adapters: Map<string, Holding & {lastUsedAtMs: number}>;
+  /** Copies of weights that are surely there; the oldest give way to a load. */
   inMemory: ReadonlySet<string>;
   onDisk: ReadonlySet<string>;
   /** Orders accepted so far; undefined while it is not known for sure. */
@@ -53,6 +54,10 @@
     nowMs: number,
     expectedAtMs?: number,
   ): void;
+  /** Notes the copies that a load has left, and that others may be gone. */
+  noteCopies(model: string, nowMs: number): void;
+  /** Whether a report has told of the copies since the last load. */
+  areCopiesKnown(): boolean;
   countFreeMb(engine: EngineSpec): number;
   isUsable(): boolean;
 }
@@ -66,6 +71,8 @@
   nowMs: number,
 ): UpstreamLedger {
   let upstream = registration;
+  /** Time from which on reports tell what the last load has displaced. */
+  let copiesFromMs = -Infinity;
   const models = new Map<string, Holding>();
   const adapters = new Map<string, Holding & {lastUsedAtMs: number}>();
 
@@ -125,8 +132,11 @@
     applyReport: (report, askedAtMs) => {
       ledger.report = report;
       ledger.reportAtMs = askedAtMs;
-      ledger.inMemory = new Set(report.modelsInMemory);
-      ledger.onDisk = new Set(report.modelsOnDisk);
+      if (askedAtMs >= copiesFromMs) {
+        ledger.inMemory = new Set(report.modelsInMemory);
+        ledger.onDisk = new Set(report.modelsOnDisk);
+        copiesFromMs = -Infinity;
+      }
       // A report may be older than the last order's effect.
       const quietSinceMs = Math.max(ledger.lastOrderAtMs, nowMs);
       const isCurrent = askedAtMs - quietSinceMs > REPORT_LAG_MS;
@@ -155,6 +165,12 @@
       }
     },
     setModel,
+    noteCopies: (model, atMs) => {
+      ledger.inMemory = new Set([model]);
+      ledger.onDisk = new Set([model]);
+      copiesFromMs = atMs + REPORT_LAG_MS;
+    },
+    areCopiesKnown: () => copiesFromMs === -Infinity,
     countFreeMb: engine => {
       let freeMb = engine.weightsMb;
       for (const name of models.keys()) {
