Send waiting requests elsewhere when their gateway stops

The traces of the first two show the same: a batch request that reached a gateway 1 s after SIGTERM waited for a model, up to 20 s since its patience was raised, and its connection was closed when the grace time ended.

Change: while a gateway leaves, a request waits only for a start within half of the grace time; one that can't start by then is refused at once, as not run, with a Retry-After of 50 ms, because the other gateways can take it.

Ruled out: refusing every waiting request at the stop, which spends the one repeat of callers whose model comes within a second.

--- a/packages/dispatch/src/patience.test.ts
+++ b/packages/dispatch/src/patience.test.ts
@@ -9,6 +9,7 @@
   targetPauseMs: 300,
   expectedAtMs: undefined,
   canBeLoaded: true,
+  lastStartAtMs: undefined,
   nowMs: 0,
 };
 
@@ -35,6 +36,16 @@
     expect(planWait({...batch, nowMs: 9_000}).isRefused).toBe(true);
   });
 
+  // The load: a host is stopped while batch requests wait for a model.
+  it('sends callers elsewhere when the gateway leaves before a start', () => {
+    const batch = {...INPUT, targetLatencyMs: 6_000, deadlineAtMs: 25_000};
+    const leaving = {...batch, lastStartAtMs: 3_000, nowMs: 1_000};
+    expect(planWait(leaving).isRefused).toBe(false);
+    const elsewhere = {isRefused: true, retryAfterMs: 50};
+    expect(planWait({...leaving, expectedAtMs: 3_500})).toEqual(elsewhere);
+    expect(planWait({...leaving, nowMs: 3_001})).toEqual(elsewhere);
+  });
+
   it('never waits past the deadline', () => {
     const input = {...INPUT, deadlineAtMs: 1_000, expectedAtMs: 1_100};
     expect(planWait(input).isRefused).toBe(true);
--- a/packages/dispatch/src/patience.ts
+++ b/packages/dispatch/src/patience.ts
@@ -15,6 +15,11 @@
   expectedAtMs: number | undefined;
   /** Whether some gateway gives orders, so that the model can be loaded. */
   canBeLoaded: boolean;
+  /**
+   * Time until which this gateway starts requests, while it leaves; those that
+   * start later would not end before it does.
+   */
+  lastStartAtMs: number | undefined;
   nowMs: number;
 }
 
@@ -38,6 +43,8 @@
 /** Retry-After when it is not known when a model will be present. */
 const UNKNOWN_RETRY_MS = 1_000;
 const MIN_RETRY_MS = 50;
+/** Retry-After of a leaving gateway: the others take the request at once. */
+const ELSEWHERE_RETRY_MS = 50;
 
 /** Decides whether a request waits on. */
 export function planWait(input: WaitInput): WaitDecision {
@@ -52,7 +59,11 @@
   if (!input.canBeLoaded) {
     return {isRefused: true, retryAfterMs: UNKNOWN_RETRY_MS};
   }
-  const {expectedAtMs, nowMs} = input;
+  const {expectedAtMs, lastStartAtMs, nowMs} = input;
+  const startsAtMs = Math.max(nowMs, expectedAtMs ?? nowMs);
+  if (lastStartAtMs !== undefined && startsAtMs > lastStartAtMs) {
+    return {isRefused: true, retryAfterMs: ELSEWHERE_RETRY_MS};
+  }
   if (expectedAtMs !== undefined) {
     const isInTime = expectedAtMs <= lastAtMs && nowMs <= lastAtMs;
     const leftMs = Math.max(MIN_RETRY_MS, expectedAtMs - nowMs);
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -29,6 +29,8 @@
   policy: DispatchPolicy;
   failureDomain: string;
   clock: Clock;
+  /** Time until which requests are started; undefined unless this gateway leaves. */
+  getLastStartAtMs(): number | undefined;
   /** Whether some upstream of the service may be ordered to load the model. */
   canLoad(service: string, model: string): boolean;
   /** Time until the adapter is present there, or undefined when it cannot be. */
@@ -171,6 +173,7 @@
       targetLatencyMs: ticket.targetLatencyMs,
       targetPauseMs: ticket.targetPauseMs,
       expectedAtMs: findExpectedAtMs(ticket),
+      lastStartAtMs: options.getLastStartAtMs(),
       canBeLoaded:
         ticket.model !== undefined &&
         options.canLoad(ticket.service, ticket.model),
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -57,6 +57,8 @@
 }
 
 const DRAIN_POLL_MS = 50;
+/** Part of the grace time in which waiting requests may still start. */
+const START_SHARE = 0.5;
 /** Period of the checks for pauses, shares and idle connections. */
 const HOUSEKEEPING_MS = 100;
 /** Clocks drift apart by less than this between two checks. */
@@ -82,6 +84,7 @@
   const ownName = settings.process.name;
   const ownIncarnation = makeSecureId(8);
   let isLeaving = false;
+  let lastStartAtMs: number | undefined;
   /** Part of the rates and of the retry budget that belongs to this gateway. */
   let fleetPart = 0;
   const upstreams = createUpstreamTable();
@@ -136,6 +139,7 @@
     policy: createDispatchPolicy(settings.dispatch.policy, random),
     failureDomain: settings.process.failureDomain,
     clock,
+    getLastStartAtMs: () => lastStartAtMs,
     canLoad: (service, model) => {
       const engine = configuration
         .getTable()
@@ -360,6 +364,7 @@
       isLeaving = true;
       logger.log(GATEWAY_DRAIN_STARTED, {open: handler.countOpen()});
       const startedAtMs = clock.getNowMs();
+      lastStartAtMs = startedAtMs + settings.drain.graceMs * START_SHARE;
       callerServer.closeIdleConnections();
       await orders.handOver();
       fleet.sendStateSoon();
