Add a fault soak of gateways as separate processes

Cause: the users ask for a randomized soak of the real programs with faults from outside; the proofs run the product's own interface only.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,7 +3,7 @@
 
 const VERB_PATTERN = `^(${FUNCTION_VERBS.join('|')})([A-Z0-9]|$)`;
 
-const TEST_PACKAGES = '{stand-ins,testing,proof,measure,demo}';
+const TEST_PACKAGES = '{stand-ins,testing,proof,measure,demo,soak}';
 
 const TIME_AND_CHANCE = [
   {object: 'Date', property: 'now', message: 'Use the clock of foundation.'},
@@ -129,6 +129,8 @@
                 '@siskinplank/proof',
                 '@siskinplank/measure',
                 '@siskinplank/demo',
+                '@siskinplank/soak',
+                '@siskinplank/platform-stand-ins',
               ],
               message: 'The product does not use test code.',
             },
--- /dev/null
+++ b/packages/soak/src/checks/answers.ts
@@ -0,0 +1,76 @@
+/** Promises about single requests: whole answers, true refusals, one run. */
+import {CallKind} from '@siskinplank/platform-stand-ins';
+import type {RunRecord} from '@siskinplank/platform-stand-ins';
+import type {History, Violation} from '../history';
+import {DEADLINE_SLACK_MS} from './bounds';
+
+/** Statuses that promise that a request has not run and never will. */
+const PROMISE_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+function collectRuns(runs: readonly RunRecord[]): Map<string, RunRecord[]> {
+  const groups = new Map<string, RunRecord[]>();
+  for (const run of runs) {
+    const known = groups.get(run.attemptId);
+    if (known === undefined) groups.set(run.attemptId, [run]);
+    else known.push(run);
+  }
+  return groups;
+}
+
+/** Every success is the whole answer to its own request. */
+export function checkAnswers({calls}: History): Violation[] {
+  return calls.flatMap(({attemptId, faults}) =>
+    faults.map(fault => ({check: 'answer', detail: `${attemptId}: ${fault}`})),
+  );
+}
+
+/** Orders run once at most. */
+export function checkSingleRuns({calls, runs}: History): Violation[] {
+  const byAttempt = collectRuns(runs);
+  return calls
+    .filter(({kind}) => kind === CallKind.Order)
+    .flatMap(({attemptId}) => {
+      const count = byAttempt.get(attemptId)?.length ?? 0;
+      return count > 1
+        ? [{check: 'once', detail: `${attemptId} ran ${count} times`}]
+        : [];
+    });
+}
+
+/** What was refused as not run has not run, neither before nor later. */
+export function checkRefusals({calls, runs}: History): Violation[] {
+  const byAttempt = collectRuns(runs);
+  return calls
+    .filter(({kind, status}) => {
+      const isRepeatable = kind === CallKind.Status || kind === CallKind.Stream;
+      return !isRepeatable && PROMISE_STATUSES.has(status);
+    })
+    .filter(({attemptId}) => byAttempt.has(attemptId))
+    .map(({attemptId, status}) => ({
+      check: 'refusal',
+      detail: `${attemptId} got ${status} and ran`,
+    }));
+}
+
+/** Upstreams run what callers sent, for the account of their key, without it. */
+export function checkRuns({calls, runs}: History): Violation[] {
+  const byAttempt = new Map(calls.map(call => [call.attemptId, call]));
+  const violations: Violation[] = [];
+  const add = (run: RunRecord, detail: string): void =>
+    void violations.push({check: 'run', detail: `${run.attemptId}: ${detail}`});
+  for (const run of runs) {
+    const call = byAttempt.get(run.attemptId);
+    if (run.hadKey) add(run, 'the key was passed on');
+    if (call === undefined) {
+      add(run, 'nobody sent it');
+      continue;
+    }
+    if (run.account !== call.account) add(run, `account ${run.account}`);
+    if (run.body !== call.body) add(run, 'another body');
+    const leftMs = call.sentAtMs + call.deadlineMs - run.atMs;
+    if (run.deadlineMs > leftMs + DEADLINE_SLACK_MS) {
+      add(run, `got ${run.deadlineMs} ms of ${Math.round(leftMs)}`);
+    }
+  }
+  return violations;
+}
--- /dev/null
+++ b/packages/soak/src/checks/checks.test.ts
@@ -0,0 +1,176 @@
+import {CallKind} from '@siskinplank/platform-stand-ins';
+import type {CallRecord, RunRecord} from '@siskinplank/platform-stand-ins';
+import {describe, expect, it} from 'vitest';
+import {FaultKind} from '../history';
+import type {History} from '../history';
+import {checkHistory} from './index';
+
+function makeCall(
+  attemptId: string,
+  changes: Partial<CallRecord> = {},
+): CallRecord {
+  return {
+    attemptId,
+    kind: CallKind.Order,
+    account: 'small',
+    key: 'k1',
+    tokens: 200,
+    body: `b-${attemptId}`,
+    gateway: 'gateway-1',
+    sentAtMs: 1_000,
+    endedAtMs: 1_100,
+    deadlineMs: 1_500,
+    status: 200,
+    isComplete: true,
+    retryAfterMs: undefined,
+    faults: [],
+    ...changes,
+  };
+}
+
+function makeRun(
+  attemptId: string,
+  changes: Partial<RunRecord> = {},
+): RunRecord {
+  return {
+    attemptId,
+    service: 'desk',
+    serverId: 'desk-1',
+    atMs: 1_020,
+    account: 'small',
+    hadKey: false,
+    body: `b-${attemptId}`,
+    deadlineMs: 1_480,
+    lastEventId: 0,
+    ...changes,
+  };
+}
+
+function makeHistory(changes: Partial<History> = {}): History {
+  return {
+    calls: [makeCall('c1')],
+    runs: [makeRun('c1')],
+    orders: [],
+    arrivals: [],
+    faults: [],
+    withdrawnKeys: new Map(),
+    limits: [
+      {account: 'small', ratePerSecond: 2_000, burst: 4_000, fromMs: 0},
+      {account: 'other', ratePerSecond: 2_000, burst: 4_000, fromMs: 0},
+    ],
+    leaving: [],
+    roomMb: 100,
+    ...changes,
+  };
+}
+
+function listBroken(changes: Partial<History>): string[] {
+  return checkHistory(makeHistory(changes)).map(({check}) => check);
+}
+
+const ORDER = {
+  serverId: 'engines-1',
+  atMs: 1_000,
+  holder: 'gateway-1',
+  token: 1,
+  status: 202,
+  usedMb: 80,
+};
+const PAUSED = {
+  kind: FaultKind.GatewayPause,
+  target: '0',
+  fromMs: 900,
+  toMs: 1_500,
+};
+
+describe('checks of a soak', () => {
+  it('find nothing in a history that keeps the promises', () => {
+    expect(listBroken({orders: [ORDER]})).toEqual([]);
+  });
+
+  it.each<[string, Partial<History>]>([
+    ['answer', {calls: [makeCall('c1', {faults: ['event 3 is another one']})]}],
+    [
+      'once',
+      {runs: [makeRun('c1'), makeRun('c1', {serverId: 'desk-2', atMs: 1_050})]},
+    ],
+    ['refusal', {calls: [makeCall('c1', {status: 503})]}],
+    ['run', {runs: [makeRun('c1', {hadKey: true})]}],
+    ['run', {runs: [makeRun('c1', {account: 'other'})]}],
+    ['run', {runs: [makeRun('c1', {body: 'b-c2'})]}],
+    ['run', {runs: [makeRun('c1', {deadlineMs: 2_100})]}],
+    ['run', {runs: [makeRun('c1'), makeRun('nobody')]}],
+    [
+      'key',
+      {
+        calls: [makeCall('c1', {sentAtMs: 6_001, endedAtMs: 6_100})],
+        runs: [makeRun('c1', {atMs: 6_050})],
+        withdrawnKeys: new Map([['k1', 1_000]]),
+      },
+    ],
+    [
+      'limit',
+      {
+        // 20,000 x 1.1 + 11,000 tokens may run in eight seconds.
+        calls: [1, 2, 3, 4].map(index =>
+          makeCall(`c${index}`, {tokens: 8_300}),
+        ),
+        runs: [1, 2, 3, 4].map(index => makeRun(`c${index}`)),
+      },
+    ],
+    [
+      'budget',
+      {
+        arrivals: Array.from({length: 57}, () => ({
+          attemptId: 'c1',
+          upstreamId: 'desk-1',
+          atMs: 1_000,
+        })),
+      },
+    ],
+    [
+      'leaving',
+      {
+        calls: [makeCall('c1', {sentAtMs: 3_000, endedAtMs: 3_100})],
+        runs: [makeRun('c1', {atMs: 3_020})],
+        leaving: [{upstreamId: 'desk-1', atMs: 1_000}],
+      },
+    ],
+    ['memory', {orders: [{...ORDER, usedMb: 120}]}],
+    ['holder', {orders: [ORDER, {...ORDER, holder: 'gateway-2'}]}],
+    [
+      'stop',
+      {
+        calls: [makeCall('c1', {status: 0, isComplete: false})],
+        faults: [{...PAUSED, kind: FaultKind.GatewayStop}],
+      },
+    ],
+    [
+      'recovery',
+      {
+        calls: [
+          makeCall('c1', {sentAtMs: 20_000, endedAtMs: 20_100, status: 503}),
+        ],
+        runs: [],
+        faults: [PAUSED],
+      },
+    ],
+  ])('see a broken promise: %s', (check, changes) => {
+    expect(listBroken(changes)).toContain(check);
+  });
+
+  it('excuse a late run or a cut that an unplanned fault explains', () => {
+    const late = {
+      calls: [makeCall('c1', {sentAtMs: 3_000, endedAtMs: 3_100})],
+      runs: [makeRun('c1', {atMs: 3_020})],
+      leaving: [{upstreamId: 'desk-1', atMs: 1_000}],
+      faults: [PAUSED],
+    };
+    expect(listBroken(late)).not.toContain('leaving');
+    const cut = {
+      calls: [makeCall('c1', {status: 0, isComplete: false})],
+      faults: [{...PAUSED, kind: FaultKind.GatewayStop}, PAUSED],
+    };
+    expect(listBroken(cut)).not.toContain('stop');
+  });
+});
--- /dev/null
+++ b/packages/soak/src/checks/index.ts
@@ -0,0 +1,36 @@
+/** All checks of a soak. */
+import type {History, Violation} from '../history';
+import {
+  checkAnswers,
+  checkRefusals,
+  checkRuns,
+  checkSingleRuns,
+} from './answers';
+import {
+  checkBudget,
+  checkKeys,
+  checkLeaving,
+  checkLimits,
+  checkOrders,
+  checkRecovery,
+  checkStops,
+} from './fleet';
+
+const CHECKS: ReadonlyArray<(history: History) => Violation[]> = [
+  checkAnswers,
+  checkSingleRuns,
+  checkRefusals,
+  checkRuns,
+  checkKeys,
+  checkLimits,
+  checkBudget,
+  checkLeaving,
+  checkOrders,
+  checkStops,
+  checkRecovery,
+];
+
+/** Violations of all promises. */
+export function checkHistory(history: History): Violation[] {
+  return CHECKS.flatMap(check => check(history));
+}
--- /dev/null
+++ b/packages/soak/src/faults.ts
@@ -0,0 +1,215 @@
+/** Makes planned faults and ends them. */
+import {StoreOutage} from '@siskinplank/platform-stand-ins';
+import type {StoreStandIn} from '@siskinplank/platform-stand-ins';
+import {ProxyDirection} from '@siskinplank/stand-ins';
+import type {FaultProxy} from '@siskinplank/stand-ins';
+import type {SoakGateway} from './gateways';
+import {FaultKind} from './history';
+import type {FaultSpan, History} from './history';
+import type {PlannedFault} from './plan';
+import type {SoakUpstream} from './upstreams';
+
+/** What faults act on. */
+export interface FaultTargets {
+  gateways: readonly SoakGateway[];
+  upstreams: readonly SoakUpstream[];
+  store: StoreStandIn;
+  history: History;
+  getNowMs(): number;
+  /** Withdraws a key of some account, chosen by `variant`. */
+  withdrawKey(variant: number): void;
+  /** Changes the limit of some account, chosen by `variant`. */
+  changeLimit(variant: number): void;
+}
+
+/** Makes faults; at most one of a kind lasts on one target. */
+export interface FaultMaker {
+  /** Resolves when the fault is over. */
+  make(fault: PlannedFault): Promise<void>;
+}
+
+/** Time after which the store drops the entry of a silent upstream. */
+const LAPSE_MS = 3_600;
+/** Time that a leaving upstream serves on after its notice. */
+const LEAVE_MS = 3_500;
+/** Time for a process to start again. */
+const RESTART_MS = 1_500;
+
+function wait(forMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, forMs));
+}
+
+/** Creates a maker. */
+export function createFaultMaker(targets: FaultTargets): FaultMaker {
+  const {gateways, upstreams, store} = targets;
+  /** Faults that last, by what they take hold of. */
+  const held = new Set<string>();
+
+  const cut = (proxy: FaultProxy, variant: number): void => {
+    const directions = [
+      ProxyDirection.Both,
+      ProxyDirection.ToTarget,
+      ProxyDirection.ToClient,
+    ];
+    proxy.applyFault({stall: directions[Math.floor(variant * 3)]});
+  };
+
+  const makeGatewayFault = async (
+    gateway: SoakGateway,
+    {kind, forMs, variant}: PlannedFault,
+  ): Promise<void> => {
+    switch (kind) {
+      case FaultKind.GatewayPause:
+        gateway.send('SIGSTOP');
+        await wait(forMs);
+        gateway.send('SIGCONT');
+        return;
+      case FaultKind.GatewayReload:
+        gateway.send('SIGHUP');
+        return;
+      case FaultKind.StoreCut:
+        cut(gateway.storeProxy, variant);
+        await wait(forMs);
+        // What was held up is lost, as when the sender resets.
+        gateway.storeProxy.applyFault({cut: true, stall: null});
+        return;
+      default:
+        gateway.send(kind === FaultKind.GatewayStop ? 'SIGTERM' : 'SIGKILL');
+        await gateway.waitForExit();
+        await wait(forMs / 2);
+        gateway.start();
+        await wait(RESTART_MS);
+    }
+  };
+
+  const makeStoreFault = async ({
+    kind,
+    forMs,
+    variant,
+  }: PlannedFault): Promise<void> => {
+    const outages = Object.values(StoreOutage);
+    switch (kind) {
+      case FaultKind.StoreOutage:
+        store.setFault({
+          outage: outages[Math.floor(variant * outages.length)],
+        });
+        break;
+      case FaultKind.StoreSlow:
+        store.setFault({slowMs: 50 + variant * 400});
+        break;
+      case FaultKind.StoreLost:
+        store.setFault({lostShare: 0.1 + variant * 0.5});
+        break;
+      default:
+        store.compact();
+        return;
+    }
+    await wait(forMs);
+    store.setFault({});
+  };
+
+  const makeUpstreamFault = async (
+    upstream: SoakUpstream,
+    {kind, forMs, variant}: PlannedFault,
+  ): Promise<void> => {
+    const {standIn, proxy} = upstream;
+    switch (kind) {
+      case FaultKind.UpstreamCrash:
+        standIn.crash();
+        setTimeout(upstream.lapse, Math.min(LAPSE_MS, forMs));
+        await wait(forMs + 1);
+        upstream.lapse();
+        standIn.restart();
+        upstream.register();
+        return;
+      case FaultKind.UpstreamDrain:
+        upstream.drain();
+        await wait(LEAVE_MS);
+        upstream.lapse();
+        standIn.crash();
+        standIn.restart();
+        upstream.register();
+        return;
+      case FaultKind.LinkDelay:
+        proxy.applyFault({delayMs: 20 + variant * 300});
+        await wait(forMs);
+        proxy.applyFault({delayMs: 0});
+        return;
+      case FaultKind.LinkCut:
+        proxy.applyFault({cut: true});
+        return;
+      case FaultKind.LinkSilent:
+        cut(proxy, variant);
+        await wait(forMs);
+        proxy.applyFault({cut: true, stall: null});
+        return;
+      case FaultKind.UpstreamFails:
+        standIn.setFault({failShare: 0.2 + variant * 0.6});
+        break;
+      case FaultKind.UpstreamLoses:
+        standIn.setFault({lostShare: 0.1 + variant * 0.5});
+        break;
+      case FaultKind.UpstreamDark:
+        standIn.setFault({isDark: true});
+        break;
+      default:
+        standIn.setFault({lateOrderShare: 0.2 + variant * 0.6});
+    }
+    await wait(forMs);
+    standIn.setFault({});
+  };
+
+  const run = async (fault: PlannedFault): Promise<void> => {
+    switch (fault.kind) {
+      case FaultKind.KeyWithdrawn:
+        targets.withdrawKey(fault.variant);
+        return;
+      case FaultKind.LimitChanged:
+        targets.changeLimit(fault.variant);
+        return;
+      case FaultKind.GatewayStop:
+      case FaultKind.GatewayKill:
+      case FaultKind.GatewayPause:
+      case FaultKind.GatewayReload:
+      case FaultKind.StoreCut:
+        await makeGatewayFault(gateways[fault.target], fault);
+        return;
+      case FaultKind.StoreOutage:
+      case FaultKind.StoreSlow:
+      case FaultKind.StoreLost:
+      case FaultKind.StoreCompact:
+        await makeStoreFault(fault);
+        return;
+      default:
+        await makeUpstreamFault(upstreams[fault.target], fault);
+    }
+  };
+
+  /** Faults that would undo each other's effect share a hold. */
+  const nameHold = ({kind, target}: PlannedFault): string => {
+    if (kind === FaultKind.StoreCut) return `store-link ${target}`;
+    if (kind.startsWith('gateway')) return `gateway ${target}`;
+    if (kind.startsWith('store')) return 'store';
+    if (kind.startsWith('link')) return `link ${target}`;
+    if (kind.startsWith('upstream')) return `upstream ${target}`;
+    return kind;
+  };
+
+  return {
+    make: async fault => {
+      const hold = nameHold(fault);
+      if (held.has(hold)) return;
+      held.add(hold);
+      const span: FaultSpan = {
+        kind: fault.kind,
+        target: String(fault.target),
+        fromMs: targets.getNowMs(),
+        toMs: Infinity,
+      };
+      targets.history.faults.push(span);
+      await run(fault);
+      span.toMs = targets.getNowMs();
+      held.delete(hold);
+    },
+  };
+}
--- /dev/null
+++ b/packages/soak/src/gateways.ts
@@ -0,0 +1,96 @@
+/** Gateways as processes of their own, each before a proxy to the store. */
+import {mkdirSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {spawnManagedProcess} from '@siskinplank/proof';
+import type {ManagedProcess} from '@siskinplank/proof';
+import {createFaultProxy, reservePort} from '@siskinplank/stand-ins';
+import type {FaultProxy} from '@siskinplank/stand-ins';
+import {stringify} from 'yaml';
+import {
+  BUDGET_RATIO,
+  BUDGET_SLACK,
+  BUDGET_WINDOW_MS,
+  REVOKE_MS,
+} from './checks/bounds';
+
+/** A gateway that is started again when it ends. */
+export interface SoakGateway {
+  readonly name: string;
+  readonly port: number;
+  readonly readinessPort: number;
+  readonly storeProxy: FaultProxy;
+  start(): void;
+  send(signal: NodeJS.Signals): void;
+  waitForExit(): Promise<void>;
+  isRunning(): boolean;
+}
+
+const FAILURE_DOMAINS = ['a', 'b', 'c'];
+const LEASE_MS = 3_000;
+/** Longest wait of a stopping gateway for open requests (`grace_s` less 0.5 s). */
+const GRACE_MS = 7_500;
+/** Time that the callers' balancer needs to notice a stop. */
+const NOTICE_MS = 1_500;
+
+/** Prepares a gateway; it is not running before `start`. */
+export async function createSoakGateway(
+  index: number,
+  storePort: number,
+  program: string,
+  directory: string,
+): Promise<SoakGateway> {
+  const name = `gateway-${index + 1}`;
+  const storeProxy = await createFaultProxy({targetPort: storePort});
+  const port = await reservePort();
+  const readinessPort = await reservePort();
+  const file = join(directory, `${name}.yaml`);
+  const address = (own: number): string => `127.0.0.1:${own}`;
+  mkdirSync(directory, {recursive: true});
+  writeFileSync(
+    file,
+    stringify({
+      role: 'gateway',
+      process: {
+        name,
+        failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length],
+      },
+      caller: {address: address(port)},
+      readiness: {address: address(readinessPort)},
+      metrics: {address: address(await reservePort())},
+      link: {address: address(await reservePort())},
+      store: {
+        address: address(storeProxy.port),
+        maxAgeMs: REVOKE_MS,
+        readyAgeMs: 3_500,
+      },
+      limits: {extraBurst: 5_000},
+      orders: {leaseMs: LEASE_MS},
+      retries: {
+        ratio: BUDGET_RATIO,
+        slack: BUDGET_SLACK,
+        windowMs: BUDGET_WINDOW_MS,
+      },
+      drain: {graceMs: GRACE_MS, noticeMs: NOTICE_MS},
+    }),
+  );
+  let running: ManagedProcess | undefined;
+  return {
+    name,
+    port,
+    readinessPort,
+    storeProxy,
+    start: () => {
+      running = spawnManagedProcess({
+        name,
+        command: process.execPath,
+        args: [program, file],
+        logFile: join(directory, `${name}.log`),
+      });
+    },
+    send: signal => running?.sendSignal(signal),
+    waitForExit: async () => {
+      await running?.waitForExit();
+    },
+    isRunning: () => running?.isRunning() ?? false,
+  };
+}
--- /dev/null
+++ b/packages/soak/src/run.ts
@@ -0,0 +1,229 @@
+/** One soak: starts everything, makes faults under traffic, judges the history. */
+import {join} from 'node:path';
+import {createRandom} from '@siskinplank/foundation';
+import {
+  encodeConfiguration,
+  isReady,
+  startStoreStandIn,
+} from '@siskinplank/platform-stand-ins';
+import type {StandInAccount} from '@siskinplank/platform-stand-ins';
+import {WORKSPACE_ROOT} from '@siskinplank/proof';
+import {getMonotonicMs} from '@siskinplank/stand-ins';
+import {checkHistory} from './checks';
+import {RECOVERY_MS} from './checks/bounds';
+import {createFaultMaker} from './faults';
+import {createSoakGateway} from './gateways';
+import type {SoakGateway} from './gateways';
+import type {History, Violation} from './history';
+import {planFaults} from './plan';
+import {startTraffic} from './traffic';
+import {
+  ADAPTER_SLOTS,
+  MODELS,
+  MODEL_MB,
+  ROOM_MB,
+  createSoakUpstream,
+} from './upstreams';
+import type {SoakUpstream} from './upstreams';
+
+export interface SoakOptions {
+  seed: number;
+  seconds: number;
+  /** Directory for settings and logs. */
+  directory: string;
+}
+
+export interface SoakResult {
+  requestCount: number;
+  faultCount: number;
+  violations: Violation[];
+}
+
+const GATEWAY_COUNT = 3;
+const ENGINE_COUNT = 4;
+const PLAIN_COUNT = 2;
+const HOST_NAME = 'soak.example';
+const KEYS_PER_ACCOUNT = 4;
+/** Calm after the last fault: the recovery, and requests to judge it by. */
+const CALM_MS = RECOVERY_MS + 2_500;
+const READY_POLL_MS = 100;
+const READY_TIMEOUT_MS = 20_000;
+
+function wait(forMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, forMs));
+}
+
+async function waitUntilReady(gateway: SoakGateway): Promise<boolean> {
+  const endsAtMs = getMonotonicMs() + READY_TIMEOUT_MS;
+  while (getMonotonicMs() < endsAtMs) {
+    if (await isReady(gateway.readinessPort)) return true;
+    await wait(READY_POLL_MS);
+  }
+  return false;
+}
+
+function createHistory(): History {
+  return {
+    calls: [],
+    runs: [],
+    orders: [],
+    arrivals: [],
+    faults: [],
+    withdrawnKeys: new Map(),
+    limits: [],
+    leaving: [],
+    roomMb: ROOM_MB,
+  };
+}
+
+/** Runs one soak of at least the time that the recovery takes. */
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+  const random = createRandom(options.seed);
+  const startedAtMs = getMonotonicMs();
+  const getNowMs = (): number => getMonotonicMs() - startedAtMs;
+  const history = createHistory();
+  const store = await startStoreStandIn(random.getNext);
+
+  const accounts: StandInAccount[] = ['small', 'middle', 'large'].map(
+    (name, index) => ({
+      name,
+      keys: Array.from(
+        {length: KEYS_PER_ACCOUNT},
+        (_, key) => `${name}-key-${key}-of-this-soak`,
+      ),
+      ratePerSecond: 2_000 * 3 ** index,
+      burst: 4_000,
+    }),
+  );
+  const callerAccounts = accounts.map(({name, keys}) => ({
+    name,
+    keys: [...keys],
+  }));
+  let version = 1;
+  const putConfiguration = (): void => {
+    version += 1 + random.getInteger(3);
+    store.putConfiguration(
+      encodeConfiguration({
+        version,
+        hostName: HOST_NAME,
+        accounts,
+        models: MODELS.map(name => ({
+          name,
+          weightsMb: MODEL_MB,
+          adapterCount: 6,
+        })),
+        serverMb: ROOM_MB,
+        adapterSlots: ADAPTER_SLOTS,
+        plainTimeoutMs: 1_500,
+      }),
+    );
+  };
+  const noteLimit = ({name, ratePerSecond, burst}: StandInAccount): void =>
+    void history.limits.push({
+      account: name,
+      ratePerSecond,
+      burst,
+      fromMs: getNowMs(),
+    });
+  putConfiguration();
+  accounts.forEach(noteLimit);
+
+  const upstreams: SoakUpstream[] = [];
+  for (let index = 0; index < ENGINE_COUNT + PLAIN_COUNT; index += 1) {
+    const service = index < ENGINE_COUNT ? 'engines' : 'desk';
+    const upstream = await createSoakUpstream(
+      service,
+      index,
+      store,
+      history,
+      random,
+      getNowMs,
+    );
+    upstream.register();
+    upstreams.push(upstream);
+  }
+  const program = join(WORKSPACE_ROOT, 'target/gateway.cjs');
+  const gateways: SoakGateway[] = [];
+  for (let index = 0; index < GATEWAY_COUNT; index += 1) {
+    gateways.push(
+      await createSoakGateway(index, store.port, program, options.directory),
+    );
+  }
+  for (const gateway of gateways) gateway.start();
+  const areReady = await Promise.all(gateways.map(waitUntilReady));
+
+  const faultMaker = createFaultMaker({
+    gateways,
+    upstreams,
+    store,
+    history,
+    getNowMs,
+    withdrawKey: variant => {
+      const index = Math.floor(variant * accounts.length);
+      const account = accounts[index];
+      if (account.keys.length <= 1) return;
+      const [key, ...keys] = account.keys;
+      accounts[index] = {...account, keys};
+      putConfiguration();
+      history.withdrawnKeys.set(key, getNowMs());
+    },
+    changeLimit: variant => {
+      const index = Math.floor(variant * accounts.length);
+      const account = accounts[index];
+      const factor = random.getNext() < 0.5 ? 0.5 : 1.5;
+      const ratePerSecond = Math.round(account.ratePerSecond * factor);
+      accounts[index] = {...account, ratePerSecond};
+      putConfiguration();
+      noteLimit(accounts[index]);
+    },
+  });
+
+  const traffic = startTraffic({
+    gateways,
+    accounts: callerAccounts,
+    history,
+    random,
+    hostName: HOST_NAME,
+    getNowMs,
+  });
+  const lengthMs = options.seconds * 1_000;
+  const soakStartMs = getNowMs();
+  const faults = planFaults(random, {
+    gatewayCount: GATEWAY_COUNT,
+    upstreamCount: upstreams.length,
+    lengthMs,
+    calmMs: CALM_MS,
+  });
+  await Promise.all(
+    faults.map(async fault => {
+      await wait(fault.atMs);
+      await faultMaker.make(fault);
+    }),
+  );
+  // Stops and drains may outlast the plan; the recovery counts from their end.
+  const lastFaultMs = Math.max(
+    soakStartMs,
+    ...history.faults.map(({toMs}) => toMs),
+  );
+  const endsAtMs = Math.max(soakStartMs + lengthMs, lastFaultMs + CALM_MS);
+  await wait(Math.max(0, endsAtMs - getNowMs()));
+  await traffic.stop();
+  for (const gateway of gateways) gateway.send('SIGTERM');
+  await Promise.all(gateways.map(gateway => gateway.waitForExit()));
+  for (const {standIn, proxy} of upstreams) {
+    await proxy.close();
+    await standIn.close();
+  }
+  for (const {storeProxy} of gateways) await storeProxy.close();
+  await store.close();
+
+  const violations = checkHistory(history);
+  if (areReady.includes(false)) {
+    violations.push({check: 'start', detail: 'a gateway was never ready'});
+  }
+  return {
+    requestCount: history.calls.length,
+    faultCount: history.faults.length,
+    violations,
+  };
+}
--- /dev/null
+++ b/packages/soak/src/traffic.ts
@@ -0,0 +1,109 @@
+/** Callers of a soak: kept connections, all kinds of requests, several accounts. */
+import type {Random} from '@siskinplank/foundation';
+import {CallKind, createCaller} from '@siskinplank/platform-stand-ins';
+import type {Caller} from '@siskinplank/platform-stand-ins';
+import type {SoakGateway} from './gateways';
+import type {History} from './history';
+import {MODELS} from './upstreams';
+
+/** An account and the keys that its callers use. */
+export interface SoakAccount {
+  name: string;
+  keys: string[];
+}
+
+/** What `startTraffic` needs. */
+export interface TrafficOptions {
+  gateways: readonly SoakGateway[];
+  accounts: readonly SoakAccount[];
+  history: History;
+  random: Random;
+  hostName: string;
+  getNowMs(): number;
+}
+
+/** Running callers. */
+export interface Traffic {
+  /** Ends the callers after their open calls. */
+  stop(): Promise<void>;
+}
+
+const CALLER_COUNT = 24;
+const MEAN_PAUSE_MS = 350;
+/** A caller leaves a gateway that refuses connections or answers 503. */
+const MOVE_SHARE = 0.5;
+/** Part of the calls after which a caller opens another connection. */
+const RECONNECT_SHARE = 0.05;
+const DEADLINES: Readonly<Record<CallKind, number>> = {
+  [CallKind.Stream]: 8_000,
+  [CallKind.Order]: 1_500,
+  [CallKind.Status]: 1_500,
+};
+
+/** Starts callers that go on until they are stopped. */
+export function startTraffic(options: TrafficOptions): Traffic {
+  const {gateways, accounts, history, random} = options;
+  let isRunning = true;
+  let callCount = 0;
+
+  const chooseKind = (): CallKind => {
+    const drawn = random.getNext();
+    if (drawn < 0.6) return CallKind.Stream;
+    return drawn < 0.85 ? CallKind.Order : CallKind.Status;
+  };
+
+  const chooseModel = (): string => {
+    // Most requests ask for the first model; all are asked for.
+    const model = MODELS[Math.floor(random.getNext() ** 2 * MODELS.length)];
+    return random.getNext() < 0.2
+      ? `${model}/a${1 + random.getInteger(6)}`
+      : model;
+  };
+
+  const pause = (): Promise<void> =>
+    new Promise(resolve => {
+      const pauseMs = -Math.log(1 - random.getNext()) * MEAN_PAUSE_MS;
+      setTimeout(resolve, pauseMs);
+    });
+
+  const run = async (index: number): Promise<void> => {
+    const account = accounts[index % accounts.length];
+    let gateway = gateways[index % gateways.length];
+    let caller: Caller = createCaller(options);
+    while (isRunning) {
+      await pause();
+      if (!isRunning) break;
+      callCount += 1;
+      const kind = chooseKind();
+      const record = await caller.call({
+        attemptId: `c${index}-${callCount}`,
+        kind,
+        account: account.name,
+        key: account.keys[random.getInteger(account.keys.length)],
+        model: chooseModel(),
+        promptTokens: 100 + random.getInteger(900),
+        outputTokens: 72,
+        deadlineMs: DEADLINES[kind],
+        gateway: gateway.name,
+        port: gateway.port,
+      });
+      history.calls.push(record);
+      const isUnserved = record.status === 0 || record.status === 503;
+      const moves = isUnserved && random.getNext() < MOVE_SHARE;
+      if (moves || random.getNext() < RECONNECT_SHARE) {
+        caller.close();
+        caller = createCaller(options);
+        gateway = gateways[random.getInteger(gateways.length)];
+      }
+    }
+    caller.close();
+  };
+
+  const callers = Array.from({length: CALLER_COUNT}, (_, index) => run(index));
+  return {
+    stop: async () => {
+      isRunning = false;
+      await Promise.all(callers);
+    },
+  };
+}
--- /dev/null
+++ b/packages/soak/src/upstreams.ts
@@ -0,0 +1,76 @@
+/** Upstreams of a soak, each behind a proxy, and their entries in the store. */
+import type {Random} from '@siskinplank/foundation';
+import {startServerStandIn} from '@siskinplank/platform-stand-ins';
+import type {
+  ServerStandIn,
+  StoreStandIn,
+} from '@siskinplank/platform-stand-ins';
+import {createFaultProxy} from '@siskinplank/stand-ins';
+import type {FaultProxy} from '@siskinplank/stand-ins';
+import type {History} from './history';
+
+/** An upstream and what it tells the store. */
+export interface SoakUpstream {
+  readonly standIn: ServerStandIn;
+  readonly proxy: FaultProxy;
+  /** Registers it as ready. */
+  register(): void;
+  /** Reports that it leaves; the entry stays. */
+  drain(): void;
+  /** The entry lapses, as after a crash. */
+  lapse(): void;
+}
+
+/** Models of the soak; an upstream has room for two of them. */
+export const MODELS = ['m0', 'm1', 'm2', 'm3'] as const;
+export const MODEL_MB = 40_000;
+export const ROOM_MB = 100_000;
+export const ADAPTER_SLOTS = 4;
+const LOAD_MS = 400;
+const ENGINE_SLOTS = 32;
+const PLAIN_SLOTS = 6;
+
+/** Starts an upstream without registering it. */
+export async function createSoakUpstream(
+  service: 'engines' | 'desk',
+  index: number,
+  store: StoreStandIn,
+  history: History,
+  random: Random,
+  getNowMs: () => number,
+): Promise<SoakUpstream> {
+  const isEngine = service === 'engines';
+  const standIn = await startServerStandIn({
+    service,
+    failureDomain: ['a', 'b', 'c'][index % 3],
+    engine: isEngine
+      ? {
+          roomMb: ROOM_MB,
+          modelMb: new Map(MODELS.map(name => [name, MODEL_MB])),
+          initialModels: [MODELS[index % MODELS.length]],
+          loadMs: LOAD_MS,
+        }
+      : undefined,
+    slots: isEngine ? ENGINE_SLOTS : PLAIN_SLOTS,
+    random: random.getNext,
+    getNowMs,
+    onRun: run => history.runs.push(run),
+    onOrder: order => history.orders.push(order),
+    onArrival: (attemptId, upstreamId, atMs) =>
+      history.arrivals.push({attemptId, upstreamId, atMs}),
+  });
+  const proxy = await createFaultProxy({targetPort: standIn.port});
+  const address = `127.0.0.1:${proxy.port}`;
+  const put = (state: string): void =>
+    store.putServer(standIn.getId(), standIn.describe(address, state));
+  return {
+    standIn,
+    proxy,
+    register: () => put('ready'),
+    drain: () => {
+      put('draining');
+      history.leaving.push({upstreamId: standIn.getId(), atMs: getNowMs()});
+    },
+    lapse: () => store.removeServer(standIn.getId()),
+  };
+}
