Read what has arrived before idle connections are closed

Cause: a stopping gateway closed idle connections from a timer or a signal, before the event loop had read them. Where it lacks processor time, requests lie unread for longer than 200 ms, and their callers got a reset under planned work.

Change: two rounds of the event loop read and accept what has arrived before the close.

Before: the new tests get ECONNRESET after 60 ms of a busy loop; after: the answer.

--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -27,6 +27,7 @@
 import {createFleetNode} from './fleet-node';
 import type {FleetNode} from './fleet-node';
 import {createGatewayMetrics} from './gateway-metrics';
+import {closeIdleConnections, closeListener} from './idle-connections';
 import {createOrderGiver} from './order-giver';
 import {createRequestHandler} from './request-handler';
 import {createStoreHealth} from './store-health';
@@ -326,12 +327,6 @@
     });
   });
 
-  const closeServer = (server: Server): Promise<void> =>
-    new Promise(resolve => {
-      server.close(() => resolve());
-      server.closeIdleConnections();
-    });
-
   const housekeeping = clock.startInterval(HOUSEKEEPING_MS, () => {
     noticePause();
     handler.checkProgress();
@@ -365,11 +360,11 @@
       logger.log(GATEWAY_DRAIN_STARTED, {open: handler.countOpen()});
       const startedAtMs = clock.getNowMs();
       lastStartAtMs = startedAtMs + settings.drain.graceMs * START_SHARE;
-      callerServer.closeIdleConnections();
+      await closeIdleConnections(callerServer);
       await orders.handOver();
       fleet.sendStateSoon();
       await clock.waitMs(settings.drain.noticeMs);
-      const closed = closeServer(callerServer);
+      const closed = closeListener(callerServer);
       const endsAtMs = startedAtMs + settings.drain.graceMs;
       while (handler.countOpen() > 0 && clock.getNowMs() < endsAtMs) {
         await clock.waitMs(DRAIN_POLL_MS);
--- /dev/null
+++ b/packages/gateway/src/idle-connections.test.ts
@@ -0,0 +1,70 @@
+import {createServer} from 'node:http';
+import type {Server} from 'node:http';
+import {connect} from 'node:net';
+import type {Socket} from 'node:net';
+import {afterEach, describe, expect, it} from 'vitest';
+import {closeIdleConnections, closeListener} from './idle-connections';
+
+const REQUEST = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
+const BLOCKED_MS = 60;
+
+let server: Server | undefined;
+
+afterEach(() => {
+  server?.closeAllConnections();
+  server?.close();
+});
+
+async function listen(): Promise<number> {
+  const started = createServer((_request, response) => {
+    response.writeHead(200, {'content-length': 2});
+    response.end('ok');
+  });
+  server = started;
+  await new Promise<void>(resolve =>
+    started.listen(0, '127.0.0.1', () => resolve()),
+  );
+  const address = started.address();
+  return typeof address === 'object' && address ? address.port : 0;
+}
+
+function readAnswer(socket: Socket): Promise<string> {
+  return new Promise(resolve => {
+    socket.once('data', data => resolve(String(data)));
+    socket.once('error', error => resolve(error.message));
+    socket.once('close', () => resolve('closed'));
+  });
+}
+
+/** Keeps the event loop from reading, as a lack of processor time does. */
+function pauseLoop(): void {
+  const endsAtMs = process.uptime() * 1_000 + BLOCKED_MS;
+  while (process.uptime() * 1_000 < endsAtMs);
+}
+
+describe('closing of idle connections', () => {
+  // The load: a burst keeps a stopping process busy while callers go on using
+  // their connections.
+  it.each([
+    ['closes what is idle', closeIdleConnections],
+    ['stops listening', closeListener],
+  ])('answers what arrived before it %s', async (_name, close) => {
+    const port = await listen();
+    const socket = connect(port, '127.0.0.1');
+    await new Promise<void>(resolve => socket.once('connect', resolve));
+    socket.write(REQUEST);
+    expect(await readAnswer(socket)).toContain('200 OK');
+    const answer = readAnswer(socket);
+    const closed = new Promise<void>(resolve => {
+      // Timers run before sockets are read.
+      setTimeout(() => {
+        if (server !== undefined) void close(server).then(resolve);
+      }, BLOCKED_MS / 2);
+    });
+    socket.write(REQUEST);
+    pauseLoop();
+    expect(await answer).toContain('200 OK');
+    socket.destroy();
+    await closed;
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/idle-connections.ts
@@ -0,0 +1,31 @@
+/** Closing of callers' connections that wait for another request. */
+import type {Server} from 'node:http';
+
+/**
+ * Lets the event loop read what has arrived: the check phase follows the poll
+ * phase, in which sockets are read and connections accepted.
+ */
+function waitForPoll(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
+
+/**
+ * Closes connections without a request. A process that is short of time may
+ * hold requests that it has not read yet, and closing their connections would
+ * lose them, so everything that has arrived is read first.
+ */
+export async function closeIdleConnections(server: Server): Promise<void> {
+  await waitForPoll();
+  // The first round may accept a connection whose request the second one reads.
+  await waitForPoll();
+  server.closeIdleConnections();
+}
+
+/** Stops listening and resolves when the last connection has ended. */
+export async function closeListener(server: Server): Promise<void> {
+  await closeIdleConnections(server);
+  await new Promise<void>(resolve => {
+    server.close(() => resolve());
+    server.closeIdleConnections();
+  });
+}
