Take the grace, budget window and quota slack from the deployment

Cause: deploy/gateway.yaml held 7.5 s of grace, a window of 10 s and 5,000 tokens of extra burst. On a deployment with a shorter grace_s a stop would be cut by SIGKILL, and with a smaller quota_slack accounts would exceed it.

The types of a request session stand in a file of their own.

--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -1,6 +1,6 @@
 /** Counters and latency histograms of a gateway. */
 import type {Metrics} from '@siskinplank/foundation';
-import type {SessionOutcome} from './request-session';
+import type {SessionOutcome} from './session-types';
 import type {Refusal} from './refusals';
 
 /** Readings that gauges take when they are rendered. */
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -58,6 +58,14 @@
 }
 
 const DRAIN_POLL_MS = 50;
+/** Time before the kill at which a stop ends, for the last answers and logs. */
+const KILL_MARGIN_MS = 500;
+/**
+ * Part of the slack that is added to each account's burst, so that one large
+ * request fits; the rest covers what gateways know late of each other.
+ */
+const EXTRA_BURST_SHARE = 0.45;
+const MILLISECONDS_PER_SECOND = 1_000;
 /** Part of the grace time in which waiting requests may still start. */
 const START_SHARE = 0.5;
 /** Period of the checks for pauses, shares and idle connections. */
@@ -84,13 +92,15 @@
   const {settings, ports, pool, clock, random, logger, metrics} = options;
   const ownName = settings.process.name;
   const ownIncarnation = makeSecureId(8);
+  const graceMs =
+    settings.drain.graceSeconds * MILLISECONDS_PER_SECOND - KILL_MARGIN_MS;
   let isLeaving = false;
   let lastStartAtMs: number | undefined;
   /** Part of the rates and of the retry budget that belongs to this gateway. */
   let fleetPart = 0;
   const upstreams = createUpstreamTable();
   const shares = createTokenShares({
-    extraBurst: settings.limits.extraBurst,
+    extraBurst: settings.limits.slackTokens * EXTRA_BURST_SHARE,
     startedAtMs: clock.getStartedMs(),
   });
   const shareFraction = createShareFraction(settings.limits.settleMs);
@@ -279,7 +289,11 @@
     demand,
     pool,
     format: ports.exchangeFormat,
-    retryBudget: settings.retries,
+    retryBudget: {
+      ratio: settings.retries.ratio,
+      slack: settings.retries.slack,
+      windowMs: settings.retries.windowSeconds * MILLISECONDS_PER_SECOND,
+    },
     getFleetPart: () => fleetPart,
     // A pause that is too short to be noticed must not stretch the age.
     maxConfigurationAgeMs: settings.store.maxAgeMs - PAUSE_TOLERANCE_MS,
@@ -359,13 +373,13 @@
       isLeaving = true;
       logger.log(GATEWAY_DRAIN_STARTED, {open: handler.countOpen()});
       const startedAtMs = clock.getNowMs();
-      lastStartAtMs = startedAtMs + settings.drain.graceMs * START_SHARE;
+      lastStartAtMs = startedAtMs + graceMs * START_SHARE;
       await closeIdleConnections(callerServer);
       await orders.handOver();
       fleet.sendStateSoon();
       await clock.waitMs(settings.drain.noticeMs);
       const closed = closeListener(callerServer);
-      const endsAtMs = startedAtMs + settings.drain.graceMs;
+      const endsAtMs = startedAtMs + graceMs;
       while (handler.countOpen() > 0 && clock.getNowMs() < endsAtMs) {
         await clock.waitMs(DRAIN_POLL_MS);
       }
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -27,7 +27,7 @@
 import {REFUSAL_STATUSES, RefusalCode} from './refusals';
 import type {Refusal} from './refusals';
 import {createRequestSession} from './request-session';
-import type {RequestSession, SessionOutcome} from './request-session';
+import type {RequestSession, SessionOutcome} from './session-types';
 
 /** What `createRequestHandler` needs. */
 export interface RequestHandlerOptions {
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -4,100 +4,18 @@
  * none. What may be repeated follows from the route's kind.
  */
 import {planMove} from '@siskinplank/dispatch';
-import type {
-  MoveReason,
-  OpenRequest,
-  UpstreamEntry,
-} from '@siskinplank/dispatch';
-import type {Clock, Logger} from '@siskinplank/foundation';
+import type {UpstreamEntry} from '@siskinplank/dispatch';
 import {ExchangeFailureCode} from '@siskinplank/http-exchange';
-import type {
-  ConnectionPool,
-  ExchangeFailure,
-  ResponseHead,
-} from '@siskinplank/http-exchange';
+import type {ExchangeFailure, ResponseHead} from '@siskinplank/http-exchange';
 import {RequestKind, canRepeat} from '@siskinplank/serving';
-import type {
-  CallerRequest,
-  ClientAccount,
-  ExchangeFormat,
-  ResponseMeaning,
-  Route,
-} from '@siskinplank/serving';
-import type {CallerResponse} from './caller-response';
+import type {ResponseMeaning} from '@siskinplank/serving';
 import {ATTEMPT_ENDED, REQUEST_MOVED} from './events';
 import {RefusalCode} from './refusals';
 import type {Refusal} from './refusals';
+import type {RequestSession, SessionOptions} from './session-types';
 import {startAttempt} from './upstream-attempt';
 import type {Attempt} from './upstream-attempt';
 
-/** A request that was admitted. */
-export interface AdmittedRequest {
-  request: CallerRequest;
-  route: Route;
-  /** Service chosen for this attempt of the caller. */
-  service: string;
-  account: ClientAccount | undefined;
-  body: Buffer | undefined;
-  /** Monotonic time at which its head had arrived. */
-  arrivedAtMs: number;
-  /** Monotonic time at which the caller or the route gives up. */
-  deadlineAtMs: number;
-}
-
-/** How a request ended. */
-export interface SessionOutcome {
-  /** Status given to the caller; 0 when the caller left or was cut off. */
-  status: number;
-  refusal: Refusal | undefined;
-  attempts: number;
-  upstreamId: string | undefined;
-  /** Milliseconds from arrival to the first byte of the answer. */
-  firstByteMs: number | undefined;
-  /** Whether an upstream may have run it. */
-  mayHaveRun: boolean;
-}
-
-/** What a session needs. */
-export interface SessionOptions {
-  admitted: AdmittedRequest;
-  response: CallerResponse;
-  format: ExchangeFormat;
-  pool: ConnectionPool;
-  clock: Clock;
-  logger: Logger;
-  /**
-   * Finds an upstream for the next attempt, now or later; the result gives the
-   * search up.
-   */
-  acquireUpstream(
-    triedIds: ReadonlySet<string>,
-    onUpstream: (entry: UpstreamEntry) => void,
-    onRefused: (retryAfterMs: number | undefined) => void,
-  ): () => void;
-  /** Notes the request as open at an upstream. */
-  openAt(entry: UpstreamEntry): OpenRequest;
-  /** Whether an upstream can still get requests. */
-  isUsable(entry: UpstreamEntry): boolean;
-  /** Notes a fault of an upstream. */
-  noteFault(entry: UpstreamEntry, weight: number): void;
-  noteUnreachable(entry: UpstreamEntry): void;
-  noteMoved(reason: MoveReason): void;
-  /** Takes a second send from the budget of the service. */
-  tryRepeat(): boolean;
-  sendRefusal(refusal: Refusal): void;
-  onEnd(outcome: SessionOutcome): void;
-}
-
-/** A running session. */
-export interface RequestSession {
-  start(): void;
-  /** The caller has left; upstreams are told at once. */
-  abandon(): void;
-  /** Leaves a silent upstream if the request may be repeated. */
-  checkProgress(nowMs: number): void;
-}
-
 /** Weights of faults: an upstream's own failure, a broken answer, silence. */
 const FAILURE_FAULT = 0.15;
 const BREAK_FAULT = 0.5;
--- a/packages/settings/src/gateway.ts
+++ b/packages/settings/src/gateway.ts
@@ -57,8 +57,8 @@
   }),
   /** Limits of client accounts over all gateways. */
   limits: z.strictObject({
-    /** Tokens above each account's burst, so that one large request fits. */
-    extraBurst: z.number().min(0),
+    /** Tokens that an account may get above its rate and burst in a window. */
+    slackTokens: z.number().min(0),
     /** Time within which every gateway has seen a change of the gateways. */
     settleMs: durationMsSchema.default(35_000),
   }),
@@ -87,11 +87,11 @@
   retries: z.strictObject({
     ratio: z.number().min(0).max(1),
     slack: z.number().min(0),
-    windowMs: durationMsSchema,
+    windowSeconds: z.number().positive().max(3_600),
   }),
   drain: z.strictObject({
-    /** Longest time that a stop waits for open requests. */
-    graceMs: durationMsSchema,
+    /** Time after SIGTERM at which the platform kills the process. */
+    graceSeconds: z.number().positive().max(3_600),
     /** Time until load balancers have noticed that the gateway is not ready. */
     noticeMs: durationMsSchema,
   }),
--- a/packages/soak/src/gateways.ts
+++ b/packages/soak/src/gateways.ts
@@ -10,6 +10,7 @@
   BUDGET_RATIO,
   BUDGET_SLACK,
   BUDGET_WINDOW_MS,
+  QUOTA_SLACK,
   REVOKE_MS,
 } from './checks/bounds';
 
@@ -27,8 +28,8 @@
 
 const FAILURE_DOMAINS = ['a', 'b', 'c'];
 const LEASE_MS = 3_000;
-/** Longest wait of a stopping gateway for open requests (`grace_s` less 0.5 s). */
-const GRACE_MS = 7_500;
+/** Time after SIGTERM at which the platform would kill (`grace_s`). */
+const GRACE_SECONDS = 8;
 /** Time that the callers' balancer needs to notice a stop. */
 const NOTICE_MS = 1_500;
 
@@ -63,14 +64,14 @@
         maxAgeMs: REVOKE_MS,
         readyAgeMs: 3_500,
       },
-      limits: {extraBurst: 5_000},
+      limits: {slackTokens: QUOTA_SLACK},
       orders: {leaseMs: LEASE_MS},
       retries: {
         ratio: BUDGET_RATIO,
         slack: BUDGET_SLACK,
-        windowMs: BUDGET_WINDOW_MS,
+        windowSeconds: BUDGET_WINDOW_MS / 1_000,
       },
-      drain: {graceMs: GRACE_MS, noticeMs: NOTICE_MS},
+      drain: {graceSeconds: GRACE_SECONDS, noticeMs: NOTICE_MS},
     }),
   );
   let running: ManagedProcess | undefined;
