See at once that a silent store is back

Change: after a failure a watch asks for an answer at once until there is one; the fleet's watches wait 10 s instead of 25 s.

Ruled out: a refresh of every directory when one is back, which the upstreams have already: an answer on one connection says nothing of a silent other one.

Before: the new test sees five waits of 10 s; after: 0 until the answer.

--- /dev/null
+++ b/packages/directory/src/directory-watcher.test.ts
@@ -0,0 +1,81 @@
+import {
+  LogLevel,
+  createLogger,
+  createManualClock,
+} from '@siskinplank/foundation';
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
+import {describe, expect, it} from 'vitest';
+import {createDirectoryWatcher} from './directory-watcher';
+import {Directory, StoreFailureCode} from './types';
+import type {DirectoryChanges, DirectoryList, StoreFailure} from './types';
+
+const WATCH_WAIT_MS = 10_000;
+
+/** A directory that answers watches as scripted, then with no changes. */
+class ScriptedDirectory extends Directory<string> {
+  readonly waits: number[] = [];
+
+  constructor(private readonly script: StoreFailure[]) {
+    super();
+  }
+
+  list(): Promise<Either<StoreFailure, DirectoryList<string>>> {
+    return Promise.resolve(
+      Right({revision: 1, items: new Map(), malformed: []}),
+    );
+  }
+
+  watch(
+    _revision: number,
+    waitMs: number,
+  ): Promise<Either<StoreFailure, DirectoryChanges<string>>> {
+    this.waits.push(waitMs);
+    const failure = this.script.shift();
+    if (failure !== undefined) return Promise.resolve(Left(failure));
+    if (this.waits.length > 4) return new Promise(() => undefined);
+    return Promise.resolve(Right({revision: 1, changes: [], malformed: []}));
+  }
+}
+
+describe('following of a directory', () => {
+  // The load: the store is silent for some machines and then serves them again.
+  it('asks for an answer at once until the store is back', async () => {
+    const clock = createManualClock();
+    const failure = {code: StoreFailureCode.NoAnswer, reason: 'silent'};
+    const directory = new ScriptedDirectory([failure, failure]);
+    const states: boolean[] = [];
+    const watcher = createDirectoryWatcher({
+      name: 'test',
+      directory,
+      watchWaitMs: WATCH_WAIT_MS,
+      retryDelayMs: 100,
+      settleDelayMs: 0,
+      clock,
+      logger: createLogger({
+        level: LogLevel.Info,
+        fields: {},
+        write: () => undefined,
+        getWallMs: clock.getWallMs,
+      }),
+      onList: () => undefined,
+      onChange: () => undefined,
+      onSettled: () => undefined,
+      onConnection: isConnected => states.push(isConnected),
+    });
+    watcher.start();
+    for (let turn = 0; turn < 50; turn += 1) {
+      clock.runFor(100);
+      await Promise.resolve();
+    }
+    expect(directory.waits).toEqual([
+      WATCH_WAIT_MS,
+      0,
+      0,
+      WATCH_WAIT_MS,
+      WATCH_WAIT_MS,
+    ]);
+    expect(states).toEqual([false, true]);
+    watcher.stop();
+  });
+});
--- a/packages/directory/src/directory-watcher.ts
+++ b/packages/directory/src/directory-watcher.ts
@@ -135,7 +135,10 @@
   /** Waits for changes; false when the call failed. */
   const watchOnce = async (fromRevision: number): Promise<boolean> => {
     const sentAtMs = clock.getNowMs();
-    const watched = await directory.watch(fromRevision, options.watchWaitMs);
+    // After a failure an answer is wanted at once: a long watch would not show
+    // for its whole wait whether the store is back.
+    const waitMs = isConnected ? options.watchWaitMs : 0;
+    const watched = await directory.watch(fromRevision, waitMs);
     return watched.caseOf({
       Left: failure => {
         if (failure.code === StoreFailureCode.HistoryLost) {
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -74,8 +74,11 @@
 const PAUSE_TOLERANCE_MS = 250;
 /** Time for messages that waited during a pause to be read. */
 const AFTER_PAUSE_MS = 500;
-/** Registrations and the lease change rarely; a long wait costs few calls. */
-const FLEET_WATCH_WAIT_MS = 25_000;
+/**
+ * Registrations and the lease change rarely, and each wait costs a call; a
+ * connection that fell silent is noticed after it.
+ */
+const FLEET_WATCH_WAIT_MS = 10_000;
 
 function startListening(
   server: Server,
