--- a/packages/soak/src/checks/index.ts
+++ b/packages/soak/src/checks/index.ts
@@ -2,6 +2,7 @@
 import type {History, Violation} from '../history';
 import {
   checkAnswers,
+  checkDeadlines,
   checkRefusals,
   checkRuns,
   checkSingleRuns,
@@ -21,6 +22,7 @@
   checkSingleRuns,
   checkRefusals,
   checkRuns,
+  checkDeadlines,
   checkKeys,
   checkLimits,
   checkBudget,
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -1,4 +1,5 @@
 /** One soak: starts everything, makes faults under traffic, judges the history. */
+import {writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 import {createRandom} from '@siskinplank/foundation';
 import {
@@ -217,6 +218,10 @@
   for (const {storeProxy} of gateways) await storeProxy.close();
   await store.close();
 
+  writeFileSync(
+    join(options.directory, 'faults.json'),
+    JSON.stringify(history.faults, undefined, 1),
+  );
   const violations = checkHistory(history);
   if (areReady.includes(false)) {
     violations.push({check: 'start', detail: 'a gateway was never ready'});
