Log late event loop turns and count link messages of a gateway

New: event 6042 and the histogram gateway_event_loop_late_seconds, the gauges gateway_link_messages and gateway_link_bytes, and the fields failedCalls, disconnectedMs and callMs of event 6101.

--- a/packages/directory/src/directory-watcher.ts
+++ b/packages/directory/src/directory-watcher.ts
@@ -67,6 +67,8 @@
   let lastRevision = 0;
   let confirmedAtMs: number | undefined;
   let isConnected = true;
+  let failedCalls = 0;
+  let disconnectedAtMs = 0;
   /** Entries already reported as malformed, with the reason. */
   const reportedMalformed = new Map<string, string>();
 
@@ -83,13 +85,21 @@
   };
 
   /** Must be called before the changes of the response are passed on. */
-  const reportReconnected = (nextRevision: number, nowMs: number): void => {
+  const reportReconnected = (
+    nextRevision: number,
+    sentAtMs: number,
+    nowMs: number,
+  ): void => {
     if (isConnected) return;
     isConnected = true;
     logger.log(DIRECTORY_RECONNECTED, {
       directory: name,
       revision: nextRevision,
+      failedCalls,
+      disconnectedMs: Math.round(nowMs - disconnectedAtMs),
+      callMs: Math.round(nowMs - sentAtMs),
     });
+    failedCalls = 0;
     options.onConnectionChange?.(true, nowMs);
   };
 
@@ -100,8 +110,10 @@
   };
 
   const handleFailure = ({code, reason}: StoreFailure): void => {
+    failedCalls += 1;
     if (!isConnected) return;
     isConnected = false;
+    disconnectedAtMs = clock.getNowMs();
     logger.log(DIRECTORY_DISCONNECTED, {
       directory: name,
       code,
@@ -127,7 +139,7 @@
       Right: list => {
         const nowMs = clock.getNowMs();
         reportMalformed(list.malformed);
-        reportReconnected(list.revision, nowMs);
+        reportReconnected(list.revision, sentAtMs, nowMs);
         // A concurrent watch may already have passed on later changes.
         if (list.revision >= (revision ?? 0)) {
           options.onList(list.items, nowMs, list.revision);
@@ -158,7 +170,7 @@
       Right: ({changes, malformed, revision: nextRevision}) => {
         const nowMs = clock.getNowMs();
         reportMalformed(malformed);
-        reportReconnected(nextRevision, nowMs);
+        reportReconnected(nextRevision, sentAtMs, nowMs);
         // A concurrent list already contained these changes.
         if (nextRevision < (revision ?? 0)) return true;
         for (const change of changes) {
--- /dev/null
+++ b/packages/foundation/src/turn-monitor.ts
@@ -0,0 +1,60 @@
+/**
+ * Tracks turns of the event loop. Input that arrives while a turn runs, or
+ * while the process is stopped by a signal, is read only in the next turn, so
+ * the time at which it is read says little about its arrival.
+ */
+
+/** Observes the turns of one event loop. */
+export interface TurnMonitor {
+  /** Records that code runs at `nowMs`; cheap, and may be called often. */
+  observe(nowMs: number): void;
+  /**
+   * Earliest time at which input that is read at `nowMs` may have arrived. This
+   * is `nowMs` unless the event loop was late.
+   */
+  getEarliestArrivalMs(nowMs: number): number;
+  /** Time between the last two observed turns, in milliseconds. */
+  getGapMs(nowMs: number): number;
+}
+
+/** What `createTurnMonitor` needs. */
+export interface TurnMonitorOptions {
+  /**
+   * Gaps up to this are usual. It must exceed the period of the timer that
+   * observes turns while there is no other work.
+   */
+  usualGapMs: number;
+  /** Runs a callback after the sockets of the current turn have been read. */
+  scheduleTurnEnd?(callback: () => void): void;
+}
+
+/** Creates a monitor that has observed no turn yet. */
+export function createTurnMonitor(options: TurnMonitorOptions): TurnMonitor {
+  const {usualGapMs, scheduleTurnEnd = setImmediate} = options;
+  let previousAtMs: number | undefined;
+  let currentAtMs: number | undefined;
+
+  const observe = (nowMs: number): void => {
+    if (currentAtMs !== undefined) return;
+    currentAtMs = nowMs;
+    scheduleTurnEnd(() => {
+      previousAtMs = currentAtMs;
+      currentAtMs = undefined;
+    });
+  };
+
+  const getGapMs = (nowMs: number): number => nowMs - (previousAtMs ?? nowMs);
+
+  return {
+    observe,
+    getGapMs,
+    getEarliestArrivalMs: nowMs =>
+      getGapMs(nowMs) > usualGapMs ? (previousAtMs ?? nowMs) : nowMs,
+  };
+}
+
+/** Resolves when the sockets that are readable now have been read. */
+export function waitForPoll(): Promise<void> {
+  // The check phase follows the poll phase, in which sockets are read.
+  return new Promise(resolve => setImmediate(resolve));
+}
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -57,3 +57,8 @@
   LogLevel.Warn,
   'process was paused or the wall clock jumped; confirming the configuration again',
 );
+export const EVENT_LOOP_LATE = defineEvent(
+  6042,
+  LogLevel.Warn,
+  'event loop was late: nothing was read in the meantime',
+);
--- a/packages/gateway/src/fleet-node.ts
+++ b/packages/gateway/src/fleet-node.ts
@@ -16,7 +16,7 @@
 import {MessageType, ProcessRole} from '@siskinplank/messages';
 import type {Message, MessageOf} from '@siskinplank/messages';
 import {createPeerNetwork} from '@siskinplank/transport';
-import type {PeerNetwork} from '@siskinplank/transport';
+import type {LinkTraffic, PeerNetwork} from '@siskinplank/transport';
 import {LINK_KEY_FAILED} from './events';
 
 export type GatewayStateMessage = MessageOf<MessageType.GatewayState>;
@@ -56,6 +56,8 @@
   /** Returns false when there is no link to the peer. */
   sendTo(peer: string, message: Message): boolean;
   sendToAll(message: Message): void;
+  /** Messages and bytes over all links since the start. */
+  getTraffic(): LinkTraffic;
 }
 
 /** Period of state messages; bounds the age of the loads of peers. */
@@ -245,5 +247,6 @@
       return link?.send(message) ?? false;
     },
     sendToAll,
+    getTraffic: network.getTraffic,
   };
 }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -12,9 +12,16 @@
   configurationAgeMs: number;
   isOrdering: boolean;
   peers: number;
+  /** Messages and bytes over the links to other gateways, since the start. */
+  links: {
+    sentMessages: number;
+    receivedMessages: number;
+    sentBytes: number;
+    receivedBytes: number;
+  };
 }
 
-/** Records finished requests and failovers. */
+/** Records finished requests, failovers and late turns of the event loop. */
 export interface GatewayMetrics {
   recordRequest(
     kind: string,
@@ -24,12 +31,16 @@
     totalMs: number,
   ): void;
   recordFailover(reason: string): void;
+  /** Records by how much a turn of the event loop was late. */
+  recordLateness(lateMs: number): void;
 }
 
 /** Seconds; latency targets of routes lie between 0.1 and 6 s. */
 const LATENCY_BUCKETS = [
   0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6,
 ];
+/** Seconds; bounds for callers that left and for route time-outs are 0.5 s. */
+const LATENESS_BUCKETS = [0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4];
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Registers the metrics; gauges call `read` when they are rendered. */
@@ -63,6 +74,11 @@
     LATENCY_BUCKETS,
     ['kind'],
   );
+  const lateness = metrics.createHistogram(
+    'gateway_event_loop_late_seconds',
+    'Lateness of the housekeeping timer, sampled at each of its calls',
+    LATENESS_BUCKETS,
+  );
   const createGauge = (
     name: string,
     help: string,
@@ -99,6 +115,23 @@
     'Other gateways that are responsive',
     r => r.peers,
   );
+  const linkMessages = metrics.createGauge(
+    'gateway_link_messages',
+    'Messages over links to other gateways since the start, by direction',
+    ['direction'],
+  );
+  const linkBytes = metrics.createGauge(
+    'gateway_link_bytes',
+    'Bytes over links to other gateways since the start, by direction',
+    ['direction'],
+  );
+  metrics.onRender(() => {
+    const {links} = read();
+    linkMessages.set({direction: 'sent'}, links.sentMessages);
+    linkMessages.set({direction: 'received'}, links.receivedMessages);
+    linkBytes.set({direction: 'sent'}, links.sentBytes);
+    linkBytes.set({direction: 'received'}, links.receivedBytes);
+  });
 
   return {
     recordRequest: (kind, status, refusal, outcome, totalMs) => {
@@ -118,5 +151,7 @@
       totals.observe({kind}, totalMs / MILLISECONDS_PER_SECOND);
     },
     recordFailover: reason => failovers.inc({reason}),
+    recordLateness: lateMs =>
+      lateness.observe(lateMs / MILLISECONDS_PER_SECOND),
   };
 }
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -2,7 +2,11 @@
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
 import {createDispatchPolicy, createUpstreamTable} from '@siskinplank/dispatch';
-import {createPauseDetector, makeSecureId} from '@siskinplank/foundation';
+import {
+  createPauseDetector,
+  createTurnMonitor,
+  makeSecureId,
+} from '@siskinplank/foundation';
 import type {Clock, Logger, Metrics, Random} from '@siskinplank/foundation';
 import type {ConnectionPool} from '@siskinplank/http-exchange';
 import {MessageType} from '@siskinplank/messages';
@@ -19,6 +23,7 @@
 import {createDemandCounter} from './demand-counter';
 import {createDispatcher} from './dispatcher';
 import {
+  EVENT_LOOP_LATE,
   GATEWAY_DRAIN_STARTED,
   GATEWAY_STARTED,
   GATEWAY_STOPPED,
@@ -70,6 +75,8 @@
 const START_FRACTION = 0.5;
 /** Period of the checks for pauses, stalls, shares and idle connections. */
 const HOUSEKEEPING_MS = 100;
+/** Turns later than this are logged. */
+const LOGGED_LATENESS_MS = 400;
 /** Drift between the clocks stays below this from one check to the next. */
 const PAUSE_TOLERANCE_MS = 250;
 /**
@@ -111,6 +118,7 @@
   });
   const shareFraction = createShareFraction(settings.limits.settleMs);
   const pauseDetector = createPauseDetector(PAUSE_TOLERANCE_MS);
+  const turns = createTurnMonitor({usualGapMs: HOUSEKEEPING_MS * 1.5});
 
   const applyConfiguration = ({configuration}: RouteTable): void => {
     const {limits, accounts} = configuration;
@@ -278,6 +286,21 @@
     shares.setFraction(fleetFraction, fleetFraction, nowMs);
   };
 
+  const checkLateness = (): void => {
+    const nowMs = clock.getNowMs();
+    turns.observe(nowMs);
+    const gapMs = turns.getGapMs(nowMs);
+    const lateMs = Math.max(0, gapMs - HOUSEKEEPING_MS);
+    gatewayMetrics.recordLateness(lateMs);
+    if (lateMs < LOGGED_LATENESS_MS) return;
+    logger.log(EVENT_LOOP_LATE, {
+      lateMs: Math.round(lateMs),
+      open: handler.countOpen(),
+      peers: fleet.peers.listResponsive(nowMs).length,
+      ...fleet.getTraffic(),
+    });
+  };
+
   const checkPause = (): void => {
     const nowMs = clock.getNowMs();
     const missedMs = pauseDetector.observe(nowMs, clock.getWallMs());
@@ -287,6 +310,23 @@
     orders.leadership.pauseOrders(nowMs + ORDER_PAUSE_MS);
   };
 
+  const gatewayMetrics = createGatewayMetrics(metrics, () => {
+    const nowMs = clock.getNowMs();
+    let waitingRequests = 0;
+    for (const {count} of dispatcher.describeWaiting(nowMs).values()) {
+      waitingRequests += count;
+    }
+    return {
+      openRequests: handler.countOpen(),
+      waitingRequests,
+      upstreamConnections: pool.countConnections(),
+      configurationAgeMs: configuration.getAgeMs(nowMs),
+      isOrdering: orders.leadership.getTerm() !== undefined,
+      peers: fleet.peers.listResponsive(nowMs).length,
+      links: fleet.getTraffic(),
+    };
+  });
+
   const handler = createRequestHandler({
     configuration,
     upstreams,
@@ -306,21 +346,7 @@
     clock,
     random,
     logger,
-    metrics: createGatewayMetrics(metrics, () => {
-      const nowMs = clock.getNowMs();
-      let waitingRequests = 0;
-      for (const {count} of dispatcher.describeWaiting(nowMs).values()) {
-        waitingRequests += count;
-      }
-      return {
-        openRequests: handler.countOpen(),
-        waitingRequests,
-        upstreamConnections: pool.countConnections(),
-        configurationAgeMs: configuration.getAgeMs(nowMs),
-        isOrdering: orders.leadership.getTerm() !== undefined,
-        peers: fleet.peers.listResponsive(nowMs).length,
-      };
-    }),
+    metrics: gatewayMetrics,
     isLeaving: () => isLeaving,
     onArrival: checkPause,
   });
@@ -348,6 +374,7 @@
   });
 
   const housekeeping = clock.startInterval(HOUSEKEEPING_MS, () => {
+    checkLateness();
     checkPause();
     handler.checkProgress();
     updateShares();
