List a directory after a failed call instead of replaying its watch

Callers saw: routes that had been added were answered with 404, and keys with 401, for 12 to 13 s after an outage of the store had ended (CONFIG).

Cause: after a failed watch, the watcher watched again from the revision before the outage. Such a watch repeats every version since, and the whole response had one time limit of 1 s. With a large configuration and many versions it never arrived in time, was aborted and repeated, and filled the link meanwhile. It ended when the version from before the outage left the history of the store and the watcher had to list.

Change: after a failed call the watcher lists, which transfers each entry once. Versions that a later one of the same watch replaces are not decoded.

The former test of the watcher expected watches without a wait after a failure. It now expects lists there, and still that nothing waits until the store has responded.

--- a/packages/directory/src/directory-watcher.test.ts
+++ b/packages/directory/src/directory-watcher.test.ts
@@ -12,40 +12,56 @@
 
 const WATCH_WAIT_MS = 10_000;
 
-/** Fails watches as scripted, then responds without changes. */
-class ScriptedDirectory extends Directory<string> {
-  readonly waits: number[] = [];
+const FAILURE = {code: StoreFailureCode.NoAnswer, reason: 'silent'};
+const LIST = 'list';
 
-  constructor(private readonly script: StoreFailure[]) {
-    super();
+/**
+ * Holds one entry, whose content is the revision. Calls fail during an outage;
+ * a watch also fails if it would have to transfer more than one version.
+ */
+class SlowDirectory extends Directory<string> {
+  /** Lists, and the waits of watches, in the order of the calls. */
+  readonly calls: Array<number | typeof LIST> = [];
+  revision = 1;
+  private isDown = false;
+  private endWatch: (() => void) | undefined;
+
+  setDown(isDown: boolean): void {
+    this.isDown = isDown;
+    if (isDown) this.endWatch?.();
   }
 
   list(): Promise<Either<StoreFailure, DirectoryList<string>>> {
+    this.calls.push(LIST);
+    if (this.isDown) return Promise.resolve(Left(FAILURE));
     return Promise.resolve(
-      Right({revision: 1, items: new Map(), malformed: []}),
+      Right({
+        revision: this.revision,
+        items: new Map([['entry', `${this.revision}`]]),
+        malformed: [],
+      }),
     );
   }
 
   watch(
-    _revision: number,
+    revision: number,
     waitMs: number,
   ): Promise<Either<StoreFailure, DirectoryChanges<string>>> {
-    this.waits.push(waitMs);
-    const failure = this.script.shift();
-    if (failure !== undefined) return Promise.resolve(Left(failure));
-    if (this.waits.length > 4) return new Promise(() => undefined);
-    return Promise.resolve(Right({revision: 1, changes: [], malformed: []}));
+    this.calls.push(waitMs);
+    if (this.isDown || this.revision - revision > 1) {
+      return Promise.resolve(Left(FAILURE));
+    }
+    return new Promise(resolve => {
+      this.endWatch = () => resolve(Left(FAILURE));
+    });
   }
 }
 
 describe('directory watcher', () => {
-  // A long watch after a failure would hide for its whole wait that the store
-  // responds again.
-  it('watches without waiting until the store responds again', async () => {
+  const start = async (directory: SlowDirectory) => {
     const clock = createManualClock();
-    const failure = {code: StoreFailureCode.NoAnswer, reason: 'silent'};
-    const directory = new ScriptedDirectory([failure, failure]);
     const states: boolean[] = [];
+    const items: string[] = [];
     const watcher = createDirectoryWatcher({
       name: 'test',
       directory,
@@ -59,24 +75,51 @@
         write: () => undefined,
         getWallMs: clock.getWallMs,
       }),
-      onList: () => undefined,
-      onChange: () => undefined,
+      onList: listed => items.push(...listed.values()),
+      onChange: (_name, item) => void items.push(item ?? ''),
       onBatchEnd: () => undefined,
       onConnectionChange: isConnected => states.push(isConnected),
     });
+    const run = async (turns: number): Promise<void> => {
+      for (let turn = 0; turn < turns; turn += 1) {
+        clock.runFor(100);
+        for (let tick = 0; tick < 10; tick += 1) await Promise.resolve();
+      }
+    };
     watcher.start();
-    for (let turn = 0; turn < 50; turn += 1) {
-      clock.runFor(100);
-      await Promise.resolve();
-    }
-    expect(directory.waits).toEqual([
-      WATCH_WAIT_MS,
-      0,
-      0,
-      WATCH_WAIT_MS,
-      WATCH_WAIT_MS,
-    ]);
+    return {watcher, states, items, run};
+  };
+
+  // A long watch after a failure would hide for its whole wait that the store
+  // responds again.
+  it('calls without waiting until the store responds again', async () => {
+    const directory = new SlowDirectory();
+    const {watcher, states, run} = await start(directory);
+    await run(1);
+    directory.setDown(true);
+    await run(3);
+    directory.setDown(false);
+    await run(3);
+    expect(directory.calls.slice(0, 2)).toEqual([LIST, WATCH_WAIT_MS]);
+    const waiting = directory.calls.filter(call => call === WATCH_WAIT_MS);
+    expect(waiting).toHaveLength(2);
+    expect(directory.calls.at(-1)).toBe(WATCH_WAIT_MS);
+    expect(directory.calls.length).toBeGreaterThan(5);
     expect(states).toEqual([false, true]);
     watcher.stop();
   });
+
+  it('applies the newest version soon after an outage with many versions', async () => {
+    const directory = new SlowDirectory();
+    const {watcher, items, run} = await start(directory);
+    await run(1);
+    expect(items).toEqual(['1']);
+    directory.setDown(true);
+    await run(2);
+    directory.revision = 12;
+    directory.setDown(false);
+    await run(2);
+    expect(items).toEqual(['1', '12']);
+    watcher.stop();
+  });
 });
--- a/packages/directory/src/directory-watcher.ts
+++ b/packages/directory/src/directory-watcher.ts
@@ -154,16 +154,14 @@
   /** Waits for changes; false when the call failed. */
   const watchOnce = async (fromRevision: number): Promise<boolean> => {
     const sentAtMs = clock.getNowMs();
-    // After a failure, don't wait: a long watch would hide for its whole wait
-    // whether the store responds again.
-    const waitMs = isConnected ? options.watchWaitMs : 0;
-    const watched = await directory.watch(fromRevision, waitMs);
+    const watched = await directory.watch(fromRevision, options.watchWaitMs);
     return watched.caseOf({
       Left: failure => {
-        if (failure.code === StoreFailureCode.HistoryLost) {
-          revision = undefined;
-          return true;
-        }
+        // List next: a list returns each entry once, while a watch repeats all
+        // versions since the revision, and it shows at once whether the store
+        // responds again.
+        revision = undefined;
+        if (failure.code === StoreFailureCode.HistoryLost) return true;
         handleFailure(failure);
         return false;
       },
--- a/packages/directory/src/object-directory.ts
+++ b/packages/directory/src/object-directory.ts
@@ -6,6 +6,7 @@
   DirectoryList,
   MalformedEntry,
   SharedObject,
+  SharedObjectChange,
   SharedObjectStore,
   StoreFailure,
 } from './types';
@@ -13,6 +14,25 @@
 /** Decodes an object; Left holds the reason on error. */
 export type DecodeObject<T> = (object: SharedObject) => Either<string, T>;
 
+/**
+ * Leaves out versions that a later one replaces, since decoding a large object
+ * is slow. The last version before a removal is kept, as its state says why the
+ * object was removed.
+ */
+function skipReplaced(
+  changes: readonly SharedObjectChange[],
+): SharedObjectChange[] {
+  const next = new Map<string, SharedObjectChange>();
+  const kept: SharedObjectChange[] = [];
+  for (const change of [...changes].reverse()) {
+    const {name} = change.object;
+    const later = next.get(name);
+    next.set(name, change);
+    if (later === undefined || later.isRemoved) kept.push(change);
+  }
+  return kept.reverse();
+}
+
 class ObjectDirectory<T> extends Directory<T> {
   constructor(
     private readonly objects: SharedObjectStore,
@@ -44,12 +64,12 @@
       revision,
       waitMs,
     );
-    return watched.map(changes => {
+    return watched.map(({revision: asOf, changes}) => {
       const malformed: MalformedEntry[] = [];
       return {
-        revision: changes.revision,
+        revision: asOf,
         malformed,
-        changes: changes.changes.map(({object, isRemoved}) => ({
+        changes: skipReplaced(changes).map(({object, isRemoved}) => ({
           name: object.name,
           item: isRemoved ? undefined : this.decodeObject(object, malformed),
         })),
