Date requests back to their arrival when the event loop was late

Callers saw: requests held past the time-out of their route (CONFIG), and upstreams working for callers that had left before the request was sent (GONE). The soak saw deadlines that were up to 2.5 s too long.

Cause: a request counted as fresh when it was read. A close that arrived behind the request is read one turn later, after the request was sent.

Change: requests are dated back to the turn before a late one, and those on new connections to the start of the series of turns that each accepted a connection. A request that waited starts only after the poll that reads its caller's close. The log line of a request has unreadMs.

--- a/packages/foundation/src/turn-monitor.ts
+++ b/packages/foundation/src/turn-monitor.ts
@@ -13,8 +13,10 @@
    * is `nowMs` unless the event loop was late.
    */
   getEarliestArrivalMs(nowMs: number): number;
-  /** Time between the last two observed turns, in milliseconds. */
+  /** Time since the turn before this one, in milliseconds. */
   getGapMs(nowMs: number): number;
+  /** Number of observed turns, this one included. */
+  countTurns(): number;
 }
 
 /** What `createTurnMonitor` needs. */
@@ -33,10 +35,12 @@
   const {usualGapMs, scheduleTurnEnd = setImmediate} = options;
   let previousAtMs: number | undefined;
   let currentAtMs: number | undefined;
+  let turnCount = 0;
 
   const observe = (nowMs: number): void => {
     if (currentAtMs !== undefined) return;
     currentAtMs = nowMs;
+    turnCount += 1;
     scheduleTurnEnd(() => {
       previousAtMs = currentAtMs;
       currentAtMs = undefined;
@@ -48,6 +52,7 @@
   return {
     observe,
     getGapMs,
+    countTurns: () => turnCount,
     getEarliestArrivalMs: nowMs =>
       getGapMs(nowMs) > usualGapMs ? (previousAtMs ?? nowMs) : nowMs,
   };
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -344,6 +344,7 @@
     // Subtracts the longest pause that the detector does not report.
     maxConfigurationAgeMs: settings.store.maxAgeMs - PAUSE_TOLERANCE_MS,
     clock,
+    turns,
     random,
     logger,
     metrics: gatewayMetrics,
@@ -360,6 +361,7 @@
     {maxHeaderSize: settings.caller.maxHeaderBytes, requestTimeout: 0},
     handler.handle,
   );
+  callerServer.on('connection', handler.handleConnection);
   const readinessServer = createServer((request, response) => {
     const isKnown = request.url === ports.readinessPath;
     const status = isReady() ? 200 : 503;
--- a/packages/gateway/src/idle-connections.ts
+++ b/packages/gateway/src/idle-connections.ts
@@ -1,13 +1,6 @@
 /** Closing of idle caller connections, without losing requests. */
 import type {Server} from 'node:http';
-
-/**
- * Lets the event loop read what has arrived: the check phase follows the poll
- * phase, in which sockets are read and connections accepted.
- */
-function waitForPoll(): Promise<void> {
-  return new Promise(resolve => setImmediate(resolve));
-}
+import {waitForPoll} from '@siskinplank/foundation';
 
 /**
  * Closes connections without a request. Under processor load, requests may have
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -1,12 +1,14 @@
 /** Admits caller requests and starts a session for each. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {createRetryBudget} from '@siskinplank/dispatch';
 import type {
   RetryBudget,
   RetryBudgetOptions,
   UpstreamTable,
 } from '@siskinplank/dispatch';
-import type {Clock, Logger, Random} from '@siskinplank/foundation';
+import {waitForPoll} from '@siskinplank/foundation';
+import type {Clock, Logger, Random, TurnMonitor} from '@siskinplank/foundation';
 import type {ConnectionPool} from '@siskinplank/http-exchange';
 import type {LimitReadings} from '@siskinplank/token-shares';
 import type {
@@ -18,6 +20,7 @@
 import {Either, Left, Right} from 'purify-ts';
 import {countTokens} from './account-limiter';
 import type {AccountLimiter} from './account-limiter';
+import {createArrivalTimes} from './arrival-times';
 import {createCallerResponse} from './caller-response';
 import type {ConfigurationReplica} from './configuration-replica';
 import type {DemandCounter} from './demand-counter';
@@ -44,6 +47,7 @@
   /** Age of the configuration from which keys are not trusted. */
   maxConfigurationAgeMs: number;
   clock: Clock;
+  turns: TurnMonitor;
   random: Random;
   logger: Logger;
   metrics: GatewayMetrics;
@@ -55,6 +59,8 @@
 
 /** Serves caller requests. */
 export interface RequestHandler {
+  /** Must be called for each accepted connection. */
+  handleConnection(socket: Socket): void;
   handle(incoming: IncomingMessage, outgoing: ServerResponse): void;
   /** Requests without a final response. */
   countOpen(): number;
@@ -68,6 +74,8 @@
   service: string;
 }
 
+/** Callers may have left a request that waited at least this long. */
+const LATE_READ_MS = 150;
 /** Retry-After while the process or its configuration is not ready. */
 const NOT_READY_RETRY_MS = 500;
 
@@ -78,6 +86,7 @@
   const {configuration, upstreams, clock, random, logger, format} = options;
   const budgets = new Map<string, RetryBudget>();
   const sessions = new Set<RequestSession>();
+  const arrivals = createArrivalTimes(options.turns);
   let openCount = 0;
 
   const getBudget = (service: string): RetryBudget => {
@@ -140,8 +149,10 @@
     outgoing: ServerResponse,
   ): void => {
     options.onArrival();
-    const arrivedAtMs = clock.getNowMs();
-    const configurationAgeMs = configuration.getAgeMs(arrivedAtMs);
+    const {socket} = incoming;
+    const readAtMs = clock.getNowMs();
+    const arrivedAtMs = arrivals.takeArrivalMs(socket, readAtMs);
+    const configurationAgeMs = configuration.getAgeMs(readAtMs);
     let session: RequestSession | undefined;
     let isClosed = false;
     openCount += 1;
@@ -185,6 +196,7 @@
             ? undefined
             : Math.round(outcome.firstByteMs),
         totalMs: Math.round(totalMs),
+        unreadMs: Math.round(readAtMs - arrivedAtMs),
         configuration: configuration.getTable()?.configuration.version,
         configurationAgeMs: Math.round(configurationAgeMs),
       });
@@ -291,12 +303,15 @@
       session.start();
     };
 
+    const hasCallerLeft = (): boolean =>
+      isClosed || socket.readableEnded || socket.destroyed;
+
     const start = (
       request: CallerRequest,
       admission: Admission,
       body: Buffer | undefined,
     ): void => {
-      if (isClosed) return;
+      if (hasCallerLeft()) return;
       const {account} = admission;
       if (account !== undefined) tokens = countTokens(account, request);
       if (account === undefined) {
@@ -321,7 +336,7 @@
     decoded
       .mapLeft((): Refusal => ({code: RefusalCode.BadRequest}))
       .chain(request =>
-        admit(request, arrivedAtMs).map(admission => ({request, admission})),
+        admit(request, readAtMs).map(admission => ({request, admission})),
       )
       .caseOf({
         Left: refusal => refuse(refusal),
@@ -341,17 +356,24 @@
             }
             const hasBody =
               bytes > 0 || incoming.headers['content-length'] !== undefined;
-            start(
-              request,
-              admission,
-              hasBody ? Buffer.concat(chunks) : undefined,
-            );
+            const body = hasBody ? Buffer.concat(chunks) : undefined;
+            if (readAtMs - arrivedAtMs < LATE_READ_MS) {
+              start(request, admission, body);
+              return;
+            }
+            // The caller of a request that waited may have left since. Its
+            // close is read in the poll after the one that read the request.
+            void waitForPoll()
+              .then(waitForPoll)
+              .then(() => start(request, admission, body));
           });
         },
       });
   };
 
   return {
+    handleConnection: socket =>
+      arrivals.recordConnection(socket, clock.getNowMs()),
     handle,
     countOpen: () => openCount,
     checkProgress: () => {
--- a/packages/proof/src/index.ts
+++ b/packages/proof/src/index.ts
@@ -2,7 +2,11 @@
 export {startCluster} from './cluster/cluster';
 export {mergeSettings} from './cluster/settings-files';
 export {readKnownRed} from './scenario/known-red';
-export {WORKSPACE_ROOT, spawnManagedProcess} from './cluster/managed-process';
+export {
+  TYPESCRIPT_ARGUMENTS,
+  WORKSPACE_ROOT,
+  spawnManagedProcess,
+} from './cluster/managed-process';
 export type {ManagedProcess, ProcessExit} from './cluster/managed-process';
 export type {
   Cluster,
--- a/packages/soak/src/gateways.ts
+++ b/packages/soak/src/gateways.ts
@@ -33,11 +33,15 @@
 /** Time until the callers' load balancer detects a stop. */
 const STOP_DETECTION_MS = 1_500;
 
-/** Writes the settings of a gateway; `start` starts its process. */
+/**
+ * Writes the settings of a gateway; `start` starts its process.
+ *
+ * @param program arguments of node that start a gateway, without its settings.
+ */
 export async function createSoakGateway(
   index: number,
   storePort: number,
-  program: string,
+  program: readonly string[],
   directory: string,
 ): Promise<SoakGateway> {
   const name = `gateway-${index + 1}`;
@@ -84,7 +88,7 @@
       running = spawnManagedProcess({
         name,
         command: process.execPath,
-        args: [program, file],
+        args: [...program, file],
         logFile: join(directory, `${name}.log`),
       });
     },
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -143,7 +143,7 @@
     upstream.register();
     upstreams.push(upstream);
   }
-  const program = join(WORKSPACE_ROOT, 'target/gateway.cjs');
+  const program = [join(WORKSPACE_ROOT, 'target/gateway.cjs')];
   const gateways: SoakGateway[] = [];
   for (let index = 0; index < GATEWAY_COUNT; index += 1) {
     gateways.push(
