Bound the states that gateways exchange, whatever the size of the fleet

Cause: every gateway sent its whole state to every other one each 200 ms, and another one 10 ms after any request began to wait for a model or for tokens; each link was pinged every 300 ms besides. The work of a gateway grew with the number of gateways, and under load with the number of waiting requests in the whole fleet. The order leader sent the models of all upstreams after each change. A late gateway then took unread states for silence, since timers run before sockets are read: it discarded peers, closed links and took over the order lease, which is more work.

Change: the period of states grows with the fleet from 200 ms (8 gateways or fewer) to at most 2 s, so that a gateway receives 40 states/s in fleets up to 80. Waiting requests cause a state to the order leader only; missing tokens one to the peers that hold enough of them. Demand and load by model go to the leader only. A link is pinged when a state is overdue. The leader sends the models of changed upstreams. Silence of links, peers and the leader is judged after the sockets were read. A state is applied to the loads that it changes instead of summing up all peers.

The test of takeovers follows the time without a message, 2 s instead of 1.2 s: a new leader waits out the lease of 3 s anyway.

--- a/packages/dispatch/src/upstream-table.ts
+++ b/packages/dispatch/src/upstream-table.ts
@@ -88,8 +88,13 @@
   collectLocalFaults(nowMs: number): Record<string, number>;
   getEntry(id: string): UpstreamEntry | undefined;
   listServiceUpstreams(service: string): readonly UpstreamEntry[];
-  /** Load of this gateway's open requests, for the broadcast to peers. */
-  collectLocalLoad(): Record<string, Record<string, [number, number, number]>>;
+  /**
+   * Load of this gateway's open requests, for the broadcast to peers; by model
+   * or `model/adapter`, or in one sum under an empty key.
+   */
+  collectLocalLoad(
+    isByModel: boolean,
+  ): Record<string, Record<string, [number, number, number]>>;
   /** Counts of all gateways, by upstream and by model or `model/adapter`. */
   countOpenRequests(): Map<string, Map<string, number>>;
 }
@@ -100,10 +105,7 @@
   reportedModelState: ModelState | undefined;
   open: OpenLoad;
   localLoad: Map<string, OpenLoad>;
-  peerLoads: Map<
-    string,
-    Readonly<Record<string, readonly [number, number, number]>>
-  >;
+  peerLoads: Map<string, PeerLoad>;
   faultWeight: number;
   faultAtMs: number;
   peerFaults: Map<string, {weight: number; atMs: number}>;
@@ -127,6 +129,17 @@
   return {requests: 0, pendingPromptTokens: 0, tokens: 0};
 }
 
+type PeerLoad = Readonly<Record<string, readonly [number, number, number]>>;
+
+/** Adds a peer's load of one upstream to a sum, or subtracts it. */
+function addPeerLoad(sum: OpenLoad, load: PeerLoad, sign: 1 | -1): void {
+  for (const [requests, pendingPromptTokens, tokens] of Object.values(load)) {
+    sum.requests += sign * requests;
+    sum.pendingPromptTokens += sign * pendingPromptTokens;
+    sum.tokens += sign * tokens;
+  }
+}
+
 function readRegisteredModels(upstream: Upstream): ModelState {
   return {
     models: new Map(
@@ -153,13 +166,7 @@
       sum.tokens += count.tokens;
     }
     for (const peerLoad of state.peerLoads.values()) {
-      for (const [requests, pendingPromptTokens, tokens] of Object.values(
-        peerLoad,
-      )) {
-        sum.requests += requests;
-        sum.pendingPromptTokens += pendingPromptTokens;
-        sum.tokens += tokens;
-      }
+      addPeerLoad(sum, peerLoad, 1);
     }
     state.open = sum;
   };
@@ -248,15 +255,20 @@
       }
     },
     setPeerLoad: (peer, open) => {
+      const former = loadByPeer.get(peer) ?? {};
       loadByPeer.set(peer, open);
-      for (const entry of entries.values()) {
-        const peerLoad = open[entry.upstream.id];
-        if (peerLoad === undefined) {
-          if (!entry.peerLoads.delete(peer)) continue;
-        } else {
-          entry.peerLoads.set(peer, peerLoad);
-        }
-        updateOpenLoad(entry);
+      for (const id of Object.keys(former)) {
+        const entry = entries.get(id);
+        const formerLoad = entry?.peerLoads.get(peer);
+        if (entry === undefined || formerLoad === undefined) continue;
+        addPeerLoad(entry.open, formerLoad, -1);
+        entry.peerLoads.delete(peer);
+      }
+      for (const [id, peerLoad] of Object.entries(open)) {
+        const entry = entries.get(id);
+        if (entry === undefined) continue;
+        addPeerLoad(entry.open, peerLoad, 1);
+        entry.peerLoads.set(peer, peerLoad);
       }
     },
     removePeer: peer => {
@@ -320,13 +332,16 @@
     },
     getEntry: id => entries.get(id),
     listServiceUpstreams: service => byService.get(service) ?? [],
-    collectLocalLoad: () => {
+    collectLocalLoad: isByModel => {
       const loadByUpstream: ReturnType<UpstreamTable['collectLocalLoad']> = {};
       for (const [id, {localLoad}] of entries) {
         if (localLoad.size === 0) continue;
         const keys: Record<string, [number, number, number]> = {};
-        for (const [key, count] of localLoad) {
-          keys[key] = [count.requests, count.pendingPromptTokens, count.tokens];
+        for (const [name, count] of localLoad) {
+          const sum = (keys[isByModel ? name : ''] ??= [0, 0, 0]);
+          sum[0] += count.requests;
+          sum[1] += count.pendingPromptTokens;
+          sum[2] += count.tokens;
         }
         loadByUpstream[id] = keys;
       }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -6,6 +6,8 @@
 export type {GatewayRegistry, GatewayRegistryOptions} from './gateway-registry';
 export {listExpiredRegistrations} from './registration-expiry';
 export type {RegistrationExpiryInput} from './registration-expiry';
+export {planStateSchedule} from './state-schedule';
+export type {StateSchedule} from './state-schedule';
 export {createPeerTable} from './peer-table';
 export type {GatewayState, Peer, PeerTable} from './peer-table';
 export {createOrderLeadership} from './order-leadership';
--- a/packages/fleet/src/peer-table.ts
+++ b/packages/fleet/src/peer-table.ts
@@ -22,21 +22,25 @@
     state: GatewayState,
     nowMs: number,
   ): boolean;
-  /** Lists gateways whose last state is younger than `timeoutMs`. */
+  /** Records that another message arrived from a gateway. */
+  recordMessage(name: string, incarnation: string, nowMs: number): void;
+  /** Lists gateways that sent a message within the timeout. */
   listResponsive(nowMs: number): readonly Peer[];
   getPeer(name: string): Peer | undefined;
-  /** When the last state of a gateway arrived, also after its removal. */
+  /** When the last message of a gateway arrived, also after its removal. */
   getLastSeenAtMs(name: string): number | undefined;
-  /** Removes gateways whose last state is too old; returns their names. */
+  /** Removes gateways that sent nothing for too long; returns their names. */
   removeUnresponsive(nowMs: number): readonly string[];
+  /** Sets the time without a message after which a gateway is discarded. */
+  setTimeoutMs(timeoutMs: number): void;
 }
 
-/**
- * Creates an empty table.
- *
- * @param timeoutMs age from which a state is discarded.
- */
-export function createPeerTable(timeoutMs: number, logger: Logger): PeerTable {
+/** Creates an empty table; gateways are discarded after `initialTimeoutMs`. */
+export function createPeerTable(
+  initialTimeoutMs: number,
+  logger: Logger,
+): PeerTable {
+  let timeoutMs = initialTimeoutMs;
   const peers = new Map<string, Peer>();
   const lastSeenAt = new Map<string, number>();
   return {
@@ -54,6 +58,12 @@
       lastSeenAt.set(name, nowMs);
       return true;
     },
+    recordMessage: (name, incarnation, nowMs) => {
+      const known = peers.get(name);
+      if (known?.incarnation !== incarnation) return;
+      known.lastSeenAtMs = nowMs;
+      lastSeenAt.set(name, nowMs);
+    },
     listResponsive: nowMs =>
       [...peers.values()].filter(
         ({lastSeenAtMs}) => nowMs - lastSeenAtMs < timeoutMs,
@@ -73,5 +83,8 @@
       }
       return silent.map(({name}) => name);
     },
+    setTimeoutMs: nextMs => {
+      timeoutMs = nextMs;
+    },
   };
 }
--- a/packages/fleet/src/takeover.ts
+++ b/packages/fleet/src/takeover.ts
@@ -44,8 +44,12 @@
   lastOrderAtMs: number | undefined;
 }
 
-/** Time without a state after which the holder counts as lost. */
-const HOLDER_TIMEOUT_MS = 1_200;
+/**
+ * Time without a message after which the holder counts as lost. A new leader
+ * waits for the end of the holder's lease anyway, so a shorter time would not
+ * make its first order earlier.
+ */
+const HOLDER_TIMEOUT_MS = 2_000;
 /** Further delay for each position in the sorted list of candidates. */
 const RANK_DELAY_MS = 150;
 
--- a/packages/gateway/src/fleet-node.ts
+++ b/packages/gateway/src/fleet-node.ts
@@ -4,6 +4,7 @@
   createPeerTable,
   ensureLinkKey,
   listExpiredRegistrations,
+  planStateSchedule,
 } from '@siskinplank/fleet';
 import type {
   GatewayRecord,
@@ -12,15 +13,25 @@
   PeerTable,
 } from '@siskinplank/fleet';
 import type {SharedObjectStore} from '@siskinplank/directory';
+import {waitForPoll} from '@siskinplank/foundation';
 import type {Clock, Logger, Random, Timer} from '@siskinplank/foundation';
 import {MessageType, ProcessRole} from '@siskinplank/messages';
 import type {Message, MessageOf} from '@siskinplank/messages';
 import {createPeerNetwork} from '@siskinplank/transport';
-import type {LinkTraffic, PeerNetwork} from '@siskinplank/transport';
+import type {LinkTraffic, ManagedPeerNetwork} from '@siskinplank/transport';
 import {LINK_KEY_FAILED} from './events';
+import {createThrottle} from './throttle';
 
 export type GatewayStateMessage = MessageOf<MessageType.GatewayState>;
 
+/** Who receives a state, and so which of its parts are needed. */
+export interface StateAudience {
+  /** Demand and load by model are for the order leader only. */
+  isLeader: boolean;
+  /** Peers that are asked for tokens; undefined if all receive the state. */
+  donors?: ReadonlySet<string>;
+}
+
 /** What `createFleetNode` needs. */
 export interface FleetNodeOptions {
   objects: SharedObjectStore;
@@ -33,11 +44,17 @@
   /** Collects the state to send; the node adds the fields omitted here. */
   collectState(
     nowMs: number,
+    audience: StateAudience,
   ): Omit<GatewayStateMessage, 'type' | 'sequence' | 'directoryRevision'>;
-  onPeerState(peer: Peer, nowMs: number): void;
+  /** Called with the peers that sent a new state, several at a time. */
+  onPeerStates(changed: readonly Peer[], nowMs: number): void;
   onPeerLost(name: string): void;
   onMessage(peer: string, message: Message): void;
+  /** Called when a link to a peer has opened. */
+  onPeerConnected(name: string): void;
   onMembersChange(nowMs: number): void;
+  /** Peers to ask for tokens. */
+  listDonors(nowMs: number): ReadonlySet<string>;
   /**
    * Whether this gateway may remove expired registrations of others; one
    * gateway at a time may.
@@ -51,8 +68,12 @@
   peers: PeerTable;
   start(): void;
   stop(): Promise<void>;
-  /** Sends the state of this gateway to all peers within milliseconds. */
+  /** Sends the state of this gateway to all peers before it is due. */
   scheduleState(): void;
+  /** Sends it to the order leader within milliseconds. */
+  scheduleStateToLeader(): void;
+  /** Asks peers for tokens within milliseconds. */
+  scheduleStateToDonors(): void;
   /** Returns false when there is no link to the peer. */
   sendTo(peer: string, message: Message): boolean;
   sendToAll(message: Message): void;
@@ -60,20 +81,15 @@
   getTraffic(): LinkTraffic;
 }
 
-/** Period of state messages; bounds the age of the loads of peers. */
-const STATE_PERIOD_MS = 200;
 /** Changes of the state are batched for this time before it is sent. */
 const STATE_DELAY_MS = 10;
-/** Age above which a peer's last state is discarded: three missed periods. */
-const PEER_TIMEOUT_MS = 700;
-/**
- * Links stay within one site; an unresponsive link must be replaced within a
- * second.
- */
+/** Least time between two states for the leader or for donors. */
+const TARGETED_STATE_PERIOD_MS = 50;
+/** Period of the checks for unresponsive peers. */
+const PEER_CHECK_MS = 200;
+/** Links stay within one site. */
 const LINK_LIMITS = {
   handshakeTimeoutMs: 600,
-  pingMs: 300,
-  idleMs: 900,
   backoffBaseMs: 50,
   backoffMaxMs: 500,
 };
@@ -84,15 +100,20 @@
 /** Creates a node that does nothing before `start`. */
 export function createFleetNode(options: FleetNodeOptions): FleetNode {
   const {objects, ownRecord, clock, logger} = options;
-  const peers = createPeerTable(PEER_TIMEOUT_MS, logger);
+  let schedule = planStateSchedule(1);
+  const peers = createPeerTable(schedule.peerTimeoutMs, logger);
   const timers: Timer[] = [];
   let sequence = 0;
   let stateTimer: Timer | undefined;
+  let stateDueMs = Infinity;
+  let stateSentAtMs = -Infinity;
+  /** Peers whose new states were not passed on yet. */
+  const changedPeers = new Set<string>();
   let isStopped = false;
   let listeningSinceMs = clock.getNowMs();
   const connected = new Map<string, GatewayRecord>();
 
-  const network: PeerNetwork = createPeerNetwork({
+  const network: ManagedPeerNetwork = createPeerNetwork({
     identity: {
       name: ownRecord.name,
       incarnation: ownRecord.incarnation,
@@ -105,7 +126,11 @@
     clock,
     random: options.random,
     logger,
-    limits: LINK_LIMITS,
+    limits: {
+      ...LINK_LIMITS,
+      pingMs: schedule.pingMs,
+      idleMs: schedule.idleMs,
+    },
   });
 
   const updateConnections = (others: readonly GatewayRecord[]): void => {
@@ -135,33 +160,101 @@
     clock,
     logger,
     onChange: (others, nowMs) => {
+      schedule = planStateSchedule(others.length + 1);
+      peers.setTimeoutMs(schedule.peerTimeoutMs);
+      network.setKeepAlive(schedule.pingMs, schedule.idleMs);
       updateConnections(others);
       options.onMembersChange(nowMs);
     },
   });
 
-  const sendToAll = (message: Message): void => {
-    for (const link of network.listLinks()) link.send(message);
-  };
-
-  const makeState = (nowMs: number): GatewayStateMessage => {
+  const makeState = (
+    nowMs: number,
+    audience: StateAudience,
+  ): GatewayStateMessage => {
     sequence += 1;
     return {
       type: MessageType.GatewayState,
       sequence,
       directoryRevision: registry.getRevision(),
-      ...options.collectState(nowMs),
+      ...options.collectState(nowMs, audience),
     };
   };
 
-  const sendState = (): void => sendToAll(makeState(clock.getNowMs()));
+  const findLeader = (nowMs: number): string | undefined =>
+    peers.listResponsive(nowMs).find(({state}) => state.isOrdering)?.name;
+
+  const sendStateToLeader = (nowMs: number): void => {
+    const leader = findLeader(nowMs);
+    if (leader === undefined) return;
+    network.sendToAll(
+      makeState(nowMs, {isLeader: true}),
+      ({peer}) => peer.name === leader,
+    );
+  };
+
+  const sendState = (): void => {
+    const nowMs = clock.getNowMs();
+    stateSentAtMs = nowMs;
+    stateDueMs = Infinity;
+    const leader = findLeader(nowMs);
+    network.sendToAll(
+      makeState(nowMs, {isLeader: false}),
+      ({peer}) => peer.name !== leader,
+    );
+    sendStateToLeader(nowMs);
+    scheduleStateAt(nowMs + schedule.periodMs);
+  };
+
+  /** Sends the next state at `dueMs`, unless it is due earlier. */
+  const scheduleStateAt = (dueMs: number): void => {
+    if (isStopped) return;
+    const nowMs = clock.getNowMs();
+    if (stateDueMs <= dueMs) return;
+    stateTimer?.cancel();
+    stateDueMs = dueMs;
+    stateTimer = clock.startTimer(Math.max(0, dueMs - nowMs), sendState);
+  };
+
+  const sendStateToDonors = (nowMs: number): void => {
+    const donors = options.listDonors(nowMs);
+    if (donors.size === 0) return;
+    const state = makeState(nowMs, {isLeader: false, donors});
+    network.sendToAll(state, ({peer}) => donors.has(peer.name));
+  };
 
-  const removeUnresponsive = (): void => {
+  const targetedTiming = {
+    clock,
+    delayMs: STATE_DELAY_MS,
+    periodMs: TARGETED_STATE_PERIOD_MS,
+  };
+  const leaderStates = createThrottle({
+    ...targetedTiming,
+    run: sendStateToLeader,
+  });
+  const donorStates = createThrottle({
+    ...targetedTiming,
+    run: sendStateToDonors,
+  });
+
+  /** Timers run before sockets are read: states may have arrived meanwhile. */
+  const removeUnresponsive = async (): Promise<void> => {
+    await waitForPoll();
     for (const name of peers.removeUnresponsive(clock.getNowMs())) {
       options.onPeerLost(name);
     }
   };
 
+  const passStatesOn = async (): Promise<void> => {
+    await waitForPoll();
+    const changed = [...changedPeers].flatMap(name => {
+      const peer = peers.getPeer(name);
+      return peer === undefined ? [] : [peer];
+    });
+    changedPeers.clear();
+    options.onPeerStates(changed, clock.getNowMs());
+  };
+
   const removeExpiredRegistrations = (): void => {
     if (!options.mayRemoveRegistrations()) return;
     const expired = listExpiredRegistrations({
@@ -174,11 +267,10 @@
   };
 
   network.subscribe([MessageType.GatewayState], (link, state) => {
-    const nowMs = clock.getNowMs();
     const {name, incarnation} = link.peer;
-    if (!peers.updateState(name, incarnation, state, nowMs)) return;
-    const peer = peers.getPeer(name);
-    if (peer !== undefined) options.onPeerState(peer, nowMs);
+    if (!peers.updateState(name, incarnation, state, clock.getNowMs())) return;
+    if (changedPeers.size === 0) void passStatesOn();
+    changedPeers.add(name);
   });
   network.subscribe(
     [
@@ -187,11 +279,16 @@
       MessageType.AdapterRequest,
       MessageType.AdapterReply,
     ],
-    (link, message) => options.onMessage(link.peer.name, message),
+    (link, message) => {
+      const {name, incarnation} = link.peer;
+      peers.recordMessage(name, incarnation, clock.getNowMs());
+      options.onMessage(name, message);
+    },
   );
   network.observeLinks({
     onLinkOpen: link => {
-      link.send(makeState(clock.getNowMs()));
+      link.send(makeState(clock.getNowMs(), {isLeader: true}));
+      options.onPeerConnected(link.peer.name);
     },
   });
 
@@ -222,9 +319,9 @@
       listeningSinceMs = clock.getNowMs();
       registry.start();
       void startNetwork();
+      scheduleStateAt(listeningSinceMs + schedule.periodMs);
       timers.push(
-        clock.startInterval(STATE_PERIOD_MS, sendState),
-        clock.startInterval(STATE_PERIOD_MS / 2, removeUnresponsive),
+        clock.startInterval(PEER_CHECK_MS, () => void removeUnresponsive()),
         clock.startInterval(EXPIRY_CHECK_PERIOD_MS, removeExpiredRegistrations),
       );
     },
@@ -232,21 +329,23 @@
       isStopped = true;
       for (const timer of timers) timer.cancel();
       stateTimer?.cancel();
+      leaderStates.stop();
+      donorStates.stop();
       registry.stop();
       await network.stop();
     },
     scheduleState: () => {
-      if (stateTimer !== undefined || isStopped) return;
-      stateTimer = clock.startTimer(STATE_DELAY_MS, () => {
-        stateTimer = undefined;
-        sendState();
-      });
+      const nowMs = clock.getNowMs();
+      const allowedMs = stateSentAtMs + schedule.earlyPeriodMs;
+      scheduleStateAt(Math.max(nowMs + STATE_DELAY_MS, allowedMs));
     },
+    scheduleStateToLeader: leaderStates.request,
+    scheduleStateToDonors: donorStates.request,
     sendTo: (peer, message) => {
       const link = network.listLinks().find(({peer: {name}}) => name === peer);
       return link?.send(message) ?? false;
     },
-    sendToAll,
+    sendToAll: message => network.sendToAll(message),
     getTraffic: network.getTraffic,
   };
 }
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -35,6 +35,7 @@
 import {closeIdleConnections, closeListener} from './idle-connections';
 import {createOrderManager} from './order-manager';
 import {createRequestHandler} from './request-handler';
+import {createMetricsServer, createReadinessServer} from './status-servers';
 import {createStoreHealth} from './store-health';
 import {createUpstreamView} from './upstream-view';
 
@@ -177,7 +178,7 @@
     loadAdapter: (upstreamId, model, adapter) =>
       orders.loadAdapter(upstreamId, model, adapter),
     onWaiting: () => {
-      fleet.scheduleState();
+      fleet.scheduleStateToLeader();
       orders.schedulePlan();
     },
   });
@@ -185,7 +186,7 @@
   const limiter = createAccountLimiter({
     shares,
     clock,
-    onTokensNeeded: () => fleet.scheduleState(),
+    onTokensNeeded: () => fleet.scheduleStateToDonors(),
   });
   const orders = createOrderManager({
     objects: ports.sharedObjects,
@@ -227,26 +228,31 @@
     clock,
     random,
     logger,
-    collectState: nowMs => ({
+    collectState: (nowMs, {isLeader, donors}) => ({
       isLeaving,
       orderToken: orders.leadership.getHighestToken(),
       isOrdering: orders.leadership.getTerm() !== undefined,
-      open: upstreams.collectLocalLoad(),
-      demand: demand.describe(nowMs),
-      accounts: shares.describeAccounts(nowMs),
+      open: upstreams.collectLocalLoad(isLeader),
+      demand: isLeader ? demand.describe(nowMs) : {},
+      accounts: shares.describeAccounts(nowMs, donors),
       faults: upstreams.collectLocalFaults(nowMs),
       leaving: view.listLeaving(nowMs).map(report => [...report]),
     }),
-    onPeerState: ({name, state}, nowMs) => {
-      orders.leadership.observeToken(state.orderToken);
-      upstreams.setPeerLoad(name, state.open);
-      upstreams.setPeerFaults(name, state.faults, nowMs);
-      view.recordLeaving(state.leaving, nowMs);
-      shares.updatePeer(name, state.accounts);
-      sendDonations(nowMs);
-      const isWaiting = Object.values(state.demand).some(
-        ([, waiting]) => waiting > 0,
-      );
+    onPeerStates: (changed, nowMs) => {
+      let isWaiting = false;
+      let isInNeed = false;
+      for (const {name, state} of changed) {
+        orders.leadership.observeToken(state.orderToken);
+        upstreams.setPeerLoad(name, state.open);
+        upstreams.setPeerFaults(name, state.faults, nowMs);
+        view.recordLeaving(state.leaving, nowMs);
+        shares.updatePeer(name, state.accounts);
+        isWaiting ||= Object.values(state.demand).some(
+          ([, waiting]) => waiting > 0,
+        );
+        isInNeed ||= Object.values(state.accounts).some(([, need]) => need > 0);
+      }
+      if (isInNeed) sendDonations(nowMs);
       if (isWaiting) orders.schedulePlan();
     },
     onPeerLost: name => {
@@ -261,7 +267,9 @@
       shares.deposit(message.tokens, clock.getNowMs());
       limiter.retryWaiting();
     },
+    onPeerConnected: name => orders.handleConnected(name),
     onMembersChange: () => updateShares(),
+    listDonors: shares.listDonors,
     mayRemoveRegistrations: () => orders.leadership.getTerm() !== undefined,
   });
 
@@ -362,18 +370,8 @@
     handler.handle,
   );
   callerServer.on('connection', handler.handleConnection);
-  const readinessServer = createServer((request, response) => {
-    const isKnown = request.url === ports.readinessPath;
-    const status = isReady() ? 200 : 503;
-    response.writeHead(isKnown ? status : 404, {'content-length': 0});
-    response.end();
-  });
-  const metricsServer = createServer((_request, response) => {
-    void metrics.renderText().then(text => {
-      response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
-      response.end(text);
-    });
-  });
+  const readinessServer = createReadinessServer(ports.readinessPath, isReady);
+  const metricsServer = createMetricsServer(metrics);
 
   const housekeeping = clock.startInterval(HOUSEKEEPING_MS, () => {
     checkLateness();
--- a/packages/gateway/src/order-manager.ts
+++ b/packages/gateway/src/order-manager.ts
@@ -7,6 +7,7 @@
 import {createOrderLeadership} from '@siskinplank/fleet';
 import type {OrderLeadership} from '@siskinplank/fleet';
 import type {SharedObjectStore} from '@siskinplank/directory';
+import {waitForPoll} from '@siskinplank/foundation';
 import type {Clock, Logger, Timer} from '@siskinplank/foundation';
 import {MessageType} from '@siskinplank/messages';
 import type {Message, MessageOf} from '@siskinplank/messages';
@@ -60,6 +61,8 @@
     adapter: string,
   ): Promise<number | undefined>;
   handleMessage(peer: string, message: Message): void;
+  /** Sends the model state to a gateway that has just connected. */
+  handleConnected(peer: string): void;
   /** Plans within milliseconds, since a request waits for a model. */
   schedulePlan(): void;
 }
@@ -70,8 +73,13 @@
 const PLAN_DELAY_MS = 5;
 /** Changes of the model state are batched for this time before sending. */
 const MODEL_STATE_DELAY_MS = 10;
-/** Period of sending the model state, for gateways that have just started. */
+/** Period of sending the changes of the model state, also if there are none. */
 const MODEL_STATE_PERIOD_MS = 500;
+/**
+ * Period of sending the model state of all upstreams, for gateways that did not
+ * know an upstream yet when its change was sent.
+ */
+const FULL_MODEL_STATE_PERIOD_MS = 2_000;
 /** Age above which the reported model state is discarded. */
 const MODEL_STATE_MAX_AGE_MS = 2_500;
 /** Maximum wait for the reply of the order leader. */
@@ -128,6 +136,10 @@
     return term.token;
   };
 
+  /** Model states as last sent to the other gateways, by upstream. */
+  const sentModelStates = new Map<string, string>();
+  let fullModelStateAtMs = -Infinity;
+
   const makeLoads = (nowMs: number): UpstreamLoads => {
     const loads: UpstreamLoads['loads'] = {};
     for (const controller of controllers.values()) {
@@ -177,15 +189,35 @@
     options.onModelStateChange();
   };
 
+  /** Removes the upstreams whose models are as last sent. */
+  const selectChanges = (message: UpstreamLoads): UpstreamLoads => {
+    const loads: UpstreamLoads['loads'] = {};
+    for (const [id, load] of Object.entries(message.loads)) {
+      const {startedAtMs, models, changing, changeEndsInMs} = load;
+      const isEnding = changeEndsInMs !== undefined;
+      const state = JSON.stringify([startedAtMs, models, changing, isEnding]);
+      if (sentModelStates.get(id) === state) continue;
+      sentModelStates.set(id, state);
+      loads[id] = load;
+    }
+    return {...message, loads};
+  };
+
   const sendModelState = (): void => {
     modelStateTimer?.cancel();
     modelStateTimer = undefined;
     if (leadership.getTerm() === undefined) return;
     const nowMs = clock.getNowMs();
+    const isFull = nowMs - fullModelStateAtMs >= FULL_MODEL_STATE_PERIOD_MS;
+    if (isFull) {
+      fullModelStateAtMs = nowMs;
+      sentModelStates.clear();
+    }
     const message = makeLoads(nowMs);
     if (Object.keys(message.loads).length === 0) return;
-    options.getFleet().sendToAll(message);
-    applyLoads(message, nowMs);
+    const changes = selectChanges(message);
+    options.getFleet().sendToAll(changes);
+    applyLoads(changes, nowMs);
   };
 
   const scheduleModelState = (): void => {
@@ -262,7 +294,9 @@
     }
   };
 
-  const tick = (): void => {
+  const tick = async (): Promise<void> => {
+    // Timers run before sockets are read: the leader may have sent meanwhile.
+    await waitForPoll();
     const nowMs = clock.getNowMs();
     leadership.tick(nowMs);
     const token = leadership.getTerm()?.token;
@@ -271,6 +305,7 @@
       // Another leader may have changed the upstreams since the earlier term.
       for (const controller of controllers.values()) controller.reset();
       controllers.clear();
+      fullModelStateAtMs = -Infinity;
     }
     if (nowMs - modelStateReportedAtMs > MODEL_STATE_MAX_AGE_MS) {
       modelStateReportedAtMs = Infinity;
@@ -296,7 +331,7 @@
     start: () => {
       leadership.start();
       timers.push(
-        clock.startInterval(TICK_MS, tick),
+        clock.startInterval(TICK_MS, () => void tick()),
         clock.startInterval(MODEL_STATE_PERIOD_MS, sendModelState),
       );
     },
@@ -375,6 +410,12 @@
         default:
       }
     },
+    handleConnected: peer => {
+      if (leadership.getTerm() === undefined) return;
+      const message = makeLoads(clock.getNowMs());
+      if (Object.keys(message.loads).length === 0) return;
+      options.getFleet().sendTo(peer, message);
+    },
     schedulePlan: () => {
       planTimer ??= clock.startTimer(PLAN_DELAY_MS, plan);
     },
--- a/packages/token-shares/src/token-shares.ts
+++ b/packages/token-shares/src/token-shares.ts
@@ -70,8 +70,16 @@
   estimateWaitMs(account: string, tokens: number, nowMs: number): number;
   /** Returns the figures behind a refusal, for its message and log entry. */
   describeLimit(account: string, nowMs: number): LimitReadings;
-  /** Returns the tokens held and needed, to be sent to the peers. */
-  describeAccounts(nowMs: number): Record<string, [number, number]>;
+  /**
+   * Returns the tokens held and needed, to be sent to the peers. If only some
+   * of them receive it, `donors`, each is asked for a larger part of the need.
+   */
+  describeAccounts(
+    nowMs: number,
+    donors?: ReadonlySet<string>,
+  ): Record<string, [number, number]>;
+  /** Lists the peers that hold most of the tokens that this gateway needs. */
+  listDonors(nowMs: number): ReadonlySet<string>;
   /** Takes tokens out for each peer in need; the caller must send them. */
   withdrawDonations(nowMs: number): Map<string, Record<string, number>>;
 }
@@ -92,6 +100,11 @@
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Time after its removal within which an account gets no new burst. */
 const REMOVED_RETENTION_MS = 60_000;
+/**
+ * Donors are asked until they hold this multiple of the need, since they may
+ * have spent some of it since their last report.
+ */
+const DONOR_RESERVE = 2;
 /** Smaller donations are not sent, to save messages. */
 const MIN_DONATION_TOKENS = 1;
 
@@ -214,6 +227,22 @@
     }
   };
 
+  const computeNeed = (state: AccountState, nowMs: number): number =>
+    Math.max(0, computeTargetLevel(state, nowMs) - state.share.getLevel(nowMs));
+
+  /** Factor by which the need grows when only `donors` are asked for it. */
+  const computeNeedFactor = (
+    account: string,
+    donors: ReadonlySet<string> | undefined,
+  ): number => {
+    if (donors === undefined) return 1;
+    let askedLevel = 0;
+    for (const donor of donors) {
+      askedLevel += Math.max(0, peers.get(donor)?.get(account)?.level ?? 0);
+    }
+    return askedLevel > 0 ? sumPeerLevels(account) / askedLevel : 1;
+  };
+
   return {
     setLimits: (limits, nowMs) => {
       const next = new Map<string, AccountState>();
@@ -282,16 +311,38 @@
       ownLevel: states.get(account)?.share.getLevel(nowMs) ?? 0,
       peerLevel: sumPeerLevels(account),
     }),
-    describeAccounts: nowMs => {
+    describeAccounts: (nowMs, donors) => {
       const described: Record<string, [number, number]> = {};
       for (const [account, state] of states) {
         if (state.limit.ratePerSecond === 0) continue;
         const level = state.share.getLevel(nowMs);
-        const need = Math.max(0, computeTargetLevel(state, nowMs) - level);
-        described[account] = [Math.round(level), Math.round(need)];
+        const need = computeNeed(state, nowMs);
+        const factor = need > 0 ? computeNeedFactor(account, donors) : 1;
+        described[account] = [Math.round(level), Math.round(need * factor)];
       }
       return described;
     },
+    listDonors: nowMs => {
+      const donors = new Set<string>();
+      for (const [account, state] of states) {
+        if (state.waitingTokens === 0) continue;
+        const wanted = computeNeed(state, nowMs) * DONOR_RESERVE;
+        const holders = [...peers]
+          .map(([peer, accounts]) => ({
+            peer,
+            level: accounts.get(account)?.level ?? 0,
+          }))
+          .filter(({level}) => level >= MIN_DONATION_TOKENS)
+          .sort((left, right) => right.level - left.level);
+        let found = 0;
+        for (const {peer, level} of holders) {
+          if (found >= wanted) break;
+          donors.add(peer);
+          found += level;
+        }
+      }
+      return donors;
+    },
     withdrawDonations: nowMs => {
       const donations = new Map<string, Record<string, number>>();
       for (const [account, state] of states) {
--- a/packages/transport/src/limits.ts
+++ b/packages/transport/src/limits.ts
@@ -11,7 +11,7 @@
   /** Send buffer of a link in bytes; exceeding it closes the link. */
   maxBufferedBytes: number;
   handshakeTimeoutMs: number;
-  /** Interval between pings on each link. */
+  /** Time without received data after which a link is pinged. */
   pingMs: number;
   /** Time without received data after which a link is closed. */
   idleMs: number;
--- a/packages/transport/src/link.ts
+++ b/packages/transport/src/link.ts
@@ -2,7 +2,8 @@
 import type {WebSocket} from 'ws';
 import {decodeMessage, encodeMessage} from '@siskinplank/messages';
 import type {Message} from '@siskinplank/messages';
-import type {Clock} from '@siskinplank/foundation';
+import {waitForPoll} from '@siskinplank/foundation';
+import type {Clock, Timer} from '@siskinplank/foundation';
 import type {TransportLimits} from './limits';
 import {LinkCloseReason} from './types';
 import type {Link, LinkTraffic, PeerIdentity} from './types';
@@ -17,6 +18,12 @@
   onClose(link: Link, reason: LinkCloseReason): void;
 }
 
+/** A link that also sends messages that were encoded before. */
+export interface FrameLink extends Link {
+  /** Queues an encoded message, like `send`. */
+  sendFrame(frame: Uint8Array): boolean;
+}
+
 /** WebSocket close codes that carry a `LinkCloseReason`. */
 const CLOSE_CODES: Record<LinkCloseReason, number> = {
   [LinkCloseReason.Local]: 1000,
@@ -48,15 +55,16 @@
   peer: PeerIdentity,
   socket: WebSocket,
   context: LinkContext,
-): Link {
+): FrameLink {
   const {clock, limits, traffic} = context;
   let isClosed = false;
   let lastReceivedMs = clock.getNowMs();
+  let keepAliveTimer: Timer | undefined;
 
   const close = (reason: LinkCloseReason): void => {
     if (isClosed) return;
     isClosed = true;
-    pingTimer.cancel();
+    keepAliveTimer?.cancel();
     const isUnresponsive =
       reason === LinkCloseReason.Idle || reason === LinkCloseReason.Overflow;
     if (isUnresponsive) socket.terminate();
@@ -64,12 +72,12 @@
     context.onClose(link, reason);
   };
 
-  const link: Link = {
+  const link: FrameLink = {
     id,
     peer,
-    send: message => {
+    send: message => link.sendFrame(encodeMessage(message)),
+    sendFrame: frame => {
       if (isClosed) return false;
-      const frame = encodeMessage(message);
       if (socket.bufferedAmount + frame.byteLength > limits.maxBufferedBytes) {
         close(LinkCloseReason.Overflow);
         return false;
@@ -84,13 +92,21 @@
     close,
   };
 
-  const pingTimer = clock.startInterval(limits.pingMs, () => {
-    if (clock.getNowMs() - lastReceivedMs >= limits.idleMs) {
-      close(LinkCloseReason.Idle);
-      return;
-    }
-    socket.ping();
-  });
+  const getSilentMs = (): number => clock.getNowMs() - lastReceivedMs;
+
+  /** Timers run before sockets are read: the peer may have sent meanwhile. */
+  const closeIfIdle = async (): Promise<void> => {
+    await waitForPoll();
+    if (getSilentMs() >= limits.idleMs) close(LinkCloseReason.Idle);
+  };
+
+  const checkKeepAlive = (): void => {
+    keepAliveTimer = clock.startTimer(limits.pingMs, checkKeepAlive);
+    const silentMs = getSilentMs();
+    if (silentMs >= limits.idleMs) void closeIfIdle();
+    else if (silentMs >= limits.pingMs) socket.ping();
+  };
+  keepAliveTimer = clock.startTimer(limits.pingMs, checkKeepAlive);
 
   const recordReceived = (): void => {
     lastReceivedMs = clock.getNowMs();
--- a/packages/transport/src/network.ts
+++ b/packages/transport/src/network.ts
@@ -3,6 +3,7 @@
 import {Either, Left, Right} from 'purify-ts';
 import {makeSecureId} from '@siskinplank/foundation';
 import type {Clock, Logger, Random, Timer} from '@siskinplank/foundation';
+import {encodeMessage} from '@siskinplank/messages';
 import type {Message, MessageType} from '@siskinplank/messages';
 import type {NetworkAddress} from '@siskinplank/resources';
 import {
@@ -16,6 +17,7 @@
 import {DEFAULT_LIMITS} from './limits';
 import type {TransportLimits} from './limits';
 import {createLink} from './link';
+import type {FrameLink} from './link';
 import {openListener, validateTls} from './listener';
 import type {LinkListener} from './listener';
 import {createLinkRegistry, formatAddress} from './registry';
@@ -75,6 +77,7 @@
   const registry = createLinkRegistry(identity);
   const dials = new Map<string, Dial>();
   const openSockets = new Set<WebSocket>();
+  const openLinks = new Set<FrameLink>();
   const waiters = new Set<LinkWaiter>();
   const observers = new Set<LinkObserver>();
   const handlers = new Map<MessageType, Set<Handler>>();
@@ -118,6 +121,7 @@
         logger.log(events.FRAME_MALFORMED, {peer: from.peer.name, detail}),
       onClose: (closed, reason) => {
         registry.remove(closed);
+        openLinks.delete(link);
         logger.log(events.LINK_CLOSED, {peer: peer.name, reason});
         if (dial !== undefined) {
           dial.socket = undefined;
@@ -131,6 +135,7 @@
       },
     });
     registry.add(link, dial?.address);
+    openLinks.add(link);
     logger.log(events.LINK_OPENED, {
       peer: peer.name,
       isDialed: dial !== undefined,
@@ -288,6 +293,16 @@
       });
     },
     listLinks: () => registry.list(),
+    sendToAll: (message, isSelected) => {
+      const frame = encodeMessage(message);
+      for (const link of openLinks) {
+        if (isSelected === undefined || isSelected(link)) link.sendFrame(frame);
+      }
+    },
+    setKeepAlive: (pingMs, idleMs) => {
+      limits.pingMs = pingMs;
+      limits.idleMs = idleMs;
+    },
     subscribe: (types, handler) => {
       const untyped = handler as Handler;
       for (const type of types) {
--- a/packages/transport/src/types.ts
+++ b/packages/transport/src/types.ts
@@ -95,8 +95,12 @@
   getTraffic(): LinkTraffic;
 }
 
-/** A network whose owner may replace its certificate without a restart. */
+/** A network whose owner may change its keep-alive and its certificate. */
 export interface ManagedPeerNetwork extends PeerNetwork {
+  /** Sends a message, encoded once, on all open links that are selected. */
+  sendToAll(message: Message, isSelected?: (link: Link) => boolean): void;
+  /** Changes when silent links are pinged and closed, in milliseconds. */
+  setKeepAlive(pingMs: number, idleMs: number): void;
   /**
    * Uses `tls` for new links; open links stay open. Returns an error and keeps
    * the previous material when `tls` is invalid, or when TLS would be turned on
