Send no empty model state, and sample the event loop less often

The order leader sent a message to every gateway after each report of an upstream, 36 reports a second, also when no model had changed. The default metrics sampled the event loop every 10 ms, which woke an idle gateway 100 times a second; gateway_event_loop_late_seconds has what is needed.

--- a/packages/foundation/src/metrics.ts
+++ b/packages/foundation/src/metrics.ts
@@ -32,6 +32,8 @@
 }
 
 const METRIC_PREFIX = 'siskinplank_';
+/** Each sample wakes the process, also when it is idle. */
+const EVENT_LOOP_SAMPLE_MS = 250;
 
 /** Creates a registry, on request with the default metrics of prom-client. */
 export function createMetrics(
@@ -40,7 +42,11 @@
   const registry = new Registry();
   const renderCallbacks: Array<() => void> = [];
   if (options.withProcessMetrics) {
-    collectDefaultMetrics({register: registry, prefix: METRIC_PREFIX});
+    collectDefaultMetrics({
+      register: registry,
+      prefix: METRIC_PREFIX,
+      eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLE_MS,
+    });
   }
   return {
     createCounter: (name, help, labels = []) =>
--- a/packages/gateway/src/order-manager.ts
+++ b/packages/gateway/src/order-manager.ts
@@ -203,7 +203,8 @@
     return {...message, loads};
   };
 
-  const sendModelState = (): void => {
+  /** Sends the changes; without any, only the regular message is sent. */
+  const sendModelState = (isRegular: boolean): void => {
     modelStateTimer?.cancel();
     modelStateTimer = undefined;
     if (leadership.getTerm() === undefined) return;
@@ -216,12 +217,15 @@
     const message = makeLoads(nowMs);
     if (Object.keys(message.loads).length === 0) return;
     const changes = selectChanges(message);
+    if (!isRegular && Object.keys(changes.loads).length === 0) return;
     options.getFleet().sendToAll(changes);
     applyLoads(changes, nowMs);
   };
 
   const scheduleModelState = (): void => {
-    modelStateTimer ??= clock.startTimer(MODEL_STATE_DELAY_MS, sendModelState);
+    modelStateTimer ??= clock.startTimer(MODEL_STATE_DELAY_MS, () =>
+      sendModelState(false),
+    );
   };
 
   const ensureController = (service: string): PlacementController => {
@@ -332,7 +336,7 @@
       leadership.start();
       timers.push(
         clock.startInterval(TICK_MS, () => void tick()),
-        clock.startInterval(MODEL_STATE_PERIOD_MS, sendModelState),
+        clock.startInterval(MODEL_STATE_PERIOD_MS, () => sendModelState(true)),
       );
     },
     releaseLease: async () => {
