Bound what is read of responses that never end

Callers saw: nothing until their deadline, when an upstream sent bytes that are no response without end.

A rejection counts once its head and 64 KB were read.

--- a/packages/gateway/src/upstream-attempt.ts
+++ b/packages/gateway/src/upstream-attempt.ts
@@ -1,7 +1,11 @@
 /** One attempt of a request at one upstream: the exchange and its response. */
 import type {OpenRequest, UpstreamEntry} from '@siskinplank/dispatch';
 import type {Clock} from '@siskinplank/foundation';
-import {HeadVerdict, createEventSplitter} from '@siskinplank/http-exchange';
+import {
+  ExchangeFailureCode,
+  HeadVerdict,
+  createEventSplitter,
+} from '@siskinplank/http-exchange';
 import type {
   ConnectionPool,
   EventSplitter,
@@ -59,6 +63,10 @@
  * retried when its response breaks off.
  */
 const MAX_BUFFERED_BYTES = 262_144;
+/** A longer event counts as one that never ends. */
+const MAX_EVENT_BYTES = 1_048_576;
+/** The rest of a longer rejection is not read. */
+const MAX_REJECTION_BYTES = 65_536;
 
 /** Sends the request. */
 export function startAttempt(options: AttemptOptions): Attempt {
@@ -69,6 +77,7 @@
   let splitter: EventSplitter | undefined;
   let chunks: Buffer[] = [];
   let bufferedBytes = 0;
+  let rejectionBytes = 0;
   let isStreamed = false;
   let hasEvents = false;
   let wasSent = false;
@@ -123,6 +132,16 @@
     pauseMs: number,
   ): void => {
     const whole = events.push(chunk);
+    if (events.getPendingBytes() > MAX_EVENT_BYTES) {
+      if (!end()) return;
+      exchange.cancel();
+      observer.onFailure({
+        code: ExchangeFailureCode.Malformed,
+        reason: 'event is too long',
+        wasReused: false,
+      });
+      return;
+    }
     if (whole.length === 0) return;
     recordEvents(pauseMs);
     isStreamed = true;
@@ -133,10 +152,20 @@
     observer.onChunk(answer, bytes, whole.findLast(({id}) => id)?.id);
   };
 
+  const readRejection = (count: number): void => {
+    rejectionBytes += count;
+    if (rejectionBytes <= MAX_REJECTION_BYTES || !end()) return;
+    exchange.cancel();
+    observer.onRejection(responseClass ?? ResponseClass.Unusable);
+  };
+
   const onData = (chunk: Buffer): void => {
     if (hasEnded || head === undefined) return;
     const pauseMs = recordBytes();
-    if (responseClass !== ResponseClass.Answer) return;
+    if (responseClass !== ResponseClass.Answer) {
+      readRejection(chunk.length);
+      return;
+    }
     if (splitter !== undefined) {
       pushEvents(head, splitter, chunk, pauseMs);
       return;
--- a/packages/http-exchange/src/connection.ts
+++ b/packages/http-exchange/src/connection.ts
@@ -40,6 +40,9 @@
  * a request is on its way.
  */
 const IDLE_MARGIN_MS = 500;
+/** Limits of the responses to earlier requests that are skipped. */
+const MAX_SKIPPED_RESPONSES = 16;
+const MAX_SKIPPED_BYTES = 1_048_576;
 const KEEP_ALIVE_TIMEOUT = /(?:^|[,;\s])timeout=(\d{1,6})/i;
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -69,6 +72,8 @@
   isAccepted: boolean;
   /** Whether the response being read belongs to an earlier request. */
   isSkipping: boolean;
+  skippedResponses: number;
+  skippedBytes: number;
 }
 
 /** Opens a connection. */
@@ -108,6 +113,19 @@
     });
   };
 
+  const skipResponse = (exchange: InFlightExchange): void => {
+    exchange.isSkipping = true;
+    exchange.skippedResponses += 1;
+    if (exchange.skippedResponses <= MAX_SKIPPED_RESPONSES) return;
+    fail(ExchangeFailureCode.Malformed, 'too many responses to other requests');
+  };
+
+  const skipBytes = (exchange: InFlightExchange, count: number): void => {
+    exchange.skippedBytes += count;
+    if (exchange.skippedBytes <= MAX_SKIPPED_BYTES) return;
+    fail(ExchangeFailureCode.Malformed, 'response to another request is long');
+  };
+
   const parser = createResponseParser(
     {
       onHead: head => {
@@ -116,11 +134,13 @@
         idleMs = parseIdleMs(head, options.defaultIdleMs);
         const verdict = inFlight.observer.onHead(head);
         if (verdict === HeadVerdict.Accept) inFlight.isAccepted = true;
-        else if (verdict === HeadVerdict.Skip) inFlight.isSkipping = true;
+        else if (verdict === HeadVerdict.Skip) skipResponse(inFlight);
         else fail(ExchangeFailureCode.Malformed, 'unusable response');
       },
       onBody: chunk => {
-        if (inFlight?.isAccepted) inFlight.observer.onData(chunk);
+        if (inFlight === undefined) return;
+        if (inFlight.isAccepted) inFlight.observer.onData(chunk);
+        else skipBytes(inFlight, chunk.length);
       },
       onEnd: () => {
         const ended = inFlight;
@@ -214,6 +234,8 @@
         isSent: false,
         isAccepted: false,
         isSkipping: false,
+        skippedResponses: 0,
+        skippedBytes: 0,
       };
       inFlight = started;
       if (isConnected) write();
--- a/packages/http-exchange/src/response-parser.ts
+++ b/packages/http-exchange/src/response-parser.ts
@@ -55,6 +55,9 @@
 /** Bounds the memory for buffering an incomplete head. */
 const MAX_HEAD_BYTES = 65_536;
 const MAX_LINE_BYTES = 8_192;
+const MAX_TRAILER_BYTES = MAX_HEAD_BYTES;
+/** Interim responses before a final one. */
+const MAX_INTERIM_RESPONSES = 16;
 const CRLF = '\r\n';
 const STATUS_LINE = /^HTTP\/1\.([01]) (\d{3})(?: (.*))?$/;
 const HEADER_NAME = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
@@ -147,6 +150,8 @@
   let pending: Buffer[] = [];
   let pendingBytes = 0;
   let remainingBytes = 0;
+  let interimCount = 0;
+  let trailerBytes = 0;
   let hasEnded = false;
 
   const joinPending = (last: Buffer): Buffer => {
@@ -182,6 +187,8 @@
 
   const endResponse = (): void => {
     state = ParserState.Head;
+    interimCount = 0;
+    trailerBytes = 0;
     hasEnded = true;
     sink.onEnd();
   };
@@ -189,7 +196,10 @@
   const startBody = ({head, isChunked}: ParsedHead): void => {
     // Interim responses (RFC 9110, section 15.2) are skipped; the final
     // response follows.
-    if (head.status >= 100 && head.status < 200) return;
+    if (head.status >= 100 && head.status < 200) {
+      interimCount += 1;
+      return;
+    }
     const isEmpty =
       hasNoBody(head.status, isHeadRequest()) ||
       (!isChunked && head.contentLength === 0);
@@ -218,9 +228,11 @@
       appendPending(whole);
       return Right(bytes.length);
     }
-    return parseHead(whole.toString('latin1', 0, end)).map(parsed => {
+    return parseHead(whole.toString('latin1', 0, end)).chain(parsed => {
       startBody(parsed);
-      return offset + end + 4 - before;
+      return interimCount > MAX_INTERIM_RESPONSES
+        ? Left('too many interim responses')
+        : Right(offset + end + 4 - before);
     });
   };
 
@@ -242,6 +254,8 @@
       return Right(undefined);
     }
     if (state === ParserState.Trailer) {
+      trailerBytes += line.length;
+      if (trailerBytes > MAX_TRAILER_BYTES) return Left('trailer is too long');
       if (line === '') endResponse();
       return Right(undefined);
     }
