Date connections of a busy listener back by one late turn, not by all

Callers saw: 503 at once at busy hosts, for requests that had waited far shorter than the gateway assumed.

Cause: connections accepted in consecutive turns counted as having waited since the first of these turns, at most 1.5 s. On a busy host that series does not end.

Change: a connection is dated back by the longest late turn of the series.

--- a/packages/gateway/src/arrival-times.ts
+++ b/packages/gateway/src/arrival-times.ts
@@ -16,17 +16,10 @@
 /** A series of turns of the event loop that each accepted a connection. */
 interface AcceptRun {
   lastTurn: number;
-  startedAtMs: number;
-  /** Earliest time at which its first connection may have arrived. */
-  arrivedAtMs: number;
+  /** Longest time for which the connections of one of its turns may have waited. */
+  waitMs: number;
 }
 
-/**
- * In a longer series of turns with accepted connections, the connections that
- * came first are assumed to have been accepted.
- */
-const MAX_ACCEPT_RUN_MS = 1_500;
-
 /** Creates the arrival times of a listener without connections. */
 export function createArrivalTimes(turns: TurnMonitor): ArrivalTimes {
   const connectionArrivals = new WeakMap<Socket, number>();
@@ -36,21 +29,13 @@
     recordConnection: (socket, nowMs) => {
       turns.observe(nowMs);
       const turn = turns.countTurns();
+      const waitMs = nowMs - turns.getEarliestArrivalMs(nowMs);
       // libuv accepts one connection in each turn, so a connection that is
       // accepted right after another one may have waited as long.
-      if (run === undefined || turn - run.lastTurn > 1) {
-        run = {
-          lastTurn: turn,
-          startedAtMs: nowMs,
-          arrivedAtMs: turns.getEarliestArrivalMs(nowMs),
-        };
-      }
-      run.lastTurn = turn;
-      if (nowMs - run.startedAtMs > MAX_ACCEPT_RUN_MS) {
-        run.startedAtMs = nowMs - MAX_ACCEPT_RUN_MS;
-        run.arrivedAtMs = run.startedAtMs;
-      }
-      connectionArrivals.set(socket, run.arrivedAtMs);
+      const formerWaitMs =
+        run !== undefined && turn - run.lastTurn <= 1 ? run.waitMs : 0;
+      run = {lastTurn: turn, waitMs: Math.max(waitMs, formerWaitMs)};
+      connectionArrivals.set(socket, nowMs - run.waitMs);
     },
     takeArrivalMs: (socket, nowMs) => {
       turns.observe(nowMs);
