End waits only after the sockets were read

Callers saw: 429 within their limit and failovers from upstreams that had answered, at hosts that were late. Suspected from the class of the fault, not traced to single requests.

Cause: the event loop runs timers before it reads sockets.

Evidence: the new test fails with a plain timer: a timer of 20 ms runs before data that arrived while the loop was blocked for 60 ms.

The capacity run has fleets of gateways as processes.

--- a/packages/cli/src/roles/gateway.ts
+++ b/packages/cli/src/roles/gateway.ts
@@ -97,10 +97,11 @@
         getWallMs: clock.getWallMs,
       }),
     ).singleton(),
-    storeClient: asFunction(() =>
+    storeClient: asFunction(({clock}: GatewayCradle) =>
       createStoreClient({
         address: settings.store.address,
         timeoutMs: settings.store.timeoutMs,
+        clock,
       }),
     ).singleton(),
     pool: asFunction(({clock}: GatewayCradle) =>
--- a/packages/foundation/src/index.ts
+++ b/packages/foundation/src/index.ts
@@ -15,5 +15,5 @@
 export type {Random} from './random';
 export {SpanSide, createTracing} from './tracing';
 export type {HopSpan, Tracing, TracingOptions} from './tracing';
-export {createTurnMonitor, waitForPoll} from './turn-monitor';
+export {createTurnMonitor, startWaitTimer, waitForPoll} from './turn-monitor';
 export type {TurnMonitor, TurnMonitorOptions} from './turn-monitor';
--- a/packages/foundation/src/turn-monitor.test.ts
+++ b/packages/foundation/src/turn-monitor.test.ts
@@ -1,5 +1,8 @@
 import {describe, expect, it} from 'vitest';
-import {createTurnMonitor} from './turn-monitor';
+import {connect, createServer} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+import {createSystemClock} from './clock';
+import {createTurnMonitor, startWaitTimer} from './turn-monitor';
 
 describe('turn monitor', () => {
   it('dates input of a late turn back to the turn before', () => {
@@ -23,3 +26,33 @@
     expect(runTurn(1_000)).toEqual([1_000]);
   });
 });
+
+describe('wait timer', () => {
+  // After a late turn, timers run before the sockets are read.
+  it('does not end a wait for data that has arrived', async () => {
+    const clock = createSystemClock();
+    const accepted: Socket[] = [];
+    const server = createServer(socket => accepted.push(socket));
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+    const {port} = server.address() as AddressInfo;
+    const socket = connect(port, '127.0.0.1');
+    await new Promise<void>(resolve => socket.once('connect', resolve));
+    await clock.waitMs(50);
+    const order = await new Promise<string[]>(resolve => {
+      const events: string[] = [];
+      socket.once('data', () => events.push('data'));
+      setImmediate(() => {
+        accepted[0].write('data');
+        startWaitTimer(clock, 20, () => {
+          events.push('timer');
+          resolve(events);
+        });
+        const endsAtMs = clock.getNowMs() + 60;
+        while (clock.getNowMs() < endsAtMs);
+      });
+    });
+    expect(order).toEqual(['data', 'timer']);
+    socket.destroy();
+    server.close();
+  });
+});
--- a/packages/foundation/src/turn-monitor.ts
+++ b/packages/foundation/src/turn-monitor.ts
@@ -3,6 +3,7 @@
  * while the process is stopped by a signal, is read only in the next turn, so
  * the time at which it is read says little about its arrival.
  */
+import type {Clock, Timer} from './clock';
 
 /** Observes the turns of one event loop. */
 export interface TurnMonitor {
@@ -58,6 +59,30 @@
   };
 }
 
+/**
+ * Runs `callback` after `delayMs`, and not before the sockets that are readable
+ * then have been read. Timers run before sockets are read, so after a late turn
+ * a plain timer would end a wait for something that has arrived.
+ */
+export function startWaitTimer(
+  clock: Clock,
+  delayMs: number,
+  callback: () => void,
+): Timer {
+  let isCancelled = false;
+  const timer = clock.startTimer(delayMs, () => {
+    setImmediate(() => {
+      if (!isCancelled) callback();
+    });
+  });
+  return {
+    cancel: () => {
+      isCancelled = true;
+      timer.cancel();
+    },
+  };
+}
+
 /** Resolves when the sockets that are readable now have been read. */
 export function waitForPoll(): Promise<void> {
   // The check phase follows the poll phase, in which sockets are read.
--- a/packages/gateway/src/account-limiter.ts
+++ b/packages/gateway/src/account-limiter.ts
@@ -1,4 +1,5 @@
 /** Enforces the limits of client accounts. */
+import {startWaitTimer} from '@siskinplank/foundation';
 import type {Clock} from '@siskinplank/foundation';
 import type {CallerRequest, ClientAccount} from '@siskinplank/serving';
 import {SpendResult} from '@siskinplank/token-shares';
@@ -121,7 +122,7 @@
       });
       shares.addWaiting(account.name, tokens);
       options.onTokensNeeded();
-      clock.startTimer(MAX_WAIT_MS, retryWaiting);
+      startWaitTimer(clock, MAX_WAIT_MS, retryWaiting);
     },
     refund: (account, tokens) =>
       shares.refund(account.name, tokens, clock.getNowMs()),
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -6,6 +6,7 @@
   createPauseDetector,
   createTurnMonitor,
   makeSecureId,
+  waitForPoll,
 } from '@siskinplank/foundation';
 import type {Clock, Logger, Metrics, Random} from '@siskinplank/foundation';
 import type {ConnectionPool} from '@siskinplank/http-exchange';
@@ -376,7 +377,8 @@
   const housekeeping = clock.startInterval(HOUSEKEEPING_MS, () => {
     checkLateness();
     checkPause();
-    handler.checkProgress();
+    // Responses may have arrived that were not read yet.
+    void waitForPoll().then(handler.checkProgress);
     updateShares();
     pool.closeExpired(clock.getNowMs());
   });
--- a/packages/gateway/src/order-manager.ts
+++ b/packages/gateway/src/order-manager.ts
@@ -7,7 +7,7 @@
 import {createOrderLeadership} from '@siskinplank/fleet';
 import type {OrderLeadership} from '@siskinplank/fleet';
 import type {SharedObjectStore} from '@siskinplank/directory';
-import {waitForPoll} from '@siskinplank/foundation';
+import {startWaitTimer, waitForPoll} from '@siskinplank/foundation';
 import type {Clock, Logger, Timer} from '@siskinplank/foundation';
 import {MessageType} from '@siskinplank/messages';
 import type {Message, MessageOf} from '@siskinplank/messages';
@@ -371,7 +371,7 @@
       requestCount += 1;
       const requestId = `${options.ownName}/${requestCount}`;
       return new Promise(resolve => {
-        const timer = clock.startTimer(ADAPTER_REPLY_TIMEOUT_MS, () =>
+        const timer = startWaitTimer(clock, ADAPTER_REPLY_TIMEOUT_MS, () =>
           settle(undefined),
         );
         const settle = (readyInMs: number | undefined): void => {
--- a/packages/http-exchange/src/connection.ts
+++ b/packages/http-exchange/src/connection.ts
@@ -1,5 +1,6 @@
 /** A connection to an upstream, for one request at a time. */
 import {connect} from 'node:net';
+import {startWaitTimer} from '@siskinplank/foundation';
 import type {Clock} from '@siskinplank/foundation';
 import {createResponseParser} from './response-parser';
 import type {ResponseHead} from './response-parser';
@@ -168,7 +169,7 @@
     socket.write(encodeRequest(inFlight.request));
   };
 
-  const connectTimer = clock.startTimer(options.connectTimeoutMs, () =>
+  const connectTimer = startWaitTimer(clock, options.connectTimeoutMs, () =>
     fail(ExchangeFailureCode.NotConnected, 'no connection in time'),
   );
 
--- a/packages/measure/src/capacity-main.ts
+++ b/packages/measure/src/capacity-main.ts
@@ -4,6 +4,7 @@
 import {createSystemClock} from '@siskinplank/foundation';
 import {measureEntryDecisions} from './capacity/decisions';
 import {measureFleets} from './capacity/fleet-runs';
+import {measureGatewayFleets} from './capacity/gateway-fleet';
 import {measureHeaps} from './capacity/heap';
 import {measureLoanTraffic} from './capacity/loan-traffic';
 import {measureProcesses} from './capacity/processes';
@@ -24,6 +25,9 @@
   {entries: 128, buckets: 16},
 ] as const;
 
+/** Gateways of the users' platform, as processes. */
+const GATEWAY_FLEET_SIZES = [4, 8, 16, 24, 32] as const;
+
 async function runCapacity(): Promise<void> {
   const report: CapacityReport = {
     startedAt: new Date(createSystemClock().getWallMs()).toISOString(),
@@ -43,6 +47,7 @@
   await measureLoanTraffic(sink, LENDING_SIZES);
   await measureFleets(sink, FLEET_SIZES);
   await measureProcesses(sink);
+  await measureGatewayFleets(sink, GATEWAY_FLEET_SIZES);
   const index = process.argv.indexOf('--json');
   const file = index === -1 ? undefined : process.argv[index + 1];
   if (file !== undefined) {
--- a/packages/soak/src/gateways.ts
+++ b/packages/soak/src/gateways.ts
@@ -19,6 +19,7 @@
   readonly name: string;
   readonly port: number;
   readonly readinessPort: number;
+  readonly metricsPort: number;
   readonly storeProxy: FaultProxy;
   start(): void;
   send(signal: NodeJS.Signals): void;
@@ -48,6 +49,7 @@
   const storeProxy = await createFaultProxy({targetPort: storePort});
   const port = await reservePort();
   const readinessPort = await reservePort();
+  const metricsPort = await reservePort();
   const file = join(directory, `${name}.yaml`);
   const address = (addressPort: number): string => `127.0.0.1:${addressPort}`;
   mkdirSync(directory, {recursive: true});
@@ -61,7 +63,7 @@
       },
       caller: {address: address(port)},
       readiness: {address: address(readinessPort)},
-      metrics: {address: address(await reservePort())},
+      metrics: {address: address(metricsPort)},
       link: {address: address(await reservePort())},
       store: {
         address: address(storeProxy.port),
@@ -83,6 +85,7 @@
     name,
     port,
     readinessPort,
+    metricsPort,
     storeProxy,
     start: () => {
       running = spawnManagedProcess({
