Use the caller stand-in in the test of a paused gateway

The test wrote the platform's headers itself. Bounds as before; without dating requests back both cases fail (the request of the caller that left is sent, 5,999 ms given where 4,361 ms remained).

--- a/packages/soak/src/paused-gateway.test.ts
+++ b/packages/soak/src/paused-gateway.test.ts
@@ -1,15 +1,15 @@
 import {mkdtempSync, rmSync} from 'node:fs';
-import {connect} from 'node:net';
-import type {Socket} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {
+  CallKind,
+  createCaller,
   encodeConfiguration,
   isReady,
   startServerStandIn,
   startStoreStandIn,
 } from '@siskinplank/platform-stand-ins';
-import type {RunRecord} from '@siskinplank/platform-stand-ins';
+import type {Caller, RunRecord} from '@siskinplank/platform-stand-ins';
 import {TYPESCRIPT_ARGUMENTS, WORKSPACE_ROOT} from '@siskinplank/proof';
 import {getMonotonicMs} from '@siskinplank/stand-ins';
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
@@ -18,6 +18,7 @@
 import type {SoakGateway} from './gateways';
 
 const HOST_NAME = 'paused.example';
+const ACCOUNT = 'small';
 const KEY = 'key-of-the-paused-gateway-test';
 const DEADLINE_MS = 6_000;
 const PAUSE_MS = 1_500;
@@ -42,7 +43,7 @@
         version: 1,
         hostName: HOST_NAME,
         accounts: [
-          {name: 'small', keys: [KEY], ratePerSecond: 100_000, burst: 10_000},
+          {name: ACCOUNT, keys: [KEY], ratePerSecond: 100_000, burst: 10_000},
         ],
         models: [],
         serverMemoryMb: 1,
@@ -96,16 +97,24 @@
   });
 
   /** Sends a request for the plain service on a new connection. */
-  const sendRequest = async (attemptId: string): Promise<Socket> => {
-    const socket = connect(gateway.port, '127.0.0.1');
-    socket.on('error', () => undefined);
-    await new Promise<void>(resolve => socket.once('connect', resolve));
-    socket.write(
-      `POST /status/${attemptId}/ HTTP/1.1\r\nHost: ${HOST_NAME}\r\n` +
-        `X-Attempt-Id: ${attemptId}\r\nX-Key: ${KEY}\r\n` +
-        `X-Deadline-Ms: ${DEADLINE_MS}\r\nContent-Length: 0\r\n\r\n`,
-    );
-    return socket;
+  const sendRequest = (attemptId: string): Caller => {
+    const caller = createCaller({
+      hostName: HOST_NAME,
+      getNowMs: getMonotonicMs,
+    });
+    void caller.call({
+      attemptId,
+      kind: CallKind.Status,
+      account: ACCOUNT,
+      key: KEY,
+      model: '',
+      promptTokens: 0,
+      outputTokens: 0,
+      deadlineMs: DEADLINE_MS,
+      gateway: gateway.name,
+      port: gateway.port,
+    });
+    return caller;
   };
 
   const runWhilePaused = async (action: () => Promise<void>): Promise<void> => {
@@ -119,9 +128,9 @@
 
   it('does not send a request whose caller left meanwhile', async () => {
     await runWhilePaused(async () => {
-      const socket = await sendRequest('left');
+      const caller = sendRequest('left');
       await wait(50);
-      socket.destroy();
+      caller.close();
     });
     expect(runs.map(({attemptId}) => attemptId)).not.toContain('left');
   });
@@ -132,7 +141,7 @@
     await runWhilePaused(async () => {
       for (let index = 0; index < 6; index += 1) {
         sentAtMs.set(`waited-${index}`, getMonotonicMs());
-        await sendRequest(`waited-${index}`);
+        sendRequest(`waited-${index}`);
       }
     });
     const waited = runs.filter(({attemptId}) => sentAtMs.has(attemptId));
