--- a/packages/gateway/src/fleet-node.test.ts
+++ b/packages/gateway/src/fleet-node.test.ts
@@ -82,8 +82,7 @@
     return {clock, nodes, measureRate};
   };
 
-  // With a state from each gateway every 200 ms, a host of a quarter of a core
-  // had no processor time left for requests in a fleet of 24.
+  // Guards against small hosts whose processor time goes to the states of others.
   it('receives a bounded number of states however large the fleet', async () => {
     const {clock, nodes, measureRate} = await startFleet(24);
     const rate = await measureRate();
