Release share units again after a conflicting write

Callers saw: at hosts that had just joined, 429 within their limit until the next renewal of the share table, up to 110 s later.

Cause: a holder counts units as released before it sends the write, as the reply may be lost. When that write conflicted with the write of another host, the table still listed the units, but the holder compared the planned units with those it counted as its own, saw no difference and wrote nothing until its next renewal. Hosts that start at the same time write at the same time, and more so beside load.

Evidence: the new test, in which two writes of a joining fleet conflict, fails before the change: the release is sent once and not repeated.

Change: a release that is not confirmed is repeated until the table that was read no longer lists the units.

--- a/packages/limits/src/share-holder.test.ts
+++ b/packages/limits/src/share-holder.test.ts
@@ -51,6 +51,20 @@
   });
 });
 
+// Guards against units that stay without a holder until the next renewal,
+// because the write that releases them conflicted with another one.
+it('balances units within seconds after conflicting writes', async () => {
+  const cluster = createFakeCluster(createAccountLimiter, 4);
+  cluster.startProcess('entry-1');
+  await runClock(cluster.clock, 2_000, STEP_MS);
+  cluster.startProcess('entry-2');
+  await runClock(cluster.clock, 500, STEP_MS);
+  cluster.platform.conflictingWrites = 2;
+  await runClock(cluster.clock, 10_000, STEP_MS);
+  expect(cluster.platform.conflictingWrites).toBe(0);
+  expect(countUnits(cluster)).toEqual({'entry-1': 32, 'entry-2': 32});
+});
+
 // Guards against a stopped host that keeps its units until the lease ends.
 it('releases units at a graceful stop', async () => {
   const cluster = createCluster(['entry-1', 'entry-2']);
--- a/packages/limits/src/share-holder.ts
+++ b/packages/limits/src/share-holder.ts
@@ -85,6 +85,8 @@
   let ownedUnits = 0;
   /** Units in use; fewer than `ownedUnits` while excess units are released. */
   let activeUnits = 0;
+  /** Whether the table may still list units that no longer count as owned. */
+  let isReleaseUnconfirmed = false;
   let unitCount = options.shareUnits;
   /** No units are used before this time: earlier loans may still be active. */
   let usableFromMs = -Infinity;
@@ -158,6 +160,7 @@
     }
     const hasMoreUnits = units > activeUnits;
     ownedUnits = units;
+    isReleaseUnconfirmed = false;
     activeUnits = isStopping || nowMs < usableFromMs ? 0 : units;
     unitCount = table.unitCount;
     leaseEndMs = sentMs + table.leaseMs;
@@ -250,7 +253,10 @@
     // The write may take effect although its reply is lost, so the units count
     // as released before it is sent.
     const previousUnits = ownedUnits;
-    if (maxUnits < ownedUnits) ownedUnits = maxUnits;
+    if (maxUnits < ownedUnits) {
+      ownedUnits = maxUnits;
+      isReleaseUnconfirmed = true;
+    }
     const loanTimes = planLoanMs(sentMs);
     const plan = planShareUpdate({
       table,
@@ -262,7 +268,10 @@
       defaultLoanMs: options.loanMs,
       nowMs: sentMs,
     });
-    if (plan.units.length === previousUnits && sentMs < renewalDueMs) {
+    const isListed = plan.units.length === plan.listedUnits;
+    if (isListed) isReleaseUnconfirmed = false;
+    const isUnchanged = isListed && plan.units.length === previousUnits;
+    if (isUnchanged && sentMs < renewalDueMs) {
       scheduleRetry(sentMs);
       return;
     }
@@ -326,6 +335,7 @@
     const target = computeTarget(nowMs);
     if (target > ownedUnits) return true;
     if (target < activeUnits) setActiveUnits(target, nowMs);
+    if (isReleaseUnconfirmed) return true;
     return activeUnits < ownedUnits && options.canReduceTo(target, nowMs);
   };
 
--- a/packages/limits/src/share-plan.ts
+++ b/packages/limits/src/share-plan.ts
@@ -66,6 +66,8 @@
   table: ShareTable;
   /** Units of this process in the planned table. */
   units: readonly number[];
+  /** Number of units that the table lists for this process before the update. */
+  listedUnits: number;
   /** Hosts whose units were reclaimed because their lease expired. */
   reclaimedHosts: readonly string[];
   /** Longest loan that the planned entry allows, in milliseconds. */
@@ -128,6 +130,7 @@
   return {
     table: planned,
     units,
+    listedUnits: ownEntry?.units.length ?? 0,
     reclaimedHosts,
     loanMs,
     isTakeover: isSuccession,
--- a/packages/testing/src/platform/delayed-store.ts
+++ b/packages/testing/src/platform/delayed-store.ts
@@ -27,6 +27,8 @@
   lostReplyRate = 0;
   /** Largest delay of a request, and of a reply. */
   maxDelayMs = 5;
+  /** Number of next writes that fail because another process wrote first. */
+  conflictingWrites = 0;
 }
 
 /** One process's connection to the platform. */
@@ -62,6 +64,10 @@
   ): Promise<Either<PlatformError, StoredObject<K>>> {
     await this.waitDelay();
     if (this.platform.isDown) return fail(PlatformErrorCode.Unavailable);
+    if (this.platform.conflictingWrites > 0) {
+      this.platform.conflictingWrites -= 1;
+      return fail(PlatformErrorCode.Conflict);
+    }
     const result = this.platform.putObject(kind, name, value, expected);
     const isLost =
       result.isRight() && this.random.getNext() < this.platform.lostReplyRate;
