Date connections back by a measured wait in the accept queue

Cause: libuv accepts one connection of a listener in each turn of the event loop. A busy gateway has many short turns, in each of which the connections behind the first one wait on. Connections were dated back by one late turn, so those that had waited in the queue for seconds counted as fresh. Dating them back to the first of these turns is wrong too, as a steady load never leaves a turn without a new connection.

Change: under load the gateway connects to its own listener. That connection waits in the same queue, so it shows how long the queue is: connections that are accepted before it have waited for longer than it has, and those behind it about as long as it did. Waits are in a histogram and in event 6043. The listener for callers has a module of its own.

--- a/packages/gateway/src/arrival-times.test.ts
+++ b/packages/gateway/src/arrival-times.test.ts
@@ -1,16 +1,30 @@
-import type {Socket} from 'node:net';
-import {createTurnMonitor} from '@siskinplank/foundation';
-import {describe, expect, it} from 'vitest';
+import {createServer, connect} from 'node:net';
+import type {AddressInfo, Server, Socket} from 'node:net';
+import {createSystemClock, createTurnMonitor} from '@siskinplank/foundation';
+import {afterEach, describe, expect, it} from 'vitest';
+import {createAcceptProbe} from './accept-probe';
 import {createArrivalTimes} from './arrival-times';
 
+const USUAL_GAP_MS = 150;
+
 describe('arrival times', () => {
   const createLoop = () => {
     const ends: Array<() => void> = [];
     const turns = createTurnMonitor({
-      usualGapMs: 150,
+      usualGapMs: USUAL_GAP_MS,
       scheduleTurnEnd: callback => ends.push(callback),
     });
-    const arrivals = createArrivalTimes(turns);
+    let pendingMs = 0;
+    let measuredMs: number | undefined;
+    const arrivals = createArrivalTimes({
+      turns,
+      probe: {
+        start: () => undefined,
+        takeWaitMs: () => measuredMs,
+        getPendingMs: () => pendingMs,
+      },
+      onWaitMeasured: () => undefined,
+    });
     /** Runs one turn; accepts a connection and reads its request. */
     const runTurn = (nowMs: number, isAccepting = true): number => {
       turns.observe(nowMs);
@@ -20,7 +34,15 @@
       for (const end of ends.splice(0)) end();
       return waitMs;
     };
-    return {runTurn};
+    return {
+      runTurn,
+      setPendingMs: (ms: number) => (pendingMs = ms),
+      measure: (waitMs: number, nowMs: number) => {
+        measuredMs = waitMs;
+        runTurn(nowMs);
+        measuredMs = undefined;
+      },
+    };
   };
 
   it('dates back all connections that waited during a late turn', () => {
@@ -38,4 +60,64 @@
     const waits = Array.from({length: 50}, (_, turn) => runTurn(turn * 200));
     expect(Math.max(...waits)).toBe(200);
   });
+
+  it('dates connections back by the measured wait, until the queue is empty', () => {
+    const {runTurn, setPendingMs, measure} = createLoop();
+    runTurn(0);
+    setPendingMs(900);
+    expect(runTurn(20)).toBe(900);
+    setPendingMs(0);
+    measure(950, 70);
+    expect(runTurn(90)).toBe(950);
+    measure(400, 110);
+    expect(runTurn(130)).toBe(400);
+    runTurn(150, false);
+    expect(runTurn(170)).toBe(0);
+  });
+});
+
+describe('arrival times of a listener under load', () => {
+  const CONNECTIONS = 40;
+  /** Processor time spent on each connection; no single turn is late. */
+  const WORK_MS = 30;
+  const TOLERANCE_MS = 150;
+  let server: Server | undefined;
+
+  afterEach(() => server?.close());
+
+  it('dates back connections that wait for many short turns', async () => {
+    const clock = createSystemClock();
+    const turns = createTurnMonitor({usualGapMs: USUAL_GAP_MS});
+    const listener = createServer();
+    server = listener;
+    await new Promise<void>(resolve =>
+      listener.listen(0, '127.0.0.1', () => resolve()),
+    );
+    const {port} = listener.address() as AddressInfo;
+    const probe = createAcceptProbe({host: '127.0.0.1', port});
+    const arrivals = createArrivalTimes({
+      turns,
+      probe,
+      onWaitMeasured: () => undefined,
+    });
+    const errorsMs: number[] = [];
+    const sockets: Socket[] = [];
+    const connectedAtMs = clock.getNowMs();
+    listener.on('connection', socket => {
+      const nowMs = clock.getNowMs();
+      arrivals.recordConnection(socket, nowMs);
+      if (socket.destroyed) return;
+      sockets.push(socket);
+      errorsMs.push(arrivals.takeArrivalMs(socket, nowMs) - connectedAtMs);
+      while (clock.getNowMs() < nowMs + WORK_MS);
+    });
+    for (let index = 0; index < CONNECTIONS; index += 1) {
+      sockets.push(connect(port, '127.0.0.1'));
+    }
+    while (errorsMs.length < CONNECTIONS) await clock.waitMs(10);
+    probe.stop();
+    for (const socket of sockets) socket.destroy();
+    expect(Math.max(...errorsMs)).toBeLessThan(TOLERANCE_MS);
+    expect(Math.min(...errorsMs)).toBeGreaterThan(-TOLERANCE_MS);
+  });
 });
--- a/packages/gateway/src/arrival-times.ts
+++ b/packages/gateway/src/arrival-times.ts
@@ -4,6 +4,7 @@
  */
 import type {Socket} from 'node:net';
 import type {TurnMonitor} from '@siskinplank/foundation';
+import type {AcceptProbe} from './accept-probe';
 
 /** Arrival times of the requests of one listener. */
 export interface ArrivalTimes {
@@ -13,29 +14,48 @@
   takeArrivalMs(socket: Socket, nowMs: number): number;
 }
 
+/** What `createArrivalTimes` needs. */
+export interface ArrivalTimesOptions {
+  turns: TurnMonitor;
+  /** Measures the accept queue of the listener. */
+  probe: Pick<AcceptProbe, 'start' | 'takeWaitMs' | 'getPendingMs'>;
+  /** Called with each measured wait in the accept queue. */
+  onWaitMeasured(waitMs: number): void;
+}
+
 /** A series of turns of the event loop that each accepted a connection. */
 interface AcceptRun {
   lastTurn: number;
-  /** Longest time for which the connections of one of its turns may have waited. */
+  /** Time for which its connections waited, as last measured. */
   waitMs: number;
 }
 
 /** Creates the arrival times of a listener without connections. */
-export function createArrivalTimes(turns: TurnMonitor): ArrivalTimes {
+export function createArrivalTimes(options: ArrivalTimesOptions): ArrivalTimes {
+  const {turns, probe} = options;
   const connectionArrivals = new WeakMap<Socket, number>();
   let run: AcceptRun | undefined;
 
   return {
     recordConnection: (socket, nowMs) => {
       turns.observe(nowMs);
-      const turn = turns.countTurns();
-      const waitMs = nowMs - turns.getEarliestArrivalMs(nowMs);
-      // libuv accepts one connection in each turn, so a connection that is
-      // accepted right after another one may have waited as long.
-      const formerWaitMs =
-        run !== undefined && turn - run.lastTurn <= 1 ? run.waitMs : 0;
-      run = {lastTurn: turn, waitMs: Math.max(waitMs, formerWaitMs)};
-      connectionArrivals.set(socket, nowMs - run.waitMs);
+      const lastTurn = turns.countTurns();
+      const measuredMs = probe.takeWaitMs(socket, nowMs);
+      if (measuredMs !== undefined) {
+        run = {lastTurn, waitMs: measuredMs};
+        options.onWaitMeasured(measuredMs);
+        return;
+      }
+      // A turn without a new connection had found the queue empty.
+      const isQueued = run !== undefined && lastTurn - run.lastTurn <= 1;
+      const lateMs = nowMs - turns.getEarliestArrivalMs(nowMs);
+      const waitMs = Math.max(lateMs, isQueued ? (run?.waitMs ?? 0) : 0);
+      run = {lastTurn, waitMs};
+      connectionArrivals.set(
+        socket,
+        nowMs - Math.max(waitMs, probe.getPendingMs(nowMs)),
+      );
+      if (isQueued) probe.start(nowMs);
     },
     takeArrivalMs: (socket, nowMs) => {
       turns.observe(nowMs);
--- /dev/null
+++ b/packages/gateway/src/caller-listener.ts
@@ -0,0 +1,73 @@
+/** Listener for callers: accepts connections and dates their requests. */
+import {createServer} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Clock, TurnMonitor} from '@siskinplank/foundation';
+import type {CallerLimits} from '@siskinplank/serving';
+import type {GatewaySettings} from '@siskinplank/settings';
+import type {Either} from 'purify-ts';
+import {createAcceptProbe} from './accept-probe';
+import {createArrivalTimes} from './arrival-times';
+import type {ArrivalTimes} from './arrival-times';
+import {closeIdleConnections, closeListener} from './idle-connections';
+import {startListening} from './listening';
+
+/** What `createCallerListener` needs. */
+export interface CallerListenerOptions {
+  settings: GatewaySettings['caller'];
+  clock: Clock;
+  turns: TurnMonitor;
+  /** Called with each measured wait in the accept queue. */
+  onAcceptWait(waitMs: number): void;
+}
+
+/** The listener for callers. */
+export interface CallerListener {
+  arrivals: ArrivalTimes;
+  applyLimits(limits: CallerLimits): void;
+  start(
+    handle: (incoming: IncomingMessage, outgoing: ServerResponse) => void,
+  ): Promise<Either<{message: string}, void>>;
+  /** Closes connections without a request; new ones are still accepted. */
+  closeIdle(): Promise<void>;
+  /** Accepts no more connections; resolves when the last one has ended. */
+  close(): Promise<void>;
+  closeAllConnections(): void;
+}
+
+/** Creates a listener that does not listen yet. */
+export function createCallerListener(
+  options: CallerListenerOptions,
+): CallerListener {
+  const {settings, clock, turns} = options;
+  const probe = createAcceptProbe(settings.address);
+  const arrivals = createArrivalTimes({
+    turns,
+    probe,
+    onWaitMeasured: options.onAcceptWait,
+  });
+  const server = createServer({
+    maxHeaderSize: settings.maxHeaderBytes,
+    requestTimeout: 0,
+  });
+  server.on('connection', socket =>
+    arrivals.recordConnection(socket, clock.getNowMs()),
+  );
+
+  return {
+    arrivals,
+    applyLimits: limits => {
+      server.keepAliveTimeout = limits.idleTimeoutMs;
+      server.headersTimeout = limits.headerTimeoutMs;
+    },
+    start: handle => {
+      server.on('request', handle);
+      return startListening(server, settings.address);
+    },
+    closeIdle: () => closeIdleConnections(server),
+    close: () => {
+      probe.stop();
+      return closeListener(server);
+    },
+    closeAllConnections: () => server.closeAllConnections(),
+  };
+}
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -62,3 +62,8 @@
   LogLevel.Warn,
   'event loop was late: nothing was read in the meantime',
 );
+export const CONNECTIONS_WAIT = defineEvent(
+  6043,
+  LogLevel.Warn,
+  'new connections wait to be accepted',
+);
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -33,6 +33,8 @@
   recordFailover(reason: string): void;
   /** Records by how much a turn of the event loop was late. */
   recordLateness(lateMs: number): void;
+  /** Records for how long a connection waited to be accepted. */
+  recordAcceptWait(waitMs: number): void;
 }
 
 /** Seconds; latency targets of routes lie between 0.1 and 6 s. */
@@ -79,6 +81,11 @@
     'Lateness of the housekeeping timer, sampled at each of its calls',
     LATENESS_BUCKETS,
   );
+  const acceptWaits = metrics.createHistogram(
+    'gateway_accept_wait_seconds',
+    'Time that a connection waited to be accepted, sampled under load',
+    LATENESS_BUCKETS,
+  );
   const createGauge = (
     name: string,
     help: string,
@@ -153,5 +160,7 @@
     recordFailover: reason => failovers.inc({reason}),
     recordLateness: lateMs =>
       lateness.observe(lateMs / MILLISECONDS_PER_SECOND),
+    recordAcceptWait: waitMs =>
+      acceptWaits.observe(waitMs / MILLISECONDS_PER_SECOND),
   };
 }
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -1,5 +1,4 @@
 /** Components, listeners and life cycle of the gateway process. */
-import {createServer} from 'node:http';
 import type {Server} from 'node:http';
 import {createDispatchPolicy, createUpstreamTable} from '@siskinplank/dispatch';
 import {
@@ -17,13 +16,15 @@
   createShareFraction,
   createTokenShares,
 } from '@siskinplank/token-shares';
-import {Left, Right} from 'purify-ts';
+import {Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import {createAccountLimiter} from './account-limiter';
+import {createCallerListener} from './caller-listener';
 import {createConfigurationReplica} from './configuration-replica';
 import {createDemandCounter} from './demand-counter';
 import {createDispatcher} from './dispatcher';
 import {
+  CONNECTIONS_WAIT,
   EVENT_LOOP_LATE,
   GATEWAY_DRAIN_STARTED,
   GATEWAY_STARTED,
@@ -33,7 +34,8 @@
 import {createFleetNode} from './fleet-node';
 import type {FleetNode} from './fleet-node';
 import {createGatewayMetrics} from './gateway-metrics';
-import {closeIdleConnections, closeListener} from './idle-connections';
+import {startListening} from './listening';
+import type {ListenAddress} from './listening';
 import {createOrderManager} from './order-manager';
 import {createRequestHandler} from './request-handler';
 import {createMetricsServer, createReadinessServer} from './status-servers';
@@ -59,11 +61,6 @@
   stop(): Promise<void>;
 }
 
-interface ListenAddress {
-  host: string;
-  port: number;
-}
-
 const DRAIN_POLL_MS = 50;
 /** Time kept before the forced kill, for the last responses and logs. */
 const KILL_MARGIN_MS = 500;
@@ -77,7 +74,7 @@
 const START_FRACTION = 0.5;
 /** Period of the checks for pauses, stalls, shares and idle connections. */
 const HOUSEKEEPING_MS = 100;
-/** Turns later than this are logged. */
+/** Later turns, and longer waits in the accept queue, are logged. */
 const LOGGED_LATENESS_MS = 400;
 /** Drift between the clocks stays below this from one check to the next. */
 const PAUSE_TOLERANCE_MS = 250;
@@ -92,16 +89,6 @@
  */
 const FLEET_WATCH_WAIT_MS = 10_000;
 
-function startListening(
-  server: Server,
-  address: ListenAddress,
-): Promise<Either<{message: string}, void>> {
-  return new Promise(resolve => {
-    server.once('error', error => resolve(Left({message: error.message})));
-    server.listen(address.port, address.host, () => resolve(Right(undefined)));
-  });
-}
-
 /** Creates a gateway that does nothing before `start`. */
 export function createGatewayProcess(options: GatewayOptions): GatewayProcess {
   const {settings, ports, pool, clock, random, logger, metrics} = options;
@@ -124,8 +111,7 @@
 
   const applyConfiguration = ({configuration}: RouteTable): void => {
     const {limits, accounts} = configuration;
-    callerServer.keepAliveTimeout = limits.idleTimeoutMs;
-    callerServer.headersTimeout = limits.headerTimeoutMs;
+    callers.applyLimits(limits);
     shares.setLimits(
       new Map(
         (accounts ?? []).map(({name, ratePerSecond, burst}) => [
@@ -336,6 +322,19 @@
     };
   });
 
+  const callers = createCallerListener({
+    settings: settings.caller,
+    clock,
+    turns,
+    onAcceptWait: waitMs => {
+      gatewayMetrics.recordAcceptWait(waitMs);
+      if (waitMs < LOGGED_LATENESS_MS) return;
+      logger.log(CONNECTIONS_WAIT, {
+        waitMs: Math.round(waitMs),
+        open: handler.countOpen(),
+      });
+    },
+  });
   const handler = createRequestHandler({
     configuration,
     upstreams,
@@ -353,7 +352,7 @@
     // Subtracts the longest pause that the detector does not report.
     maxConfigurationAgeMs: settings.store.maxAgeMs - PAUSE_TOLERANCE_MS,
     clock,
-    turns,
+    arrivals: callers.arrivals,
     random,
     logger,
     metrics: gatewayMetrics,
@@ -366,11 +365,6 @@
     view.isLoaded() &&
     configuration.getAgeMs(clock.getNowMs()) < settings.store.readyAgeMs;
 
-  const callerServer = createServer(
-    {maxHeaderSize: settings.caller.maxHeaderBytes, requestTimeout: 0},
-    handler.handle,
-  );
-  callerServer.on('connection', handler.handleConnection);
   const readinessServer = createReadinessServer(ports.readinessPath, isReady);
   const metricsServer = createMetricsServer(metrics);
 
@@ -389,14 +383,15 @@
       view.start();
       fleet.start();
       orders.start();
+      const listening = await callers.start(handler.handle);
+      if (listening.isLeft()) return listening;
       const listeners: Array<[Server, ListenAddress]> = [
-        [callerServer, settings.caller.address],
         [readinessServer, settings.readiness.address],
         [metricsServer, settings.metrics.address],
       ];
       for (const [server, address] of listeners) {
-        const listening = await startListening(server, address);
-        if (listening.isLeft()) return listening;
+        const started = await startListening(server, address);
+        if (started.isLeft()) return started;
       }
       logger.log(GATEWAY_STARTED, {
         ...settings.caller.address,
@@ -409,16 +404,16 @@
       logger.log(GATEWAY_DRAIN_STARTED, {open: handler.countOpen()});
       const startedAtMs = clock.getNowMs();
       lastStartAtMs = startedAtMs + graceMs * START_FRACTION;
-      await closeIdleConnections(callerServer);
+      await callers.closeIdle();
       await orders.releaseLease();
       fleet.scheduleState();
       await clock.waitMs(settings.drain.noticeMs);
-      const closed = closeListener(callerServer);
+      const closed = callers.close();
       const endsAtMs = startedAtMs + graceMs;
       while (handler.countOpen() > 0 && clock.getNowMs() < endsAtMs) {
         await clock.waitMs(DRAIN_POLL_MS);
       }
-      callerServer.closeAllConnections();
+      callers.closeAllConnections();
       await closed;
     },
     stop: async () => {
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -1,6 +1,5 @@
 /** Admits caller requests and starts a session for each. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
 import {createRetryBudget} from '@siskinplank/dispatch';
 import type {
   RetryBudget,
@@ -8,7 +7,7 @@
   UpstreamTable,
 } from '@siskinplank/dispatch';
 import {waitForPoll} from '@siskinplank/foundation';
-import type {Clock, Logger, Random, TurnMonitor} from '@siskinplank/foundation';
+import type {Clock, Logger, Random} from '@siskinplank/foundation';
 import type {ConnectionPool} from '@siskinplank/http-exchange';
 import type {LimitReadings} from '@siskinplank/token-shares';
 import type {
@@ -20,7 +19,7 @@
 import {Either, Left, Right} from 'purify-ts';
 import {countTokens} from './account-limiter';
 import type {AccountLimiter} from './account-limiter';
-import {createArrivalTimes} from './arrival-times';
+import type {ArrivalTimes} from './arrival-times';
 import {createCallerResponse} from './caller-response';
 import type {ConfigurationReplica} from './configuration-replica';
 import type {DemandCounter} from './demand-counter';
@@ -47,7 +46,7 @@
   /** Age of the configuration from which keys are not trusted. */
   maxConfigurationAgeMs: number;
   clock: Clock;
-  turns: TurnMonitor;
+  arrivals: ArrivalTimes;
   random: Random;
   logger: Logger;
   metrics: GatewayMetrics;
@@ -59,8 +58,6 @@
 
 /** Serves caller requests. */
 export interface RequestHandler {
-  /** Must be called for each accepted connection. */
-  handleConnection(socket: Socket): void;
   handle(incoming: IncomingMessage, outgoing: ServerResponse): void;
   /** Requests without a final response. */
   countOpen(): number;
@@ -83,10 +80,10 @@
 export function createRequestHandler(
   options: RequestHandlerOptions,
 ): RequestHandler {
-  const {configuration, upstreams, clock, random, logger, format} = options;
+  const {configuration, upstreams, arrivals, clock, random, logger, format} =
+    options;
   const budgets = new Map<string, RetryBudget>();
   const sessions = new Set<RequestSession>();
-  const arrivals = createArrivalTimes(options.turns);
   let openCount = 0;
 
   const getBudget = (service: string): RetryBudget => {
@@ -372,8 +369,6 @@
   };
 
   return {
-    handleConnection: socket =>
-      arrivals.recordConnection(socket, clock.getNowMs()),
     handle,
     countOpen: () => openCount,
     checkProgress: () => {
