Bound the accept queue, and refuse requests that waited too long

Cause: nothing bounded the wait to be accepted. The runtime's queue holds 511 connections, and each turn of the event loop accepts one and serves the requests of all open connections, so that new ones wait behind about three times as many requests: edge-baltic-north-d-2 accepted 33 connections in 2.06 s and 33 turns, in which it started 127 requests. Served in order, all callers wait until their time is up.

Change: the accept queue holds 0.3 s of requests, by the processor time of the host, which the platform fills in; callers beyond it try another gateway. A request that waited for half of its target latency is refused at once. The probe does not count the time of a connection that a full queue dropped.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -26,3 +26,6 @@
 export type {UpstreamProgress} from './upstream-progress';
 export {FailoverReason, planFailover} from './failover';
 export type {FailoverInput} from './failover';
+export {LATE_START_RETRY_MS, shouldRefuseLateStart} from './late-start';
+export type {LateStartInput} from './late-start';
+export {computeBacklog} from './accept-queue';
--- a/packages/gateway/src/accept-probe.ts
+++ b/packages/gateway/src/accept-probe.ts
@@ -7,6 +7,7 @@
  */
 import {connect} from 'node:net';
 import type {Socket} from 'node:net';
+import type {Clock} from '@siskinplank/foundation';
 
 /** Measures the accept queue of one listener. */
 export interface AcceptProbe {
@@ -25,26 +26,38 @@
   stop(): void;
 }
 
-/** Address of the measured listener. */
+/** Address of the measured listener, and the time source. */
 export interface AcceptProbeOptions {
   host: string;
   port: number;
+  clock: Clock;
 }
 
 interface Measurement {
   socket: Socket;
   startedAtMs: number;
-  /** Whether the connection is in the queue, or was accepted. */
-  isConnected: boolean;
+  /** When the connection entered the queue; undefined until that is known. */
+  queuedAtMs: number | undefined;
 }
 
 /** Least time between the starts of two measurements. */
 const PROBE_PERIOD_MS = 100;
-/** A connection that is not made for this time never entered the queue. */
-const CONNECT_TIMEOUT_MS = 1_000;
+/**
+ * A connection that takes longer to be made was dropped by a full queue first,
+ * and repeated by the kernel, which does so after a second at the earliest.
+ */
+const MAX_CONNECT_MS = 500;
+/** Pending connections are given up after this time without being made. */
+const CONNECT_TIMEOUT_MS = 2_000;
+
+/** When a connection that is known to be made at `nowMs` entered the queue. */
+function getQueuedAtMs({startedAtMs}: Measurement, nowMs: number): number {
+  return nowMs - startedAtMs > MAX_CONNECT_MS ? nowMs : startedAtMs;
+}
 
 /** Creates a probe without a measurement. */
 export function createAcceptProbe(options: AcceptProbeOptions): AcceptProbe {
+  const {host, port, clock} = options;
   let pending: Measurement | undefined;
   let startedAtMs = -Infinity;
 
@@ -59,15 +72,22 @@
       if (nowMs - startedAtMs < PROBE_PERIOD_MS) return;
       if (pending !== undefined) {
         const isLost =
-          !pending.isConnected && nowMs - startedAtMs > CONNECT_TIMEOUT_MS;
+          pending.queuedAtMs === undefined &&
+          nowMs - startedAtMs > CONNECT_TIMEOUT_MS;
         if (!isLost) return;
         endPending();
       }
       startedAtMs = nowMs;
-      const socket = connect(options.port, options.host);
-      const measurement = {socket, startedAtMs, isConnected: false};
+      const socket = connect(port, host);
+      const measurement: Measurement = {
+        socket,
+        startedAtMs,
+        queuedAtMs: undefined,
+      };
       pending = measurement;
-      socket.on('connect', () => (measurement.isConnected = true));
+      socket.on('connect', () => {
+        measurement.queuedAtMs = getQueuedAtMs(measurement, clock.getNowMs());
+      });
       // The listener is closed while the process stops.
       socket.on('error', () => undefined);
       socket.on('close', () => {
@@ -82,13 +102,13 @@
         socket.remotePort === localPort &&
         socket.remoteAddress === localAddress;
       if (!isOwn) return undefined;
-      const waitMs = nowMs - pending.startedAtMs;
+      const waitMs =
+        nowMs - (pending.queuedAtMs ?? getQueuedAtMs(pending, nowMs));
       socket.destroy();
       endPending();
       return waitMs;
     },
-    getPendingMs: nowMs =>
-      pending?.isConnected === true ? nowMs - pending.startedAtMs : 0,
+    getPendingMs: nowMs => nowMs - (pending?.queuedAtMs ?? nowMs),
     stop: endPending,
   };
 }
--- a/packages/gateway/src/arrival-times.test.ts
+++ b/packages/gateway/src/arrival-times.test.ts
@@ -94,7 +94,7 @@
       listener.listen(0, '127.0.0.1', () => resolve()),
     );
     const {port} = listener.address() as AddressInfo;
-    const probe = createAcceptProbe({host: '127.0.0.1', port});
+    const probe = createAcceptProbe({host: '127.0.0.1', port, clock});
     const arrivals = createArrivalTimes({
       turns,
       probe,
--- a/packages/gateway/src/caller-listener.ts
+++ b/packages/gateway/src/caller-listener.ts
@@ -1,6 +1,7 @@
 /** Listener for callers: accepts connections and dates their requests. */
 import {createServer} from 'node:http';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {computeBacklog} from '@siskinplank/dispatch';
 import type {Clock, TurnMonitor} from '@siskinplank/foundation';
 import type {CallerLimits} from '@siskinplank/serving';
 import type {GatewaySettings} from '@siskinplank/settings';
@@ -13,7 +14,7 @@
 
 /** What `createCallerListener` needs. */
 export interface CallerListenerOptions {
-  settings: GatewaySettings['caller'];
+  settings: Pick<GatewaySettings, 'caller' | 'process'>;
   clock: Clock;
   turns: TurnMonitor;
   /** Called with each measured wait in the accept queue. */
@@ -38,15 +39,16 @@
 export function createCallerListener(
   options: CallerListenerOptions,
 ): CallerListener {
-  const {settings, clock, turns} = options;
-  const probe = createAcceptProbe(settings.address);
+  const {clock, turns} = options;
+  const {caller, process} = options.settings;
+  const probe = createAcceptProbe({...caller.address, clock});
   const arrivals = createArrivalTimes({
     turns,
     probe,
     onWaitMeasured: options.onAcceptWait,
   });
   const server = createServer({
-    maxHeaderSize: settings.maxHeaderBytes,
+    maxHeaderSize: caller.maxHeaderBytes,
     requestTimeout: 0,
   });
   server.on('connection', socket =>
@@ -61,7 +63,11 @@
     },
     start: handle => {
       server.on('request', handle);
-      return startListening(server, settings.address);
+      return startListening(
+        server,
+        caller.address,
+        computeBacklog(process.cpuShare * process.cpuSpeed),
+      );
     },
     closeIdle: () => closeIdleConnections(server),
     close: () => {
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -323,7 +323,7 @@
   });
 
   const callers = createCallerListener({
-    settings: settings.caller,
+    settings,
     clock,
     turns,
     onAcceptWait: waitMs => {
--- a/packages/gateway/src/listening.ts
+++ b/packages/gateway/src/listening.ts
@@ -9,13 +9,22 @@
   port: number;
 }
 
-/** Binds `server`; resolves when it listens or could not be bound. */
+const DEFAULT_BACKLOG = 511;
+
+/**
+ * Binds `server`; resolves when it listens or could not be bound.
+ *
+ * @param backlog connections that may wait to be accepted.
+ */
 export function startListening(
   server: Server,
   address: ListenAddress,
+  backlog = DEFAULT_BACKLOG,
 ): Promise<Either<{message: string}, void>> {
   return new Promise(resolve => {
     server.once('error', error => resolve(Left({message: error.message})));
-    server.listen(address.port, address.host, () => resolve(Right(undefined)));
+    server.listen(address.port, address.host, backlog, () =>
+      resolve(Right(undefined)),
+    );
   });
 }
--- a/packages/gateway/src/refusals.ts
+++ b/packages/gateway/src/refusals.ts
@@ -11,6 +11,8 @@
   OverLimit = 'over-limit',
   /** No configuration is loaded yet, or it is too old to trust its keys. */
   NotReady = 'not-ready',
+  /** The request waited too long before it could be started. */
+  LateStart = 'late-start',
   /** No upstream can run the request now. */
   NoUpstream = 'no-upstream',
   /** Every upstream tried stated that it has not run the request. */
@@ -39,6 +41,7 @@
   [RefusalCode.BodyTooLarge]: 413,
   [RefusalCode.OverLimit]: 429,
   [RefusalCode.NotReady]: 503,
+  [RefusalCode.LateStart]: 503,
   [RefusalCode.NoUpstream]: 503,
   [RefusalCode.Rejected]: 503,
   [RefusalCode.OutcomeUnknown]: 502,
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -1,6 +1,10 @@
 /** Admits caller requests and starts a session for each. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {createRetryBudget} from '@siskinplank/dispatch';
+import {
+  LATE_START_RETRY_MS,
+  createRetryBudget,
+  shouldRefuseLateStart,
+} from '@siskinplank/dispatch';
 import type {
   RetryBudget,
   RetryBudgetOptions,
@@ -126,18 +130,21 @@
     if (service === undefined) return Left({code: RefusalCode.NoUpstream});
     const needsKey =
       table.configuration.accounts !== undefined && !route.isPublic;
-    if (!needsKey) return Right({route, account: undefined, service});
     const account =
-      request.key === undefined ? undefined : table.findAccount(request.key);
+      needsKey && request.key !== undefined
+        ? table.findAccount(request.key)
+        : undefined;
     const isFresh =
       configuration.getAgeMs(nowMs) < options.maxConfigurationAgeMs;
-    if (!isFresh) {
+    if (needsKey && !isFresh) {
       return Left({
         code: RefusalCode.NotReady,
         retryAfterMs: NOT_READY_RETRY_MS,
       });
     }
-    if (account === undefined) return Left({code: RefusalCode.UnknownKey});
+    if (needsKey && account === undefined) {
+      return Left({code: RefusalCode.UnknownKey});
+    }
     return Right({route, account, service});
   };
 
@@ -309,7 +316,14 @@
       body: Buffer | undefined,
     ): void => {
       if (hasCallerLeft()) return;
-      const {account} = admission;
+      const {account, route} = admission;
+      const {targetLatencyMs} = route;
+      const waitedMs = clock.getNowMs() - arrivedAtMs;
+      if (shouldRefuseLateStart({waitedMs, targetLatencyMs})) {
+        const retryAfterMs = LATE_START_RETRY_MS;
+        refuse({code: RefusalCode.LateStart, retryAfterMs}, admission);
+        return;
+      }
       if (account !== undefined) tokens = countTokens(account, request);
       if (account === undefined) {
         run(request, admission, body, 0);
@@ -333,7 +347,10 @@
     decoded
       .mapLeft((): Refusal => ({code: RefusalCode.BadRequest}))
       .chain(request =>
-        admit(request, readAtMs).map(admission => ({request, admission})),
+        admit(request, readAtMs).map(admission => ({
+          request,
+          admission,
+        })),
       )
       .caseOf({
         Left: refusal => refuse(refusal),
--- a/packages/settings/src/gateway.ts
+++ b/packages/settings/src/gateway.ts
@@ -23,6 +23,10 @@
     name: z.string().min(1),
     failureDomain: z.string().min(1),
     region: z.string().default('default'),
+    /** Processor time that the process may use, in cores. */
+    cpuShare: z.number().positive().default(1),
+    /** Speed of these cores, relative to the slowest kind of host. */
+    cpuSpeed: z.number().positive().default(1),
   }),
   /** Listener for callers. */
   caller: z.strictObject({
--- a/packages/soak/src/gateways.ts
+++ b/packages/soak/src/gateways.ts
@@ -27,6 +27,12 @@
   isRunning(): boolean;
 }
 
+/** Settings that a test chooses. */
+export interface SoakGatewayOptions {
+  /** Processor time that the gateway counts on, in cores. */
+  cpuShare?: number;
+}
+
 const FAILURE_DOMAINS = ['a', 'b', 'c'];
 const LEASE_MS = 3_000;
 /** Time after SIGTERM until the platform would send SIGKILL (`grace_s`). */
@@ -44,6 +50,7 @@
   storePort: number,
   program: readonly string[],
   directory: string,
+  options: SoakGatewayOptions = {},
 ): Promise<SoakGateway> {
   const name = `gateway-${index + 1}`;
   const storeProxy = await createFaultProxy({targetPort: storePort});
@@ -60,6 +67,7 @@
       process: {
         name,
         failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length],
+        ...(options.cpuShare !== undefined && {cpuShare: options.cpuShare}),
       },
       caller: {address: address(port)},
       readiness: {address: address(readinessPort)},
