Let replies of the object API take longer than one timeout

Cause: one time limit covered a call from its start to the last byte. A list that arrives steadily but for longer never completes, and is started again.

Change: the timeout bounds the wait for the head and for more of the body, eight timeouts the whole transfer, as in the client of the platform's store. A reply without end is still given up, then rather than after one timeout.

--- a/packages/platform-client/src/http-call.ts
+++ b/packages/platform-client/src/http-call.ts
@@ -1,7 +1,8 @@
-/** HTTP requests with a total timeout and a limited reply size. */
+/** HTTP requests with limits for waits, for the transfer and for its size. */
 import {Either, Left, Right} from 'purify-ts';
 import {Pool} from 'undici';
-import type {Clock} from '@siskinplank/foundation';
+import {startWaitTimer} from '@siskinplank/foundation';
+import type {Clock, Timer} from '@siskinplank/foundation';
 import type {NetworkAddress} from '@siskinplank/resources';
 
 /**
@@ -12,12 +13,19 @@
 /** Each pending watch uses a connection; the rest is for short calls. */
 const MAX_CONNECTIONS = 16;
 
-/** A request with its total timeout. */
+/**
+ * Longest transfer of a body, as a multiple of the timeout. A list on a slow
+ * link takes longer than the timeout, and would not end if it were repeated.
+ */
+const MAX_TRANSFER_TIMEOUTS = 8;
+
+/** A request with its timeout. */
 export interface HttpRequest {
   method: 'GET' | 'PUT' | 'DELETE';
   path: string;
   headers?: Record<string, string>;
   body?: string;
+  /** Longest wait for the head of the reply and for more of its body. */
   timeoutMs: number;
 }
 
@@ -57,10 +65,14 @@
   };
 }
 
-async function readBody(body: AsyncIterable<Buffer>): Promise<string> {
+async function readBody(
+  body: AsyncIterable<Buffer>,
+  onProgress: () => void,
+): Promise<string> {
   const chunks: Buffer[] = [];
   let size = 0;
   for await (const chunk of body) {
+    onProgress();
     size += chunk.length;
     if (size > MAX_REPLY_BYTES) return '';
     chunks.push(chunk);
@@ -81,9 +93,10 @@
   return {
     send: async request => {
       const controller = new AbortController();
-      const timer = clock.startTimer(request.timeoutMs, () =>
-        controller.abort(),
-      );
+      const startAbortTimer = (delayMs: number): Timer =>
+        startWaitTimer(clock, delayMs, () => controller.abort());
+      let timer = startAbortTimer(request.timeoutMs);
+      let transferTimer: Timer | undefined;
       try {
         const reply = await pool.request({
           method: request.method,
@@ -94,7 +107,13 @@
           headersTimeout: 0,
           bodyTimeout: 0,
         });
-        const text = await readBody(reply.body);
+        transferTimer = startAbortTimer(
+          request.timeoutMs * MAX_TRANSFER_TIMEOUTS,
+        );
+        const text = await readBody(reply.body, () => {
+          timer.cancel();
+          timer = startAbortTimer(request.timeoutMs);
+        });
         const body = Either.encase(() => JSON.parse(text) as unknown).orDefault(
           undefined,
         );
@@ -103,6 +122,7 @@
         return Left(describeFailure(error));
       } finally {
         timer.cancel();
+        transferTimer?.cancel();
       }
     },
     close: () => pool.destroy(),
