Count deadlines of entry hosts from the arrival of requests

Callers saw: a request could run after its deadline at an entry process that had been paused or had no processor time, or when its body arrived slowly.

Cause: the deadline was counted from when the request was prepared, after its whole body had been read.

Evidence: both new tests get 200 before this change. In one the event loop is blocked for 0.9 s after a request with a deadline of 0.5 s was sent, in the other the body of a request with a deadline of 0.4 s arrives after 0.7 s.

--- a/packages/entry/src/caller/caller.test.ts
+++ b/packages/entry/src/caller/caller.test.ts
@@ -1,5 +1,6 @@
 /** Authentication, admission, request checks and the fixed endpoints. */
 import {connect} from 'node:net';
+import type {Socket} from 'node:net';
 import fc from 'fast-check';
 import OpenAI from 'openai';
 import {afterAll, beforeAll, beforeEach, describe, expect, it} from 'vitest';
@@ -24,6 +25,9 @@
 const ANSWER =
   '{"id":"1","object":"chat.completion","choices":[{"index":0,"message":{"role":"assistant","content":"lengthwise"}}]}';
 
+const wait = (forMs: number): Promise<void> =>
+  new Promise(resolve => setTimeout(resolve, forMs));
+
 const LIMITS = {defaultDeadlineMs: 1_000, maxDeadlineMs: 9_000};
 
 describe('caller interface', () => {
@@ -61,6 +65,59 @@
     expect(response.headers.get('x-request-id')).toMatch(/^[0-9a-f]{32}$/);
   };
 
+  const openConnection = async (): Promise<Socket> => {
+    const socket = connect(harness.port, '127.0.0.1');
+    await new Promise<void>(resolve => socket.once('connect', resolve));
+    // Long enough for the event loop to be observed as idle.
+    await wait(300);
+    return socket;
+  };
+
+  const readStatus = async (socket: Socket): Promise<number> => {
+    const data = await new Promise<Buffer>(resolve =>
+      socket.once('data', resolve),
+    );
+    socket.destroy();
+    return Number(String(data).split(' ')[1]);
+  };
+
+  const renderChatRequest = (deadlineMs: number): [string, string] => {
+    const body = JSON.stringify({
+      model: 'birch',
+      messages: [{role: 'user', content: 'late'}],
+    });
+    const head = [
+      'POST /v1/chat/completions HTTP/1.1',
+      'host: a',
+      `authorization: Bearer ${harness.key}`,
+      'content-type: application/json',
+      `content-length: ${body.length}`,
+      `x-siskinplank-deadline-ms: ${deadlineMs}`,
+    ];
+    return [`${head.join('\r\n')}\r\n\r\n`, body];
+  };
+
+  // Guards against work for callers whose deadline passed while the process
+  // was paused or had no processor time.
+  it('counts the deadline from the arrival of a request, not from its reading', async () => {
+    const socket = await openConnection();
+    const status = readStatus(socket);
+    socket.write(renderChatRequest(500).join(''));
+    const endsAtMs = process.uptime() * 1_000 + 900;
+    while (process.uptime() * 1_000 < endsAtMs);
+    expect(await status).toBe(504);
+  });
+
+  it('counts the deadline from the head of a request with a slow body', async () => {
+    const socket = await openConnection();
+    const status = readStatus(socket);
+    const [head, body] = renderChatRequest(400);
+    socket.write(head);
+    await wait(700);
+    socket.write(body);
+    expect(await status).toBe(504);
+  });
+
   // Guards against a response or model list that the OpenAI client rejects.
   it('serves the OpenAI client', async () => {
     const client = new OpenAI({
--- a/packages/entry/src/caller/prepare.ts
+++ b/packages/entry/src/caller/prepare.ts
@@ -33,6 +33,8 @@
   headers: HeaderMap;
   rawHeaders: readonly string[];
   body: Uint8Array<ArrayBuffer>;
+  /** When the head arrived; deadlines count from it. */
+  arrivedAtMs: number;
 }
 
 /** A checked request and its trace span. */
@@ -122,7 +124,7 @@
         headers: selectRequestHeaders(raw.headers),
         body: raw.body,
         priority: options.priority,
-        deadlineAtMs: clock.getNowMs() + options.deadlineMs,
+        deadlineAtMs: raw.arrivedAtMs + options.deadlineMs,
         idempotencyKey: options.idempotencyKey,
         traceparent: span.traceparent,
       },
--- a/packages/entry/src/caller/server.ts
+++ b/packages/entry/src/caller/server.ts
@@ -4,8 +4,8 @@
 import fastify from 'fastify';
 import type {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
 import type {ConfigurationView} from '@siskinplank/configuration';
-import {makeSecureId} from '@siskinplank/foundation';
-import type {Logger} from '@siskinplank/foundation';
+import {createTurnMonitor, makeSecureId} from '@siskinplank/foundation';
+import type {Clock, Logger, Timer} from '@siskinplank/foundation';
 import {RefusalCode, RunState} from '@siskinplank/resources';
 import type {EntrySettings} from '@siskinplank/settings';
 import type {OpenRequests} from '../drain/open-requests';
@@ -34,6 +34,7 @@
 /** Dependencies of the server. */
 export interface CallerServerDependencies {
   settings: EntrySettings;
+  clock: Clock;
   logger: Logger;
   metrics: EntryMetrics;
   configuration: ConfigurationView;
@@ -50,6 +51,8 @@
 interface IncomingRequest {
   /** Whether its head arrived before the drain. */
   isAccepted: boolean;
+  /** Earliest time at which its head may have arrived. */
+  arrivedAtMs: number;
   /** Removes it from the open requests. */
   end: () => void;
 }
@@ -62,6 +65,9 @@
 
 const DRAIN_RETRY_AFTER_MS = 1_000;
 
+/** Period in which turns of the event loop are observed without requests. */
+const TURN_PERIOD_MS = 100;
+
 /** Paths that are served during a drain and don't count as open requests. */
 const PROBE_PATHS = new Set(['/healthz', '/readyz', '/metrics']);
 
@@ -106,6 +112,9 @@
       .send(JSON.stringify(renderErrorBody(refusal)));
   };
 
+  const {clock} = deps;
+  const turns = createTurnMonitor({usualGapMs: TURN_PERIOD_MS * 1.5});
+  let turnTimer: Timer | undefined;
   const incomingRequests = new WeakMap<FastifyRequest, IncomingRequest>();
 
   /**
@@ -115,6 +124,9 @@
    */
   app.addHook('onRequest', (request, reply, done) => {
     if (PROBE_PATHS.has(request.url)) return done();
+    const nowMs = clock.getNowMs();
+    turns.observe(nowMs);
+    const arrivedAtMs = turns.getEarliestArrivalMs(nowMs);
     const end = deps.openRequests.add({
       keyId: undefined,
       account: undefined,
@@ -122,7 +134,8 @@
         if (!reply.sent) void sendRefusal(reply, reason, request.id);
       },
     });
-    incomingRequests.set(request, {isAccepted: !deps.isDraining(), end});
+    const isAccepted = !deps.isDraining();
+    incomingRequests.set(request, {isAccepted, arrivedAtMs, end});
     reply.raw.once('close', end);
     done();
   });
@@ -132,6 +145,20 @@
       ? Right(undefined)
       : Left(makeDrainRefusal());
 
+  const toRaw = (request: FastifyRequest): RawRequest => {
+    const body = Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0);
+    return {
+      requestId: request.id,
+      method: request.method,
+      url: request.url,
+      headers: request.headers,
+      rawHeaders: request.raw.rawHeaders,
+      body: body as Uint8Array<ArrayBuffer>,
+      arrivedAtMs:
+        incomingRequests.get(request)?.arrivedAtMs ?? clock.getNowMs(),
+    };
+  };
+
   const handleCall = async (
     request: FastifyRequest,
     reply: FastifyReply,
@@ -236,12 +263,16 @@
       const {host, port} = deps.settings.caller;
       try {
         await app.listen({host, port});
+        turnTimer = clock.startInterval(TURN_PERIOD_MS, () =>
+          turns.observe(clock.getNowMs()),
+        );
         return Right(undefined);
       } catch (error) {
         return Left({reason: `cannot listen on ${host}:${port}: ${error}`});
       }
     },
     close: async () => {
+      turnTimer?.cancel();
       await app.close();
     },
   };
@@ -267,18 +298,6 @@
   );
 }
 
-function toRaw(request: FastifyRequest): RawRequest {
-  const body = Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0);
-  return {
-    requestId: request.id,
-    method: request.method,
-    url: request.url,
-    headers: request.headers,
-    rawHeaders: request.raw.rawHeaders,
-    body: body as Uint8Array<ArrayBuffer>,
-  };
-}
-
 function makeDrainRefusal(): Refusal {
   return makeRefusal(
     RefusalCode.Draining,
--- a/packages/entry/src/process.ts
+++ b/packages/entry/src/process.ts
@@ -61,6 +61,7 @@
   });
   const server = createCallerServer({
     settings,
+    clock,
     logger,
     metrics,
     configuration,
