Measure what a stream costs a gateway

The capacity run measured gateways without requests only, so it could not say at which load a small host has no processor time left. A new part sends streams to one gateway at 5 to 40 a second. What both parts need of a gateway program is in a module of its own.

--- a/packages/measure/src/capacity-main.ts
+++ b/packages/measure/src/capacity-main.ts
@@ -5,6 +5,8 @@
 import {measureEntryDecisions} from './capacity/decisions';
 import {measureFleets} from './capacity/fleet-runs';
 import {measureGatewayFleets} from './capacity/gateway-fleet';
+import {buildGatewayProgram} from './capacity/gateway-program';
+import {measureGatewayRequests} from './capacity/gateway-requests';
 import {measureHeaps} from './capacity/heap';
 import {measureLoanTraffic} from './capacity/loan-traffic';
 import {measureProcesses} from './capacity/processes';
@@ -28,6 +30,9 @@
 /** Gateways of the users' platform, as processes. */
 const GATEWAY_FLEET_SIZES = [4, 8, 16, 24, 32] as const;
 
+/** Streams per second of one gateway. */
+const STREAM_RATES = [5, 10, 20, 40] as const;
+
 async function runCapacity(): Promise<void> {
   const report: CapacityReport = {
     startedAt: new Date(createSystemClock().getWallMs()).toISOString(),
@@ -47,6 +52,8 @@
   await measureLoanTraffic(sink, LENDING_SIZES);
   await measureFleets(sink, FLEET_SIZES);
   await measureProcesses(sink);
+  await buildGatewayProgram();
+  await measureGatewayRequests(sink, STREAM_RATES);
   await measureGatewayFleets(sink, GATEWAY_FLEET_SIZES);
   const index = process.argv.indexOf('--json');
   const file = index === -1 ? undefined : process.argv[index + 1];
--- a/packages/measure/src/capacity/gateway-fleet.ts
+++ b/packages/measure/src/capacity/gateway-fleet.ts
@@ -3,53 +3,36 @@
  * exchange of states costs each of them, by the size of the fleet.
  */
 import {mkdtempSync, rmSync} from 'node:fs';
-import {get} from 'node:http';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {createSystemClock} from '@siskinplank/foundation';
 import {
   encodeConfiguration,
-  isReady,
   startStoreStandIn,
 } from '@siskinplank/platform-stand-ins';
 import type {StoreStandIn} from '@siskinplank/platform-stand-ins';
-import {WORKSPACE_ROOT} from '@siskinplank/proof';
 import {createSoakGateway} from '@siskinplank/soak';
 import type {SoakGateway} from '@siskinplank/soak';
-import {build} from 'esbuild';
+import {
+  GATEWAY_PROGRAM,
+  PROCESSOR_METRIC,
+  fetchMetrics,
+  readMetric,
+  waitUntilReady,
+} from './gateway-program';
 import type {FigureSink} from './types';
 
 const SETTLE_MS = 5_000;
 const SAMPLE_MS = 12_000;
-const READY_TIMEOUT_MS = 60_000;
-const READY_POLL_MS = 100;
 const UPSTREAM_COUNT = 36;
 const ACCOUNT_COUNT = 16;
 /** Changes of registrations per second, over all upstreams. */
 const CHANGES_PER_SECOND = 10;
-const PROGRAM = join(WORKSPACE_ROOT, 'dist', 'capacity-gateway.cjs');
-const PROCESSOR_METRIC = 'siskinplank_process_cpu_seconds_total';
 const RECEIVED_METRIC =
   'siskinplank_gateway_link_messages{direction="received"}';
 
 const clock = createSystemClock();
 
-function fetchText(port: number): Promise<string> {
-  return new Promise((resolve, reject) => {
-    get({host: '127.0.0.1', port, path: '/metrics'}, response => {
-      let text = '';
-      response.setEncoding('utf8');
-      response.on('data', (chunk: string) => (text += chunk));
-      response.on('end', () => resolve(text));
-    }).on('error', reject);
-  });
-}
-
-function readMetric(text: string, name: string): number {
-  const line = text.split('\n').find(row => row.startsWith(`${name} `));
-  return Number(line?.slice(name.length + 1) ?? NaN);
-}
-
 function putUpstream(store: StoreStandIn, index: number, change: number): void {
   store.putServer(`upstream-${index}`, {
     service: 'engines',
@@ -103,8 +86,8 @@
 ): Promise<GatewayUsage[]> {
   const sample = async (): Promise<GatewayUsage[]> =>
     Promise.all(
-      gateways.map(async ({metricsPort}) => {
-        const text = await fetchText(metricsPort);
+      gateways.map(async gateway => {
+        const text = await fetchMetrics(gateway);
         return {
           processor: readMetric(text, PROCESSOR_METRIC),
           received: readMetric(text, RECEIVED_METRIC),
@@ -128,7 +111,7 @@
   const gateways: SoakGateway[] = [];
   for (let index = 0; index < count; index += 1) {
     gateways.push(
-      await createSoakGateway(index, store.port, [PROGRAM], directory),
+      await createSoakGateway(index, store.port, GATEWAY_PROGRAM, directory),
     );
   }
   let changes = 0;
@@ -137,12 +120,7 @@
     putUpstream(store, changes % UPSTREAM_COUNT, changes);
   });
   for (const gateway of gateways) gateway.start();
-  const endsAtMs = clock.getNowMs() + READY_TIMEOUT_MS;
-  for (const {readinessPort} of gateways) {
-    while (!(await isReady(readinessPort)) && clock.getNowMs() < endsAtMs) {
-      await clock.waitMs(READY_POLL_MS);
-    }
-  }
+  await waitUntilReady(gateways);
   await clock.waitMs(SETTLE_MS);
   const usages = await measureUsage(gateways);
   timer.cancel();
@@ -167,16 +145,6 @@
   sink: FigureSink,
   sizes: readonly number[],
 ): Promise<void> {
-  await build({
-    entryPoints: [join(WORKSPACE_ROOT, 'packages/cli/src/gateway-main.ts')],
-    outfile: PROGRAM,
-    bundle: true,
-    platform: 'node',
-    target: 'node20',
-    format: 'cjs',
-    logLevel: 'error',
-    external: ['msgpackr-extract', 'bufferutil', 'utf-8-validate'],
-  });
   const rows: Array<GatewayUsage & {size: number}> = [];
   for (const size of sizes) rows.push({size, ...(await runFleet(size))});
   sink.addSeries(
