Reword the comments of proof and measure

Verbs of speech and feeling for messages and state (learn, tell, see, die, hang up), private words (strangers, silent, judgement, a scene) and allusions are replaced by the terms of the field. One local name (openSilent to openIdleConnection) and three printed texts of the proof runner changed: "could not continue", "failed as expected", "DID NOT FAIL".

--- a/packages/measure/src/capacity/heap.ts
+++ b/packages/measure/src/capacity/heap.ts
@@ -1,4 +1,4 @@
-/** Heap of one process for each object that it knows. */
+/** Heap of one process for each object that it holds. */
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
 import {createConfigurationReplica} from '@siskinplank/configuration';
@@ -67,7 +67,7 @@
   return kept.pop() === undefined ? 0 : grown;
 }
 
-/** A view that learned its members from the host list. */
+/** A view whose members come from the host list. */
 async function buildView(count: number): Promise<unknown> {
   const entries = Math.round((count * LATER_SIZE.entries) / 1_330);
   const clock = createEventClock();
--- a/packages/measure/src/capacity/loan-traffic.ts
+++ b/packages/measure/src/capacity/loan-traffic.ts
@@ -49,7 +49,7 @@
 const SETTLE_MS = 260_000;
 const WARM_UP_MS = 15_000;
 const COUNT_SECONDS = 27;
-/** Time after which the others take a stopped coordinator for dead. */
+/** Time after which the others consider a stopped coordinator failed. */
 const DETECT_MS = 4_000;
 const RECOVERY_SECONDS = 45;
 
@@ -73,11 +73,11 @@
   start(): Promise<void>;
   /** Begins to send requests to all hosts that are up. */
   startLoad(): void;
-  /** Stops a host; the others see it leave after `DETECT_MS`. */
+  /** Stops a host; the others detect it after `DETECT_MS`. */
   stopNode(node: LendingNode): Promise<void>;
 }
 
-/** Accounts whose load falls with their rank, and what each asks for. */
+/** Accounts whose load falls with their rank, and the tokens of each request. */
 function makeAccounts(requestsPerSecond: number) {
   const weights = Array.from(
     {length: LATER_SIZE.accounts},
@@ -222,7 +222,7 @@
   return worst;
 }
 
-/** One fleet in calm and after the death of its busiest coordinator. */
+/** One fleet in calm and after the failure of its busiest coordinator. */
 async function runLendingFleet(
   sink: FigureSink,
   lendingSize: LendingSize,
--- a/packages/measure/src/capacity/model-fleet.ts
+++ b/packages/measure/src/capacity/model-fleet.ts
@@ -37,7 +37,7 @@
   /** Starts all processes within `spreadMs`. */
   startAll(spreadMs: number): Promise<void>;
   stopNode(node: ModelNode): Promise<void>;
-  /** Cuts one process's way to the platform when it returns false. */
+  /** Disconnects one process from the platform when it returns false. */
   setPlatformReach(canReach: (identity: PeerIdentity) => boolean): void;
 }
 
--- a/packages/measure/src/capacity/model-network.ts
+++ b/packages/measure/src/capacity/model-network.ts
@@ -31,7 +31,7 @@
 const FRAME_OVERHEAD_BYTES = 6;
 const RECONNECT_MS = 500;
 
-/** Types whose frames leave out what the schema fills in. */
+/** Types whose frames omit fields that the schema sets to defaults. */
 const DEFAULTED_TYPES: ReadonlySet<MessageType> = new Set([
   MessageType.Loan,
   MessageType.GrantRequest,
--- a/packages/measure/src/capacity/model-platform.ts
+++ b/packages/measure/src/capacity/model-platform.ts
@@ -32,7 +32,7 @@
   hosts: ListedHost[] = [];
   /** Calls by second since the last reset, then by kind. */
   readonly calls = new Map<number, Map<string, number>>();
-  /** Conditional writes that lost against another. */
+  /** Conditional writes that conflicted with another one. */
   conflicts = 0;
 
   /** Creates an empty platform; a call takes half to 1.5 times `latencyMs`. */
--- a/packages/measure/src/capacity/routing-demand.ts
+++ b/packages/measure/src/capacity/routing-demand.ts
@@ -14,7 +14,7 @@
 /** Weight of a model in the demand, by rank. */
 const computeWeight = (rank: number): number => 1 / (rank + 10);
 
-/** Gives each model copies in proportion to its demand, at least one. */
+/** Assigns each model copies in proportion to its demand, at least one. */
 export function planCopies(size: RunSize): {
   places: number[][];
   weights: number[];
--- a/packages/measure/src/capacity/routing-fleet.ts
+++ b/packages/measure/src/capacity/routing-fleet.ts
@@ -95,7 +95,7 @@
   };
 }
 
-/** Connects a host to a side; both ends see it at once. */
+/** Connects a host to a side; the link is open at both ends at once. */
 function openLink(
   host: ModelHost,
   hostIndex: number,
@@ -248,7 +248,7 @@
   return host;
 }
 
-/** Lists the `upstreams`, by index, with the load that the host knows. */
+/** Lists the `upstreams`, by index, with the load last reported to the host. */
 export function listCandidates(
   host: ModelHost,
   sides: readonly ModelSide[],
--- a/packages/measure/src/evaluate.ts
+++ b/packages/measure/src/evaluate.ts
@@ -1,4 +1,4 @@
-/** Judges the outcomes of a run from outside the product. */
+/** Evaluates the outcomes of a run from outside the product. */
 import {RefusalCode} from '@siskinplank/resources';
 import {
   BETWEEN_TOKENS_TARGET_MS,
@@ -24,7 +24,7 @@
   insideRate: number;
   attained: number;
   attainment: number;
-  /** Requests answered in time for each accelerator and second. */
+  /** Requests answered on time for each accelerator and second. */
   attainedPerAcceleratorSecond: number;
   modelLoads: number;
   warmUpLoads: number;
@@ -39,7 +39,7 @@
   firstTokenP50Ms: number;
   firstTokenP95Ms: number;
   betweenTokensP95Ms: number;
-  /** Tokens a second answered in time to accounts other than the flooding one. */
+  /** Tokens a second answered on time to accounts other than the flooding one. */
   othersGoodputInFlood: number;
   othersAttainmentInFlood: number;
   /** Attainment after the fault of the run. */
@@ -57,7 +57,7 @@
 /**
  * Marks the requests that an account sends within its rate and burst: those
  * for which a bucket that only they drain has tokens. It depends on the trace
- * only, so that all policies are judged by the same requests.
+ * only, so that all policies are evaluated on the same requests.
  */
 export function markInsideRate(trace: Trace): boolean[] {
   const levels = new Map<string, {tokens: number; atMs: number}>();
--- a/packages/measure/src/pages/render-page.ts
+++ b/packages/measure/src/pages/render-page.ts
@@ -9,7 +9,7 @@
 export interface FoundReports {
   deployments: readonly MeasurementReport[];
   path: PathReport | undefined;
-  /** What a reader might expect and was not run. */
+  /** Measurements that were not run. */
   notRun: readonly string[];
 }
 
@@ -196,7 +196,7 @@
   return fault === undefined ? deployment : `${deployment}-${fault}`;
 }
 
-/** Discarded runs are shown, but no aim is judged by them. */
+/** Discarded runs are shown, but no target is evaluated on them. */
 function renderDiscarded(report: MeasurementReport): string[] {
   const discarded = report.runs.filter(run => run.isDiscarded);
   if (discarded.length === 0) return [];
--- a/packages/measure/src/policies/run-role.ts
+++ b/packages/measure/src/policies/run-role.ts
@@ -15,12 +15,12 @@
 import type {EntrySettings} from '@siskinplank/settings';
 import {PolicyName} from './names';
 
-/** Demand is collected for this long before the static placement is made. */
+/** Time for which demand is collected before the static placement is computed. */
 const STATIC_DELAY_MS = 4_000;
 
 /**
  * Delays a policy until there has been demand for a while: a static placement
- * made from no demand would be empty for good.
+ * made from no demand would stay empty.
  */
 class DelayedPlacementPolicy extends PlacementPolicy {
   private firstDemandMs: number | undefined;
--- a/packages/measure/src/replay-trace.ts
+++ b/packages/measure/src/replay-trace.ts
@@ -13,7 +13,7 @@
   run(): Promise<void>;
 }
 
-/** What a run of a trace gave. */
+/** Result of a run of a trace. */
 export interface LoadResult {
   outcomes: RequestOutcome[];
   /** Delays of the load generator's own event loop. */
--- a/packages/measure/src/run-policy.ts
+++ b/packages/measure/src/run-policy.ts
@@ -37,7 +37,7 @@
   PlatformDown = 'platform-down',
 }
 
-/** What one run gave. */
+/** Result of one run. */
 export interface PolicyRun extends LoadResult {
   /** Model loads that engines began after the warm-up. */
   modelLoads: number;
--- a/packages/measure/src/send-request.ts
+++ b/packages/measure/src/send-request.ts
@@ -4,7 +4,7 @@
 import type {Dispatcher} from 'undici';
 import type {TraceRequest} from './trace';
 
-/** What the caller of one request saw; times since the start of the run. */
+/** Outcome of one request at its caller; times since the start of the run. */
 export interface RequestOutcome {
   index: number;
   sentAtMs: number;
--- a/packages/measure/src/trace.ts
+++ b/packages/measure/src/trace.ts
@@ -39,7 +39,7 @@
   endMs: number;
 }
 
-/** A trace and the limits that it is judged by. */
+/** A trace and the limits that it is evaluated against. */
 export interface Trace {
   seed: number;
   warmUpMs: number;
@@ -125,7 +125,7 @@
   factor: number;
 }
 
-/** Alternates between busy and quiet times of random length. */
+/** Alternates between bursts and idle times of random length. */
 function makePhases(random: Random, endMs: number): Phase[] {
   const phases: Phase[] = [];
   let untilMs = 0;
--- a/packages/proof/src/cluster/network.ts
+++ b/packages/proof/src/cluster/network.ts
@@ -25,7 +25,7 @@
   const getProxy = (name: string): FaultProxy => {
     const proxy = proxies.get(name);
     const known = [...proxies.keys()].join(', ');
-    // Only a mistake in a scenario asks for an unknown name.
+    // Only an invalid scenario has an unknown name.
     return proxy ?? failInvariant(`no proxy of ${name}; known: ${known}`);
   };
   const getLink = (from: string, to: string): LinkFaults => ({
--- a/packages/proof/src/cluster/process-table.ts
+++ b/packages/proof/src/cluster/process-table.ts
@@ -7,7 +7,7 @@
 const INODE_INDEX = 9;
 const HEX = 16;
 
-/** Start time of a process, which tells it from a later one with its pid. */
+/** Start time of a process; another process may get the same pid later. */
 export function readStartTicks(pid: number): string | undefined {
   try {
     const text = readFileSync(`/proc/${pid}/stat`, 'utf8');
--- a/packages/proof/src/cluster/reaper.ts
+++ b/packages/proof/src/cluster/reaper.ts
@@ -1,5 +1,5 @@
 /**
- * Ends the processes of a harness that died without cleaning up. Reads lines
+ * Ends the processes of a harness that was killed before it cleaned up. Reads lines
  * `add PID START` and `remove PID` and acts when its input ends.
  */
 import {createInterface} from 'node:readline';
--- a/packages/proof/src/cluster/types.ts
+++ b/packages/proof/src/cluster/types.ts
@@ -131,7 +131,7 @@
   /** Stand-ins by name: `platform`, `weight-store`, engines and services. */
   getStandIn(name: string): StandInControl;
   getProcess(name: string): ManagedProcess;
-  /** Upstream objects as the processes must see them. */
+  /** Upstream objects that the processes receive. */
   listUpstreams(): readonly Upstream[];
   putObject(object: SeedObject): Promise<void>;
   /** Sets a host's state in the platform's host list. */
--- a/packages/proof/src/integration/caller-client.test.ts
+++ b/packages/proof/src/integration/caller-client.test.ts
@@ -112,7 +112,7 @@
     expect(usage).toBeGreaterThan(0);
   });
 
-  // Guards against generations that go on after their caller has left, and
+  // Guards against generations that continue after their caller disconnected, and
   // that a graceful resume period of the engine would hide.
   it('cancels a stream at the engine', async () => {
     const engine = cluster.getStandIn('engine-1');
--- a/packages/proof/src/integration/hostile-input.test.ts
+++ b/packages/proof/src/integration/hostile-input.test.ts
@@ -35,7 +35,7 @@
     objects: [makeAccount('plaksne'), makeModel(MODEL, {maxTokens: 4_000})],
   });
   key = await issueKey(cluster, 'plaksne');
-  // The real ports: strangers do not pass the fault proxies.
+  // The real ports, without the fault proxies of the system's own links.
   linkPorts = [...cluster.entries, ...cluster.sides].map(
     ({settingsFile}) => parse(readFileSync(settingsFile, 'utf8')).link.port,
   );
@@ -52,7 +52,7 @@
   return `${cluster.entries[index].callerUrl}/v1/chat/completions`;
 }
 
-/** Runs `disturb` while a stream is open; both must end well. */
+/** Runs `disturb` while a stream is open; both must succeed. */
 async function checkUndisturbed(disturb: () => Promise<void>): Promise<void> {
   const body = makeChat(MODEL, 'A stream that must not be disturbed', 200);
   const streams = [0, 1].map(async index => {
@@ -89,8 +89,8 @@
   });
 }
 
-/** Opens a connection that stays silent after `text`. */
-async function openSilent(port: number, text: string): Promise<Socket> {
+/** Opens a connection that sends nothing after `text`. */
+async function openIdleConnection(port: number, text: string): Promise<Socket> {
   const socket = connect(port, '127.0.0.1');
   socket.on('error', () => undefined);
   await new Promise<void>(resolve => {
@@ -103,7 +103,7 @@
 }
 
 describe('hostile input', () => {
-  // Guards against a frame from a stranger that ends the process, or that
+  // Guards against an unauthenticated frame that stops the process, or that
   // closes links of others.
   it('in frames at the link ports disturbs nothing else', async () => {
     const random = createRandom(7);
@@ -120,7 +120,8 @@
     });
   }, 60_000);
 
-  // Guards against silent strangers that keep members of the system out.
+  // Guards against idle unauthenticated connections that keep members of the
+  // system from connecting.
   it('in half-open connections at the link ports disturbs nothing else', async () => {
     const upgrade =
       'GET / HTTP/1.1\r\nhost: x\r\nconnection: upgrade\r\n' +
@@ -131,7 +132,7 @@
       for (const port of linkPorts) {
         for (const text of ['', 'GET / HT', upgrade]) {
           const opened = Array.from({length: HALF_OPEN_CONNECTIONS}, () =>
-            openSilent(port, text),
+            openIdleConnection(port, text),
           );
           sockets.push(...(await Promise.all(opened)));
         }
@@ -186,9 +187,9 @@
       expect(status).toBeGreaterThanOrEqual(400);
       for (const url of [callerUrl, adminUrl]) {
         const port = Number(new URL(url).port);
-        const socket = await openSilent(port, 'BROKEN\r\n\r\n');
+        const socket = await openIdleConnection(port, 'BROKEN\r\n\r\n');
         await waitUntil(() => socket.closed);
-        const silent = await openSilent(
+        const silent = await openIdleConnection(
           port,
           'POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n' +
             'content-type: application/json\r\ncontent-length: 100\r\n\r\n{',
--- a/packages/proof/src/scenario/caller.ts
+++ b/packages/proof/src/scenario/caller.ts
@@ -22,7 +22,7 @@
   body?: unknown;
 }
 
-/** A request and what its caller saw. */
+/** A request and its outcome at its caller. */
 export interface CallRecord {
   marker: string;
   name: string | undefined;
@@ -40,7 +40,7 @@
   text: string;
   /** Error of the connection; the answer is not whole. */
   error: string | undefined;
-  /** Whether the caller itself gave the request up. */
+  /** Whether the caller cancelled the request. */
   isCancelled: boolean;
   cancel: () => void;
   done: Promise<void>;
--- a/packages/proof/src/scenario/checks/answers.ts
+++ b/packages/proof/src/scenario/checks/answers.ts
@@ -156,7 +156,7 @@
  */
 export const wholeAnswerCheck = defineCheck(
   z.strictObject({
-    /** Whether a cut connection is allowed, as when the entry host died. */
+    /** Whether a cut connection is allowed, as when the entry process was killed. */
     mayBeCut: z.boolean().default(false),
     /** Least number of answers, so that the check is not empty. */
     atLeast: z.int().min(0).default(1),
--- a/packages/proof/src/scenario/checks/configuration.test.ts
+++ b/packages/proof/src/scenario/checks/configuration.test.ts
@@ -1,4 +1,4 @@
-/** Judgement of what hosts served while a route was moved. */
+/** Checks of what hosts served while a route was moved. */
 import {describe, expect, it} from 'vitest';
 import {listHistoryProblems} from './configuration';
 
@@ -19,7 +19,7 @@
   );
 
 describe('history of a route', () => {
-  // Guards against a check that finds fault with hosts that learn of a change
+  // Guards against a check that reports hosts that receive a change
   // at different times within the bound.
   it('holds when each host only goes forward', () => {
     expect(
@@ -43,7 +43,7 @@
     expect(judge([runs[0], ['entry-2', 'a', 1_200]])).toEqual([]);
   });
 
-  // Guards against a change that a host never takes over.
+  // Guards against a change that a host never applies.
   it('is broken by a run after the bound', () => {
     expect(judge([['entry-1', 'a', 8_100]])).toEqual([
       'entry-1: ran at a 7100 ms after its replacement',
@@ -52,7 +52,7 @@
   });
 
   // Guards against a return to a former upstream, which operators may order,
-  // that is taken for a reversal or hides one.
+  // that counts as a reversal or hides one.
   it('tells an ordered return from a reversal', () => {
     const versions = [...VERSIONS, {upstream: 'a', atMs: 20_000}];
     const runs: Array<[string, string, number]> = [
--- a/packages/proof/src/scenario/checks/deadlines.ts
+++ b/packages/proof/src/scenario/checks/deadlines.ts
@@ -35,7 +35,7 @@
   return frozenMs;
 }
 
-/** Tells what is wrong with the time or the kind of an outcome. */
+/** Describes what is wrong with the time or the kind of an outcome. */
 export function findDeadlineProblem(
   record: CallRecord,
   steps: readonly StepRecord[],
@@ -44,7 +44,7 @@
   const text = record.error ?? record.text;
   if (deadlineMs === undefined) return undefined;
   if (endedAtMs === undefined) return 'no outcome';
-  // A frozen entry process can answer nobody; it has to do so once it runs.
+  // A frozen entry process cannot respond; it has to once it runs again.
   const frozenMs = sumFrozenMs(steps, entry, startedAtMs, endedAtMs);
   const tookMs = endedAtMs - startedAtMs - frozenMs;
   if (tookMs > deadlineMs + DELIVERY_MS) {
--- a/packages/proof/src/scenario/checks/leaving.ts
+++ b/packages/proof/src/scenario/checks/leaving.ts
@@ -26,7 +26,7 @@
   z.strictObject({
     upstream: z.string(),
     boundMs: z.number().default(BOUND_MS),
-    /** Upstream that goes on, so that there is traffic. */
+    /** Upstream that stays in use, so that there is traffic. */
     elsewhere: z.string(),
     /** Least number of starts there in the same time. */
     elsewhereAtLeast: z.int().min(0).default(1),
--- a/packages/proof/src/scenario/checks/limits.test.ts
+++ b/packages/proof/src/scenario/checks/limits.test.ts
@@ -4,7 +4,7 @@
 const limit = {rateTokensPerSecond: 10, burstTokens: 100};
 
 describe('findLargestExcess', () => {
-  // Guards against a check that misses an excess inside a longer quiet time,
+  // Guards against a check that misses an excess inside a longer idle time,
   // or that counts a request for a window in which it was not admitted.
   it('finds the worst window and allows what may lie outside it', () => {
     const burst = {fromMs: 50_000, toMs: 51_000, tokens: 60};
--- a/packages/proof/src/scenario/checks/operators.test.ts
+++ b/packages/proof/src/scenario/checks/operators.test.ts
@@ -1,4 +1,4 @@
-/** Judgement of changes that operators made at the same time. */
+/** Checks of changes that operators made at the same time. */
 import {describe, expect, it} from 'vitest';
 import type {AdminResult, OperatorCall} from '../operator';
 import {checkOperatorCall, listRevisionProblems} from './operators';
@@ -30,7 +30,7 @@
 describe('changes of operators', () => {
   const versions = [makeVersion(1, 'a'), makeVersion(5, 'b')];
 
-  // Guards against a check that finds fault with a proper race.
+  // Guards against a check that reports a correct race.
   it('hold when one is confirmed and the other sees it', () => {
     const calls = [
       makeCall('b', confirm(5)),
@@ -43,7 +43,7 @@
     expect(checkOperatorCall(makeCall('b', unknown), versions)).toEqual([]);
   });
 
-  // Guards against a check that passes over a lost or overwritten change.
+  // Guards against a check that misses a lost or overwritten change.
   it('are wrong when one is overwritten, lost or shown an old value', () => {
     const overwritten = [...versions, makeVersion(6, 'c')];
     const judge = (call: OperatorCall, all = versions): number =>
@@ -65,7 +65,7 @@
       7_000,
     );
 
-  // Guards against a check that takes the start of a process for a reversal.
+  // Guards against a check that counts the start of a process as a reversal.
   it('hold when they rise, or begin again with the process', () => {
     const rising: Array<[number, number, number]> = [
       [900, 4, 1],
@@ -76,8 +76,8 @@
     expect(judge([...rising, [9_000, 0, 2], [9_500, 6, 2]])).toEqual([]);
   });
 
-  // Guards against a check that passes over a reversal or a process that does
-  // not learn of a change.
+  // Guards against a check that misses a reversal or a process that does
+  // not receive a change.
   it('are wrong when they fall or stay behind', () => {
     const fallen = ['went back to an old revision'];
     expect(
--- a/packages/proof/src/scenario/checks/operators.ts
+++ b/packages/proof/src/scenario/checks/operators.ts
@@ -116,7 +116,7 @@
 );
 
 /**
- * Judges the readings of one process. An incarnation has the bound from its
+ * Checks the readings of one process. An incarnation has the bound from its
  * first reading on, as it starts without any configuration.
  */
 export function listRevisionProblems(
--- a/packages/proof/src/scenario/checks/outcomes.test.ts
+++ b/packages/proof/src/scenario/checks/outcomes.test.ts
@@ -1,4 +1,4 @@
-/** Judgement of deadlines and of planned stops. */
+/** Checks of deadlines and of planned stops. */
 import {describe, expect, it} from 'vitest';
 import type {CallRecord} from '../caller';
 import {findDeadlineProblem, sumFrozenMs} from './deadlines';
@@ -81,7 +81,7 @@
     expect(judge('side-1', [], 1)).toBe(1);
   });
 
-  // Guards against a crash that is taken for a planned stop.
+  // Guards against a crash that counts as a planned stop.
   it('is not at fault for what other faults did', () => {
     const judge = (process: string, records: CallRecord[], step: string) =>
       listStopProblems(makeStop(process, 1), {
--- a/packages/proof/src/scenario/checks/stops.ts
+++ b/packages/proof/src/scenario/checks/stops.ts
@@ -6,7 +6,7 @@
 
 /** Reason of a refusal whose side process was lost. */
 const LINK_LOST = /"code":"link_lost"/;
-/** Steps that disturb no running process or link. */
+/** Steps that inject no fault into a running process or link. */
 const HARMLESS_STEPS: ReadonlySet<string> = new Set([
   'apply',
   'pauseFor',
@@ -52,7 +52,7 @@
     );
 }
 
-/** Tells what is wrong with one planned stop. */
+/** Describes what is wrong with one planned stop. */
 export function listStopProblems(
   stop: PlannedExit,
   {records, steps, entries}: History,
@@ -68,7 +68,7 @@
   const cut = entries.has(process)
     ? open.filter(({entry, error}) => entry === process && error !== undefined)
     : // An answer does not name the side process of a failed attempt, so this
-      // one is judged only while nothing else can have cut the link.
+      // one is checked only while nothing else can have cut the link.
       open.filter(
         record => LINK_LOST.test(record.text) && isUndisturbed(record, steps),
       );
--- a/packages/proof/src/scenario/context.ts
+++ b/packages/proof/src/scenario/context.ts
@@ -35,7 +35,7 @@
 export interface RevisionSample {
   atMs: number;
   revision: number;
-  /** Process id, which changes when the process starts anew. */
+  /** Process id, which changes when the process restarts. */
   pid: number;
 }
 
@@ -62,7 +62,7 @@
   keyId: string;
 }
 
-/** Default limit of waits; generous, because the machine may be busy. */
+/** Default limit of waits; long, because the machine may be under load. */
 export const WAIT_LIMIT_MS = 30_000;
 const POLL_MS = 20;
 
--- a/packages/proof/src/scenario/prove.ts
+++ b/packages/proof/src/scenario/prove.ts
@@ -61,7 +61,7 @@
   await Promise.all(Array.from({length: parallel}, runNext));
 }
 
-/** What hindered a scenario, as opposed to what it found. */
+/** Error that prevented a scenario from running to its end. */
 export function findError(result: ScenarioResult): string | undefined {
   return result.startError ?? result.stepError;
 }
@@ -75,7 +75,7 @@
   const seconds = (result.durationMs / 1_000).toFixed(1);
   const word = isFine ? 'passed' : 'FAILED';
   print(`  ${word} ${name} requests=${result.requests} ${seconds}s`);
-  if (error !== undefined) print(`    could not go on: ${error}`);
+  if (error !== undefined) print(`    could not continue: ${error}`);
   for (const violation of result.violations) print(`    ${violation}`);
   if (isFine) return;
   for (const [process, lines] of Object.entries(result.output)) {
@@ -163,7 +163,7 @@
   return {results, scenarios: proved};
 }
 
-/** How a check judged the variant without the protection. */
+/** Result of a check on the variant without the protection. */
 export interface UnprotectedResult {
   name: string;
   variant: string;
@@ -188,11 +188,11 @@
     const result = await runScenario(scenario, {seed: options.seed, variant});
     const isRed = result.isCheckRed;
     results.push({name, variant, isRed, result});
-    const word = isRed ? 'red as it must be' : 'NOT RED';
+    const word = isRed ? 'failed as expected' : 'DID NOT FAIL';
     options.print(`${name} with ${variant}: ${word}`);
     for (const text of result.violations) options.print(`    ${text}`);
     const error = findError(result);
-    if (error !== undefined) options.print(`    could not go on: ${error}`);
+    if (error !== undefined) options.print(`    could not continue: ${error}`);
   });
   return results;
 }
--- a/packages/proof/src/scenario/random-run.ts
+++ b/packages/proof/src/scenario/random-run.ts
@@ -51,7 +51,7 @@
 const MS_PER_MINUTE = 60_000;
 const MAX_HOLD_MS = 2_500;
 const MAX_GAP_MS = 1_500;
-/** Traffic goes on for longer than any bound after the last round. */
+/** Traffic continues for longer than any bound after the last round. */
 const LAST_MS = 8_000;
 const PRINTED_VIOLATIONS = 20;
 const WATCH_LIMIT_MS = 300_000;
@@ -66,7 +66,7 @@
   };
 }
 
-/** Whether a caller's connection may be cut without a word. */
+/** Whether a caller's connection may be closed without a response. */
 function canCutCallers(rounds: readonly Round[]): boolean {
   const names: readonly string[] = RANDOM_TARGETS.entries;
   return rounds.some(({faults}) =>
@@ -224,7 +224,7 @@
     print(
       `episode seed=${episodeSeed} requests=${result.requests} ` +
         `faults=${scenario.faults.join(',')} violations=${result.violations.length}` +
-        (error === undefined ? '' : ` could not go on: ${error}`),
+        (error === undefined ? '' : ` could not continue: ${error}`),
     );
     printViolations(result.violations, print);
     if (!isFailed(result) && error === undefined) continue;
--- a/packages/proof/src/scenario/reduce.ts
+++ b/packages/proof/src/scenario/reduce.ts
@@ -1,6 +1,6 @@
 /** Makes a failing list smaller by leaving parts of it out. */
 
-/** Tells whether the shorter list still fails. */
+/** Returns whether the shorter list still fails. */
 export type FailureTest<T> = (items: readonly T[]) => Promise<boolean>;
 
 /**
--- a/packages/proof/src/scenario/runner.ts
+++ b/packages/proof/src/scenario/runner.ts
@@ -62,7 +62,7 @@
       record.endedAtMs = context.clock.getNowMs();
     } catch (error) {
       const text = `${step.kind}: ${String(error)}`;
-      // An expectation is an observation; other steps only make the scene.
+      // An expectation is an observation; other steps only set up the scenario.
       return step.kind.startsWith('expect')
         ? {violations: [text]}
         : {stepError: `${text} in ${step.text}`, violations: []};
@@ -188,7 +188,7 @@
   return result;
 }
 
-/** Kills what remains; a graceful end would wait for requests on purpose. */
+/** Kills what remains; a graceful stop would wait for open requests. */
 async function endSystem(cluster: Cluster): Promise<void> {
   for (const {name} of [...cluster.entries, ...cluster.sides]) {
     if (cluster.getProcess(name).isRunning()) await cluster.kill(name);
--- a/packages/proof/src/scenario/scenario.test.ts
+++ b/packages/proof/src/scenario/scenario.test.ts
@@ -95,7 +95,7 @@
 });
 
 describe('stream reader', () => {
-  // Guards against a check that takes a broken stream for a whole one.
+  // Guards against a check that counts a broken stream as complete.
   it('tells whole, failed and silently ended streams apart', () => {
     const first = 'data: {"choices":[{"text":"elm"}]}\n\n';
     const error = 'data: {"error":{"code":"x"}}\n\n';
--- a/packages/proof/src/scenario/steps/balanced.ts
+++ b/packages/proof/src/scenario/steps/balanced.ts
@@ -39,7 +39,7 @@
   }
 }
 
-/** Probes all entries until `isOver`. */
+/** Probes the readiness of all entry processes until `isOver`. */
 async function probeEntries(
   input: BalancedInput,
   context: ScenarioContext,
--- a/packages/proof/src/scenario/steps/network.ts
+++ b/packages/proof/src/scenario/steps/network.ts
@@ -1,4 +1,4 @@
-/** Steps that disturb connections and stand-ins. */
+/** Steps that inject faults into connections and stand-ins. */
 import {z} from 'zod';
 import {ProxyDirection} from '@siskinplank/stand-ins';
 import {defineStep} from '../types';
--- a/packages/proof/src/scenario/steps/process.ts
+++ b/packages/proof/src/scenario/steps/process.ts
@@ -20,7 +20,7 @@
   plannedExits.push({process, signalledAtMs, endedAtMs, exit});
 }
 
-/** Ends a process gracefully; with `background`, does not wait for its end. */
+/** Stops a process gracefully; with `background`, does not wait for its exit. */
 export const termStep = defineStep(
   processSchema.extend({background: z.boolean().default(false)}),
   async (input, context) => {
@@ -35,7 +35,7 @@
   context.cluster.freeze(input.process),
 );
 
-/** Lets a frozen process go on. */
+/** Resumes a frozen process. */
 export const thawStep = defineStep(processSchema, (input, context) =>
   context.cluster.thaw(input.process),
 );
--- a/packages/proof/src/scenario/steps/request.ts
+++ b/packages/proof/src/scenario/steps/request.ts
@@ -86,7 +86,7 @@
   context.background.push(record.done);
 });
 
-/** Lets the caller hang up. */
+/** Closes the caller's connection. */
 export const cancelStep = defineStep(
   z.strictObject({request: z.string()}),
   async ({request}, context) => {
--- a/packages/proof/src/scenario/steps/traffic.ts
+++ b/packages/proof/src/scenario/steps/traffic.ts
@@ -54,7 +54,7 @@
   );
 }
 
-/** Sends an order and repeats it with its key, as a careful caller does. */
+/** Sends an order and repeats it with its idempotency key after a failure. */
 async function sendOrder(
   input: TrafficInput,
   index: number,
--- a/packages/proof/src/scenario/steps/wait.ts
+++ b/packages/proof/src/scenario/steps/wait.ts
@@ -109,7 +109,7 @@
   context: ScenarioContext,
 ): Promise<boolean> {
   const record = await getRecord(context, request);
-  // An error body is text as well, and would pass for the first token.
+  // An error body is text as well, and would count as the first token.
   if (state === 'text' && (record.status ?? HTTP_OK) >= HTTP_ERROR_MIN) {
     return failStep(`${request} was refused: ${record.status} ${record.text}`);
   }
--- a/packages/proof/src/scenario/system.ts
+++ b/packages/proof/src/scenario/system.ts
@@ -73,7 +73,7 @@
   return issued ?? failStep(`no key for ${account}`);
 }
 
-/** Issues a key for each account and waits until all entries know it. */
+/** Issues a key for each account and waits until all entry processes accept it. */
 export async function issueKeys(
   cluster: Cluster,
   {accounts}: Scenario,
--- a/packages/proof/src/scenario/types.ts
+++ b/packages/proof/src/scenario/types.ts
@@ -5,7 +5,7 @@
 /** A kind of step. */
 export interface StepDefinition {
   schema: z.ZodType;
-  /** Rejects when the scenario cannot go on or an expectation fails. */
+  /** Rejects when the scenario cannot continue or an expectation fails. */
   run(parameters: never, context: ScenarioContext): Promise<void>;
 }
 
@@ -28,7 +28,7 @@
   return count >= atLeast ? [] : [`${TOO_FEW} ${what}: ${count} < ${atLeast}`];
 }
 
-/** Tells a violation of the invariant from an empty observation. */
+/** Distinguishes a violation of the invariant from an empty observation. */
 export function isTooFew(problem: string): boolean {
   return problem.startsWith(TOO_FEW);
 }
--- a/packages/proof/src/variants/claims-without-body.main.ts
+++ b/packages/proof/src/variants/claims-without-body.main.ts
@@ -1,4 +1,4 @@
-/** Variant: a claim does not tell one body from another. */
+/** Variant: a claim does not compare request bodies. */
 import {replacePart} from './replace-part';
 import {runVariant} from './run-variant';
 
--- a/packages/proof/src/variants/close-ends-answer.main.ts
+++ b/packages/proof/src/variants/close-ends-answer.main.ts
@@ -1,4 +1,4 @@
-/** Variant: the end of a connection is taken for the end of an answer. */
+/** Variant: the end of a connection counts as the end of a response. */
 import {MessageType} from '@siskinplank/messages';
 import type {Link} from '@siskinplank/transport';
 import {replacePart} from './replace-part';
--- a/packages/proof/src/variants/forgets-intents.main.ts
+++ b/packages/proof/src/variants/forgets-intents.main.ts
@@ -1,4 +1,4 @@
-/** Variant: a side process does not see the orders of its predecessors. */
+/** Variant: a side process ignores the orders of its predecessors. */
 import {Right} from 'purify-ts';
 import {ResourceKind} from '@siskinplank/resources';
 import {replacePart} from './replace-part';
--- a/packages/proof/src/variants/ignores-leaving.main.ts
+++ b/packages/proof/src/variants/ignores-leaving.main.ts
@@ -1,4 +1,4 @@
-/** Variant: neither routing nor side processes see that an upstream leaves. */
+/** Variant: routing and side processes ignore that an upstream is leaving. */
 import type {ConfigurationReplica} from '@siskinplank/configuration';
 import type {MembershipView} from '@siskinplank/membership';
 import {MemberState} from '@siskinplank/messages';
--- a/packages/proof/src/variants/ignores-reserved-ids.main.ts
+++ b/packages/proof/src/variants/ignores-reserved-ids.main.ts
@@ -1,4 +1,4 @@
-/** Variant: a side process does not see the reserved order ids of its predecessors. */
+/** Variant: a side process ignores the reserved order ids of its predecessors. */
 import {Right} from 'purify-ts';
 import {ResourceKind} from '@siskinplank/resources';
 import {replacePart} from './replace-part';
--- a/packages/proof/src/variants/orders-repeated.main.ts
+++ b/packages/proof/src/variants/orders-repeated.main.ts
@@ -1,4 +1,4 @@
-/** Variant: orders are taken for idempotent requests and sent again. */
+/** Variant: orders count as idempotent requests and are sent again. */
 import type {ConfigurationReplica} from '@siskinplank/configuration';
 import {ResourceKind} from '@siskinplank/resources';
 import type {ConfigurationKind, StoredObject} from '@siskinplank/resources';
