--- a/packages/measure/src/evaluate.test.ts
+++ b/packages/measure/src/evaluate.test.ts
@@ -81,7 +81,7 @@
 });
 
 // Guards against late, cut or slow answers that count as attained.
-it('judges an answer by its class', () => {
+it('evaluates a response by its class', () => {
   const awaited = makeRequest();
   expect(isAttained(awaited, makeOutcome())).toBe(true);
   const late = makeOutcome({firstTokenAtMs: 900});
--- a/packages/proof/src/cluster/managed-process.ts
+++ b/packages/proof/src/cluster/managed-process.ts
@@ -1,4 +1,4 @@
-/** Child processes whose end is certain, whatever happens to their starter. */
+/** Child processes that end even if their parent is killed. */
 import {spawn} from 'node:child_process';
 import type {ChildProcess} from 'node:child_process';
 import {createWriteStream} from 'node:fs';
--- a/packages/proof/src/scenario/checks/configuration.test.ts
+++ b/packages/proof/src/scenario/checks/configuration.test.ts
@@ -53,7 +53,7 @@
 
   // Guards against a return to a former upstream, which operators may order,
   // that counts as a reversal or hides one.
-  it('tells an ordered return from a reversal', () => {
+  it('distinguishes an ordered return from a reversal', () => {
     const versions = [...VERSIONS, {upstream: 'a', atMs: 20_000}];
     const runs: Array<[string, string, number]> = [
       ['entry-1', 'a', 500],
--- a/packages/proof/src/scenario/checks/operators.test.ts
+++ b/packages/proof/src/scenario/checks/operators.test.ts
@@ -31,7 +31,7 @@
   const versions = [makeVersion(1, 'a'), makeVersion(5, 'b')];
 
   // Guards against a check that reports a correct race.
-  it('hold when one is confirmed and the other sees it', () => {
+  it('hold when one is confirmed and the other gets the new value', () => {
     const calls = [
       makeCall('b', confirm(5)),
       makeCall('c', makeConflict(5, 'b')),
@@ -44,7 +44,7 @@
   });
 
   // Guards against a check that misses a lost or overwritten change.
-  it('are wrong when one is overwritten, lost or shown an old value', () => {
+  it('fail when one is overwritten, lost or answered with an old value', () => {
     const overwritten = [...versions, makeVersion(6, 'c')];
     const judge = (call: OperatorCall, all = versions): number =>
       checkOperatorCall(call, all).length;
@@ -78,7 +78,7 @@
 
   // Guards against a check that misses a reversal or a process that does
   // not receive a change.
-  it('are wrong when they fall or stay behind', () => {
+  it('fail when they decrease or stay behind', () => {
     const fallen = ['went back to an old revision'];
     expect(
       judge([
--- a/packages/proof/src/scenario/checks/outcomes.test.ts
+++ b/packages/proof/src/scenario/checks/outcomes.test.ts
@@ -71,7 +71,7 @@
   const lost = makeRecord({status: 502, text: '{"code":"link_lost"}'});
 
   // Guards against a check that misses a cut request or a failed stop.
-  it('is at fault for cut requests and a failed end', () => {
+  it('is reported for cut requests and a failed exit', () => {
     const judge = (process: string, records: CallRecord[], code = 0): number =>
       listStopProblems(makeStop(process, code), {records, steps: [], entries})
         .length;
@@ -82,7 +82,7 @@
   });
 
   // Guards against a crash that counts as a planned stop.
-  it('is not at fault for what other faults did', () => {
+  it('is not reported for the effects of other faults', () => {
     const judge = (process: string, records: CallRecord[], step: string) =>
       listStopProblems(makeStop(process, 1), {
         records,
--- a/packages/proof/src/scenario/scenario.test.ts
+++ b/packages/proof/src/scenario/scenario.test.ts
@@ -81,7 +81,7 @@
 
   // Guards against a point without scenarios, or with one that could not be
   // run, that is reported as proved.
-  it('tell held, broken and not proved points apart', () => {
+  it('distinguish held, broken and not proved points', () => {
     const judge = (...results: Array<Partial<ScenarioResult>>): Verdict =>
       summarizeInvariant('INV-09', results.map(makeProved)).verdict;
     expect(judge()).toBe(Verdict.NotProved);
@@ -96,7 +96,7 @@
 
 describe('stream reader', () => {
   // Guards against a check that counts a broken stream as complete.
-  it('tells whole, failed and silently ended streams apart', () => {
+  it('distinguishes complete, failed and silently ended streams', () => {
     const first = 'data: {"choices":[{"text":"elm"}]}\n\n';
     const error = 'data: {"error":{"code":"x"}}\n\n';
     const done = 'data: [DONE]\n\n';
--- a/packages/proof/src/variants/claims-swept-young.main.ts
+++ b/packages/proof/src/variants/claims-swept-young.main.ts
@@ -1,4 +1,4 @@
-/** Variant: the deletion of old claims takes every claim for an old one. */
+/** Variant: the deletion of old claims treats every claim as old. */
 import {ResourceKind} from '@siskinplank/resources';
 import type {ClaimSweep} from '@siskinplank/resources';
 import {replacePart} from './replace-part';
--- a/packages/proof/src/variants/claims-taken-over.main.ts
+++ b/packages/proof/src/variants/claims-taken-over.main.ts
@@ -1,4 +1,4 @@
-/** Variant: the claim of a dead process, or of an unknown outcome, is free. */
+/** Variant: the claim of an ended process, or of an unknown outcome, is free. */
 import {ClaimOutcomeType} from '@siskinplank/claims';
 import {replacePart} from './replace-part';
 import {runVariant} from './run-variant';
--- a/packages/proof/src/variants/keys-never-withdrawn.main.ts
+++ b/packages/proof/src/variants/keys-never-withdrawn.main.ts
@@ -1,4 +1,4 @@
-/** Variant: an entry host keeps each key as it first saw it. */
+/** Variant: an entry host keeps the first version of each key. */
 import {ResourceKind} from '@siskinplank/resources';
 import {replacePart} from './replace-part';
 import {runVariant} from './run-variant';
--- a/packages/proof/src/variants/loss-means-not-run.main.ts
+++ b/packages/proof/src/variants/loss-means-not-run.main.ts
@@ -1,4 +1,4 @@
-/** Variant: a request without an answer is always said not to have run. */
+/** Variant: a request without a response is always reported as not run. */
 import {MessageType} from '@siskinplank/messages';
 import {RefusalCode, RunState} from '@siskinplank/resources';
 import type {Link} from '@siskinplank/transport';
--- a/packages/proof/src/variants/routes-never-updated.main.ts
+++ b/packages/proof/src/variants/routes-never-updated.main.ts
@@ -1,4 +1,4 @@
-/** Variant: entry and side processes keep each route as they first saw it. */
+/** Variant: entry and side processes keep the first version of each route. */
 import type {ConfigurationReplica} from '@siskinplank/configuration';
 import {ResourceKind} from '@siskinplank/resources';
 import {replacePart} from './replace-part';
@@ -9,7 +9,7 @@
   makeStaleReplica(replica, ResourceKind.Route);
 
 // A side process refuses requests of routes that no longer name its upstream,
-// so an old view at entry hosts alone stays without effect.
+// so that an old version at entry hosts alone has no effect.
 await runVariant({
   customizeEntry: container =>
     replacePart(container, 'configuration', makeStaleRoutes),
--- a/packages/proof/src/variants/stale-objects.ts
+++ b/packages/proof/src/variants/stale-objects.ts
@@ -1,4 +1,4 @@
-/** Replica that keeps each object of one kind as it first saw it. */
+/** Replica that keeps each object of one kind at its first version. */
 import type {
   ConfigurationChange,
   ConfigurationReplica,
@@ -18,7 +18,7 @@
     firstSeen.set(found.name, first as StoredObject<ConfigurationKind>);
     return first as StoredObject<K>;
   };
-  /** Whether a change is of an object that is kept as it was first seen. */
+  /** Whether a change is of an object that is kept at its first version. */
   const isRepeated = ({kind, name, object}: ConfigurationChange): boolean => {
     if (kind !== staleKind) return false;
     if (firstSeen.has(name)) return true;
--- a/packages/proof/src/variants/tapped-network.ts
+++ b/packages/proof/src/variants/tapped-network.ts
@@ -18,7 +18,7 @@
 
 /** What a variant does with the messages of attempts. */
 export interface MessageTap {
-  /** Sees what the entry process sends about attempts. */
+  /** Observes the messages that the entry process sends about attempts. */
   onSend?(link: Link, message: Message): void;
   /** Returns what the entry process gets in place of a message. */
   onMessage(link: Link, message: AttemptMessage): AttemptMessage[];
