Refuse late requests by the wait for their heads only

Callers would have seen: 503 for a request whose body takes longer to arrive than half of its target latency, on a gateway with enough processor time.

Cause: the wait was measured when the request was started, after its body, so that the caller's own upload counted as the gateway's lateness.

Change: only the time until the head was read counts.

--- a/packages/dispatch/src/late-start.test.ts
+++ b/packages/dispatch/src/late-start.test.ts
@@ -14,10 +14,10 @@
     let onTime = 0;
     for (let atMs = 0; atMs < LENGTH_MS; atMs += periodMs) {
       nowMs = Math.max(nowMs, atMs);
-      const waitedMs = nowMs - atMs;
+      const unreadMs = nowMs - atMs;
       const isRefused =
         mayRefuse &&
-        shouldRefuseLateStart({waitedMs, targetLatencyMs: TARGET_MS});
+        shouldRefuseLateStart({unreadMs, targetLatencyMs: TARGET_MS});
       nowMs += isRefused ? REFUSE_MS : SERVE_MS;
       const isOnTime = nowMs + UPSTREAM_MS - atMs <= TARGET_MS;
       if (!isRefused && isOnTime) onTime += 1;
@@ -36,8 +36,8 @@
   });
 
   it('serves requests whose target latency leaves time', () => {
-    const isRefused = (waitedMs: number, targetLatencyMs: number): boolean =>
-      shouldRefuseLateStart({waitedMs, targetLatencyMs});
+    const isRefused = (unreadMs: number, targetLatencyMs: number): boolean =>
+      shouldRefuseLateStart({unreadMs, targetLatencyMs});
     expect(isRefused(1_500, 5_000)).toBe(false);
     expect(isRefused(100, 100)).toBe(false);
     expect(isRefused(400, 300)).toBe(true);
--- a/packages/dispatch/src/late-start.ts
+++ b/packages/dispatch/src/late-start.ts
@@ -7,8 +7,11 @@
 
 /** What the decision depends on. */
 export interface LateStartInput {
-  /** Time since the arrival of the request. */
-  waitedMs: number;
+  /**
+   * Time from the arrival of the request until its head was read. The time that
+   * its body takes is the caller's.
+   */
+  unreadMs: number;
   /** Time within which a response is on time. */
   targetLatencyMs: number;
 }
@@ -25,7 +28,7 @@
 
 /** Whether a request is refused because its time was spent waiting here. */
 export function shouldRefuseLateStart(input: LateStartInput): boolean {
-  const {waitedMs, targetLatencyMs} = input;
+  const {unreadMs, targetLatencyMs} = input;
   const refusedMs = targetLatencyMs * REFUSED_WAIT_FRACTION;
-  return waitedMs >= Math.max(MIN_REFUSED_WAIT_MS, refusedMs);
+  return unreadMs >= Math.max(MIN_REFUSED_WAIT_MS, refusedMs);
 }
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -156,6 +156,7 @@
     const {socket} = incoming;
     const readAtMs = clock.getNowMs();
     const arrivedAtMs = arrivals.takeArrivalMs(socket, readAtMs);
+    const unreadMs = readAtMs - arrivedAtMs;
     const configurationAgeMs = configuration.getAgeMs(readAtMs);
     let session: RequestSession | undefined;
     let isClosed = false;
@@ -200,7 +201,7 @@
             ? undefined
             : Math.round(outcome.firstByteMs),
         totalMs: Math.round(totalMs),
-        unreadMs: Math.round(readAtMs - arrivedAtMs),
+        unreadMs: Math.round(unreadMs),
         configuration: configuration.getTable()?.configuration.version,
         configurationAgeMs: Math.round(configurationAgeMs),
       });
@@ -318,8 +319,7 @@
       if (hasCallerLeft()) return;
       const {account, route} = admission;
       const {targetLatencyMs} = route;
-      const waitedMs = clock.getNowMs() - arrivedAtMs;
-      if (shouldRefuseLateStart({waitedMs, targetLatencyMs})) {
+      if (shouldRefuseLateStart({unreadMs, targetLatencyMs})) {
         const retryAfterMs = LATE_START_RETRY_MS;
         refuse({code: RefusalCode.LateStart, retryAfterMs}, admission);
         return;
@@ -371,7 +371,7 @@
             const hasBody =
               bytes > 0 || incoming.headers['content-length'] !== undefined;
             const body = hasBody ? Buffer.concat(chunks) : undefined;
-            if (readAtMs - arrivedAtMs < LATE_READ_MS) {
+            if (unreadMs < LATE_READ_MS) {
               start(request, admission, body);
               return;
             }
--- a/packages/soak/src/testing/single-gateway.ts
+++ b/packages/soak/src/testing/single-gateway.ts
@@ -49,7 +49,12 @@
   gateway: SoakGateway;
   /** What the upstream ran. */
   runs: readonly RunRecord[];
-  sendRequest(attemptId: string, kind: CallKind): SingleRequest;
+  /** Sends a request, its body `bodyDelayMs` after its head. */
+  sendRequest(
+    attemptId: string,
+    kind: CallKind,
+    bodyDelayMs?: number,
+  ): SingleRequest;
   close(): Promise<void>;
 }
 
@@ -114,7 +119,7 @@
   return {
     gateway,
     runs,
-    sendRequest: (attemptId, kind) => {
+    sendRequest: (attemptId, kind, bodyDelayMs) => {
       const caller = createCaller({
         hostName: HOST_NAME,
         getNowMs: getMonotonicMs,
@@ -131,6 +136,7 @@
         deadlineMs: options.deadlineMs,
         gateway: gateway.name,
         port: gateway.port,
+        bodyDelayMs,
       });
       return {caller, sentAtMs, record};
     },
