Observe a turn before upstream bytes and link messages are handled

Cause: a turn of the event loop was observed only by new connections, by requests and by the housekeeping timer. A gateway that was stopped while it handled other input, and then read a request in the same turn, took the time after the stop for the start of that turn. What had arrived during the stop is read in the next turn, which then looked punctual, so that it counted as fresh.

The new test gets a wait of 0 instead of 400 ms before this change.

Change: bytes of upstreams and messages of other gateways observe the turn before they are handled. Replies of the store do not; a stop in the middle of handling one remains.

--- a/packages/foundation/src/turn-monitor.ts
+++ b/packages/foundation/src/turn-monitor.ts
@@ -7,7 +7,12 @@
 
 /** Observes the turns of one event loop. */
 export interface TurnMonitor {
-  /** Records that code runs at `nowMs`; cheap, and may be called often. */
+  /**
+   * Records that code runs at `nowMs`; cheap. To be called before input of any
+   * kind is handled: a process that is stopped in the middle of a turn reads
+   * what arrived meanwhile in the next one, which is late only if the turn was
+   * observed before the stop.
+   */
   observe(nowMs: number): void;
   /**
    * Earliest time at which input that is read at `nowMs` may have arrived. This
--- a/packages/gateway/src/fleet-node.test.ts
+++ b/packages/gateway/src/fleet-node.test.ts
@@ -55,6 +55,7 @@
           leaving: [],
         }),
         onPeerStates: () => undefined,
+        onReceive: () => undefined,
         onPeerLost: () => undefined,
         onMessage: () => undefined,
         onPeerConnected: () => undefined,
--- a/packages/gateway/src/fleet-node.ts
+++ b/packages/gateway/src/fleet-node.ts
@@ -55,6 +55,8 @@
   /** Called with the peers that sent a new state, several at a time. */
   onPeerStates(changed: readonly Peer[], nowMs: number): void;
   onPeerLost(name: string): void;
+  /** Called before a message of a peer is handled. */
+  onReceive(nowMs: number): void;
   onMessage(peer: string, message: Message): void;
   /** Called when a link to a peer has opened. */
   onPeerConnected(name: string): void;
@@ -275,7 +277,9 @@
 
   network.subscribe([MessageType.GatewayState], (link, state) => {
     const {name, incarnation} = link.peer;
-    if (!peers.updateState(name, incarnation, state, clock.getNowMs())) return;
+    const nowMs = clock.getNowMs();
+    options.onReceive(nowMs);
+    if (!peers.updateState(name, incarnation, state, nowMs)) return;
     if (changedPeers.size === 0) void passStatesOn();
     changedPeers.add(name);
   });
@@ -288,7 +292,9 @@
     ],
     (link, message) => {
       const {name, incarnation} = link.peer;
-      peers.recordMessage(name, incarnation, clock.getNowMs());
+      const nowMs = clock.getNowMs();
+      options.onReceive(nowMs);
+      peers.recordMessage(name, incarnation, nowMs);
       options.onMessage(name, message);
     },
   );
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -108,6 +108,7 @@
   const shareFraction = createShareFraction(settings.limits.settleMs);
   const pauseDetector = createPauseDetector(PAUSE_TOLERANCE_MS);
   const turns = createTurnMonitor({usualGapMs: HOUSEKEEPING_MS * 1.5});
+  pool.observeReads(() => turns.observe(clock.getNowMs()));
 
   const applyConfiguration = ({configuration}: RouteTable): void => {
     const {limits, accounts} = configuration;
@@ -242,6 +243,7 @@
       if (isInNeed) sendDonations(nowMs);
       if (isWaiting) orders.schedulePlan();
     },
+    onReceive: turns.observe,
     onPeerLost: name => {
       upstreams.removePeer(name);
       shares.removePeer(name);
--- a/packages/http-exchange/src/connection-pool.test.ts
+++ b/packages/http-exchange/src/connection-pool.test.ts
@@ -1,6 +1,6 @@
 import {createServer} from 'node:net';
 import type {AddressInfo, Server, Socket} from 'node:net';
-import {createSystemClock} from '@siskinplank/foundation';
+import {createSystemClock, createTurnMonitor} from '@siskinplank/foundation';
 import {afterEach, describe, expect, it} from 'vitest';
 import {createConnectionPool} from './connection-pool';
 import type {ConnectionPool} from './connection-pool';
@@ -111,6 +111,46 @@
 }
 
 describe('connection pool', () => {
+  // A process that is stopped while it handles received bytes reads what
+  // arrived meanwhile in its next turn.
+  it('dates back what arrives while received bytes are handled', async () => {
+    const BLOCKED_MS = 400;
+    const clock = createSystemClock();
+    const turns = createTurnMonitor({usualGapMs: 100});
+    const port = await startTestServer((socket, head) => {
+      socket.write(formatResponse(readRequestId(head), 'x'));
+    });
+    const pool = createPool();
+    pool.observeReads(() => turns.observe(clock.getNowMs()));
+    await sendGet(pool, port, 'first');
+    await clock.waitMs(50);
+    const waitedMs = new Promise<number>(resolve => {
+      pool.send(
+        {key: `upstream-${port}`, host: '127.0.0.1', port},
+        {method: 'GET', target: '/', headers: [], body: undefined},
+        {
+          onSend: () => undefined,
+          onHead: () => {
+            const endsAtMs = clock.getNowMs() + BLOCKED_MS;
+            while (clock.getNowMs() < endsAtMs);
+            // Another input of the same turn.
+            turns.observe(clock.getNowMs());
+            setTimeout(() => {
+              const nowMs = clock.getNowMs();
+              turns.observe(nowMs);
+              resolve(nowMs - turns.getEarliestArrivalMs(nowMs));
+            });
+            return HeadVerdict.Accept;
+          },
+          onData: () => undefined,
+          onEnd: () => undefined,
+          onFailure: () => undefined,
+        },
+      );
+    });
+    expect(await waitedMs).toBeGreaterThanOrEqual(BLOCKED_MS);
+  });
+
   // libuv reports a reset that arrives together with data as a normal end, so a
   // truncated response without a length would pass for a complete one.
   it('fails a response without a length that ends with a reset', async () => {
--- a/packages/http-exchange/src/connection-pool.ts
+++ b/packages/http-exchange/src/connection-pool.ts
@@ -25,6 +25,8 @@
     request: ExchangeRequest,
     observer: ExchangeObserver,
   ): Exchange;
+  /** Registers a callback that runs before received bytes are handled. */
+  observeReads(callback: () => void): void;
   /** Closes the idle connections to a target. */
   closeIdle(key: string): void;
   /** Closes idle connections whose idle timeout has passed. */
@@ -44,6 +46,7 @@
   /** Idle connections by target key, the most recently used one last. */
   const idle = new Map<string, Connection[]>();
   const open = new Set<Connection>();
+  const readObservers: Array<() => void> = [];
   let openedCount = 0;
 
   const removeIdle = (connection: Connection): void => {
@@ -80,6 +83,9 @@
       clock,
       connectTimeoutMs: options.connectTimeoutMs,
       defaultIdleMs: options.defaultIdleMs,
+      onRead: () => {
+        for (const observer of readObservers) observer();
+      },
       onIdle: addIdle,
       onClose: closed => {
         open.delete(closed);
@@ -99,6 +105,7 @@
       const connection = takeIdle(target.key) ?? openConnection(target);
       return connection.send(request, observer);
     },
+    observeReads: callback => void readObservers.push(callback),
     closeIdle,
     closeExpired: nowMs => {
       for (const connections of [...idle.values()]) {
--- a/packages/http-exchange/src/connection.ts
+++ b/packages/http-exchange/src/connection.ts
@@ -20,6 +20,8 @@
   /** Idle timeout if the upstream announces none, in milliseconds. */
   defaultIdleMs: number;
   clock: Clock;
+  /** Called before received bytes are handled. */
+  onRead(): void;
   /** Called when the connection is ready for another request. */
   onIdle(connection: Connection): void;
   onClose(connection: Connection): void;
@@ -179,6 +181,7 @@
     write();
   });
   socket.on('data', (bytes: Buffer) => {
+    options.onRead();
     let rest = bytes;
     while (rest.length > 0) {
       if (inFlight === undefined) {
