Drop measurements of the accept queue that never end

Cause: the connection of a measurement was accepted without being recognized, so that the measurement stayed pending and its age counted as the wait of all connections after it.

Why the connection was not recognized is not known; likely its local port was asked for before it was bound, which Node.js remembers. Both new tests fail before this change.

Change: a measurement that is pending is dropped when a turn has found the queue empty, and after 2 s in any case.

--- a/packages/gateway/src/accept-probe.ts
+++ b/packages/gateway/src/accept-probe.ts
@@ -23,6 +23,8 @@
    * that are accepted before it have waited at least as long.
    */
   getPendingMs(nowMs: number): number;
+  /** Drops the pending measurement, as the queue was seen empty since. */
+  discard(): void;
   stop(): void;
 }
 
@@ -50,6 +52,12 @@
 /** Pending connections are given up after this time without being made. */
 const CONNECT_TIMEOUT_MS = 2_000;
 
+/**
+ * Measurements that take longer were accepted without being recognized, or lost
+ * their connection; the queue itself is shorter.
+ */
+const MAX_PENDING_MS = 2_000;
+
 /** When a connection that is known to be made at `nowMs` entered the queue. */
 function getQueuedAtMs({startedAtMs}: Measurement, nowMs: number): number {
   return nowMs - startedAtMs > MAX_CONNECT_MS ? nowMs : startedAtMs;
@@ -108,7 +116,13 @@
       endPending();
       return waitMs;
     },
-    getPendingMs: nowMs => nowMs - (pending?.queuedAtMs ?? nowMs),
+    getPendingMs: nowMs => {
+      const pendingMs = nowMs - (pending?.queuedAtMs ?? nowMs);
+      if (pendingMs <= MAX_PENDING_MS) return pendingMs;
+      endPending();
+      return 0;
+    },
+    discard: endPending,
     stop: endPending,
   };
 }
--- a/packages/gateway/src/arrival-times.test.ts
+++ b/packages/gateway/src/arrival-times.test.ts
@@ -22,6 +22,7 @@
         start: () => undefined,
         takeWaitMs: () => measuredMs,
         getPendingMs: () => pendingMs,
+        discard: () => (pendingMs = 0),
       },
       onWaitMeasured: () => undefined,
     });
@@ -74,6 +75,34 @@
     runTurn(150, false);
     expect(runTurn(170)).toBe(0);
   });
+
+  // A measurement whose connection is not recognized would date all later
+  // connections back to its start.
+  it('drops a measurement that is pending when the queue is empty', () => {
+    const {runTurn, setPendingMs} = createLoop();
+    runTurn(0);
+    setPendingMs(900);
+    runTurn(20, false);
+    expect(runTurn(40)).toBe(0);
+  });
+});
+
+describe('accept probe', () => {
+  it('gives up on a connection that is not recognized when it is accepted', async () => {
+    const clock = createSystemClock();
+    const listener = createServer();
+    await new Promise<void>(resolve =>
+      listener.listen(0, '127.0.0.1', () => resolve()),
+    );
+    const {port} = listener.address() as AddressInfo;
+    const probe = createAcceptProbe({host: '127.0.0.1', port, clock});
+    probe.start(clock.getNowMs());
+    await clock.waitMs(100);
+    expect(probe.getPendingMs(clock.getNowMs())).toBeGreaterThan(0);
+    expect(probe.getPendingMs(clock.getNowMs() + 3_000)).toBe(0);
+    expect(probe.getPendingMs(clock.getNowMs())).toBe(0);
+    listener.close();
+  });
 });
 
 describe('arrival times of a listener under load', () => {
--- a/packages/gateway/src/arrival-times.ts
+++ b/packages/gateway/src/arrival-times.ts
@@ -18,7 +18,7 @@
 export interface ArrivalTimesOptions {
   turns: TurnMonitor;
   /** Measures the accept queue of the listener. */
-  probe: Pick<AcceptProbe, 'start' | 'takeWaitMs' | 'getPendingMs'>;
+  probe: Omit<AcceptProbe, 'stop'>;
   /** Called with each measured wait in the accept queue. */
   onWaitMeasured(waitMs: number): void;
 }
@@ -48,6 +48,7 @@
       }
       // A turn without a new connection had found the queue empty.
       const isQueued = run !== undefined && lastTurn - run.lastTurn <= 1;
+      if (!isQueued) probe.discard();
       const lateMs = nowMs - turns.getEarliestArrivalMs(nowMs);
       const waitMs = Math.max(lateMs, isQueued ? (run?.waitMs ?? 0) : 0);
       run = {lastTurn, waitMs};
