--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -7,7 +7,7 @@
 import type {UpstreamEntry} from '@siskinplank/dispatch';
 import {ExchangeFailureCode} from '@siskinplank/http-exchange';
 import type {ExchangeFailure, ResponseHead} from '@siskinplank/http-exchange';
-import {RequestKind, canRepeat} from '@siskinplank/serving';
+import {RequestKind, canRepeat, listSharedParts} from '@siskinplank/serving';
 import type {ResponseClass} from '@siskinplank/serving';
 import {ATTEMPT_ENDED, REQUEST_FAILED_OVER} from './events';
 import {RefusalCode} from './refusals';
@@ -106,6 +106,9 @@
       attempt: sentCount,
       cause,
       status: attempt.getHead()?.status,
+      wasSent: attempt.wasSent(),
+      hadEvents: attempt.hasEvents(),
+      sharedParts: listSharedParts(request.promptParts).join(' '),
       open: attempt.entry.open.requests,
       leftMs: Math.round(deadlineAtMs - clock.getNowMs()),
     });
--- a/packages/serving/src/requests.ts
+++ b/packages/serving/src/requests.ts
@@ -6,6 +6,14 @@
   tokens: number;
 }
 
+/**
+ * Lists the ids of the parts that other requests may have in common with this
+ * one: all but the last, which belongs to the request or to its session.
+ */
+export function listSharedParts(parts: readonly PromptPart[]): string[] {
+  return parts.slice(0, -1).map(({id}) => id);
+}
+
 /** Decoded head of a caller's request. */
 export interface CallerRequest {
   /** Identifies this attempt of the caller. */
