Blame prompt parts under which upstreams end, and refuse them

Callers saw: one part of a prompt ended five of six model upstreams within a second, and further ones for as long as requests with it arrived; 14 ends, 19 of 20 sound requests of that caller refused.

Cause: a request under which an upstream ended was sent to the next one at once (3 of 11 requests ended two upstreams), and no gateway remembered what the ended upstreams had in common.

Change: when connections to an upstream are lost before it has begun to answer, the gateway reads its report; without one the upstream has ended, and the unproven shared parts of these requests are evidence, which gateways send each other in their states. Parts that two ends have in common are blamed, and prompts with all of them are refused. A part is proven sound once an upstream answers a request with it, at any gateway. A request under which an upstream ended is sent again only if its parts are proven. A blame is tested with one request of one gateway, after 30 s at first and twice as long after each failed test; false blames are counted and lifted everywhere.

Why it works: a poisoned part is never answered, so that it remains the only unproven part that all ends have in common, and the second end shows it.

--- a/packages/gateway/src/endless-responses.test.ts
+++ b/packages/gateway/src/endless-responses.test.ts
@@ -94,6 +94,7 @@
           onChunk: () => undefined,
           onAnswer: () => resolve('answer'),
           onRejection: responseClass => resolve(`rejection ${responseClass}`),
+          onAnswering: () => undefined,
           onFailure: ({code}) => resolve(`failure ${code}`),
         },
       });
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -47,6 +47,26 @@
   LogLevel.Warn,
   'request fails over from an unresponsive upstream to another one',
 );
+export const UPSTREAM_ENDED = defineEvent(
+  6050,
+  LogLevel.Warn,
+  'upstream ended while requests waited for its answer',
+);
+export const PROMPT_BLAMED = defineEvent(
+  6051,
+  LogLevel.Warn,
+  'prompt parts are blamed for the end of upstreams; refusing prompts with them',
+);
+export const PROMPT_BLAME_LIFTED = defineEvent(
+  6052,
+  LogLevel.Warn,
+  'prompt parts are not blamed any more',
+);
+export const PROMPT_TESTED = defineEvent(
+  6053,
+  LogLevel.Info,
+  'request with blamed prompt parts is sent to test the blame',
+);
 export const LINK_KEY_FAILED = defineEvent(
   6040,
   LogLevel.Warn,
--- /dev/null
+++ b/packages/gateway/src/fleet-fraction.ts
@@ -0,0 +1,46 @@
+/** The fraction of the limits of the whole fleet that this gateway spends. */
+import type {GatewayRegistry, PeerTable} from '@siskinplank/fleet';
+import {createShareFraction} from '@siskinplank/token-shares';
+
+/** Follows the registered gateways. */
+export interface FleetFraction {
+  /** Returns the fraction that applies from `nowMs`. */
+  update(
+    registry: GatewayRegistry,
+    peers: Pick<PeerTable, 'getPeer'>,
+    nowMs: number,
+  ): number;
+  get(): number;
+}
+
+/**
+ * Creates a fraction of 0.
+ *
+ * @param settleMs time within which a change of the registrations reaches every
+ *     gateway that may serve requests.
+ */
+export function createFleetFraction(settleMs: number): FleetFraction {
+  const fraction = createShareFraction(settleMs);
+  let current = 0;
+  return {
+    update: (registry, peers, nowMs) => {
+      const others = registry.listOthers();
+      const ownRevision = registry.getOwnRevision();
+      const isKnownToAll =
+        ownRevision !== undefined &&
+        others.every(({name}) => {
+          const revision = peers.getPeer(name)?.state.directoryRevision ?? 0;
+          return revision >= ownRevision;
+        });
+      current = fraction.update({
+        gatewayCount: others.length + 1,
+        isRegistered: ownRevision !== undefined,
+        hadPredecessor: registry.hadPredecessor(),
+        isKnownToAll,
+        nowMs,
+      });
+      return current;
+    },
+    get: () => current,
+  };
+}
--- a/packages/gateway/src/fleet-node.test.ts
+++ b/packages/gateway/src/fleet-node.test.ts
@@ -53,6 +53,7 @@
           accounts: {},
           faults: {},
           leaving: [],
+          poison: {endings: [], sound: [], blames: []},
         }),
         onPeerStates: () => undefined,
         onReceive: () => undefined,
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -12,6 +12,7 @@
   configurationAgeMs: number;
   isOrdering: boolean;
   peers: number;
+  blamedPrompts: number;
   /** Messages and bytes over the links to other gateways, since the start. */
   links: {
     sentMessages: number;
@@ -31,6 +32,8 @@
     totalMs: number,
   ): void;
   recordFailover(reason: string): void;
+  /** Records that prompt parts were blamed, or why a blame was lifted. */
+  recordBlame(outcome: string): void;
   /** Records by how much a turn of the event loop was late. */
   recordLateness(lateMs: number): void;
   /** Records for how long a connection waited to be accepted. */
@@ -64,6 +67,11 @@
     'Requests that failed over from an unresponsive upstream, by reason',
     ['reason'],
   );
+  const blames = metrics.createCounter(
+    'gateway_prompt_blames_total',
+    'Blames of prompt parts, and lifted ones by reason',
+    ['outcome'],
+  );
   const firstBytes = metrics.createHistogram(
     'gateway_first_byte_seconds',
     'Time from the head of a request to the first byte of its response',
@@ -122,6 +130,11 @@
     'Other gateways that are responsive',
     r => r.peers,
   );
+  createGauge(
+    'gateway_blamed_prompts',
+    'Sets of prompt parts that are refused',
+    r => r.blamedPrompts,
+  );
   const linkMessages = metrics.createGauge(
     'gateway_link_messages',
     'Messages over links to other gateways since the start, by direction',
@@ -158,6 +171,7 @@
       totals.observe({kind}, totalMs / MILLISECONDS_PER_SECOND);
     },
     recordFailover: reason => failovers.inc({reason}),
+    recordBlame: outcome => blames.inc({outcome}),
     recordLateness: lateMs =>
       lateness.observe(lateMs / MILLISECONDS_PER_SECOND),
     recordAcceptWait: waitMs =>
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -10,12 +10,10 @@
 import type {Clock, Logger, Metrics, Random} from '@siskinplank/foundation';
 import type {ConnectionPool} from '@siskinplank/http-exchange';
 import {MessageType} from '@siskinplank/messages';
+import {rankMembers} from '@siskinplank/membership';
 import type {PlatformPorts, RouteTable} from '@siskinplank/serving';
 import type {GatewaySettings} from '@siskinplank/settings';
-import {
-  createShareFraction,
-  createTokenShares,
-} from '@siskinplank/token-shares';
+import {createTokenShares} from '@siskinplank/token-shares';
 import {Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import {createAccountLimiter} from './account-limiter';
@@ -31,12 +29,14 @@
   GATEWAY_STOPPED,
   PROCESS_PAUSED,
 } from './events';
+import {createFleetFraction} from './fleet-fraction';
 import {createFleetNode} from './fleet-node';
 import type {FleetNode} from './fleet-node';
 import {createGatewayMetrics} from './gateway-metrics';
 import {startListening} from './listening';
 import type {ListenAddress} from './listening';
 import {createOrderManager} from './order-manager';
+import {createPromptGuard} from './prompt-guard';
 import {createRequestHandler} from './request-handler';
 import {createMetricsServer, createReadinessServer} from './status-servers';
 import {createStoreHealth} from './store-health';
@@ -98,14 +98,12 @@
     settings.drain.graceSeconds * MILLISECONDS_PER_SECOND - KILL_MARGIN_MS;
   let isLeaving = false;
   let lastStartAtMs: number | undefined;
-  /** Fraction of the rates and the retry budget for this gateway. */
-  let fleetFraction = 0;
+  const fleetFraction = createFleetFraction(settings.limits.settleMs);
   const upstreams = createUpstreamTable();
   const shares = createTokenShares({
     extraBurst: settings.limits.slackTokens * EXTRA_BURST_FRACTION,
     startedAtMs: clock.getStartedMs(),
   });
-  const shareFraction = createShareFraction(settings.limits.settleMs);
   const pauseDetector = createPauseDetector(PAUSE_TOLERANCE_MS);
   const turns = createTurnMonitor({usualGapMs: HOUSEKEEPING_MS * 1.5});
   pool.observeReads(() => turns.observe(clock.getNowMs()));
@@ -196,6 +194,15 @@
     onModelStateChange: () => dispatcher.retryWaiting(),
   });
 
+  /** Whether this gateway is the one among the responsive ones for a key. */
+  const isOwner = (key: string): boolean => {
+    const members = [
+      {name: ownName},
+      ...fleet.peers.listResponsive(clock.getNowMs()),
+    ];
+    return rankMembers(members, key)[0].name === ownName;
+  };
+
   const sendDonations = (nowMs: number): void => {
     for (const [peer, tokens] of shares.withdrawDonations(nowMs)) {
       fleet.sendTo(peer, {type: MessageType.TokenDonation, tokens});
@@ -225,6 +232,7 @@
       accounts: shares.describeAccounts(nowMs, donors),
       faults: upstreams.collectLocalFaults(nowMs),
       leaving: view.listLeaving(nowMs).map(report => [...report]),
+      poison: guard.describe(nowMs),
     }),
     onPeerStates: (changed, nowMs) => {
       let isWaiting = false;
@@ -235,6 +243,7 @@
         upstreams.setPeerFaults(name, state.faults, nowMs);
         view.recordLeaving(state.leaving, nowMs);
         shares.updatePeer(name, state.accounts);
+        guard.updatePeer(state.poison, nowMs);
         isWaiting ||= Object.values(state.demand).some(
           ([, waiting]) => waiting > 0,
         );
@@ -264,23 +273,8 @@
 
   const updateShares = (): void => {
     const nowMs = clock.getNowMs();
-    const {registry, peers} = fleet;
-    const others = registry.listOthers();
-    const ownRevision = registry.getOwnRevision();
-    const isKnownToAll =
-      ownRevision !== undefined &&
-      others.every(({name}) => {
-        const knownRevision = peers.getPeer(name)?.state.directoryRevision ?? 0;
-        return knownRevision >= ownRevision;
-      });
-    fleetFraction = shareFraction.update({
-      gatewayCount: others.length + 1,
-      isRegistered: ownRevision !== undefined,
-      hadPredecessor: registry.hadPredecessor(),
-      isKnownToAll,
-      nowMs,
-    });
-    shares.setFraction(fleetFraction, fleetFraction, nowMs);
+    const fraction = fleetFraction.update(fleet.registry, fleet.peers, nowMs);
+    shares.setFraction(fraction, fraction, nowMs);
   };
 
   const checkLateness = (): void => {
@@ -319,10 +313,23 @@
       configurationAgeMs: configuration.getAgeMs(nowMs),
       isOrdering: orders.leadership.getTerm() !== undefined,
       peers: fleet.peers.listResponsive(nowMs).length,
+      blamedPrompts: guard.countBlames(),
       links: fleet.getTraffic(),
     };
   });
 
+  const guard = createPromptGuard({
+    upstreams,
+    control: ports.upstreamControl,
+    pool,
+    clock,
+    logger,
+    metrics: gatewayMetrics,
+    isTrialOwner: isOwner,
+    onBlame: () => handler.refuseBlamed(),
+    onNews: () => fleet.scheduleState(),
+  });
+
   const callers = createCallerListener({
     settings,
     clock,
@@ -342,6 +349,7 @@
     dispatcher,
     limiter,
     demand,
+    guard,
     pool,
     format: ports.exchangeFormat,
     retryBudget: {
@@ -349,7 +357,7 @@
       slack: settings.retries.slack,
       windowMs: settings.retries.windowSeconds * MILLISECONDS_PER_SECOND,
     },
-    getFleetFraction: () => fleetFraction,
+    getFleetFraction: fleetFraction.get,
     // Subtracts the longest pause that the detector does not report.
     maxConfigurationAgeMs: settings.store.maxAgeMs - PAUSE_TOLERANCE_MS,
     clock,
--- a/packages/gateway/src/refusals.ts
+++ b/packages/gateway/src/refusals.ts
@@ -15,6 +15,8 @@
   LateStart = 'late-start',
   /** No upstream can run the request now. */
   NoUpstream = 'no-upstream',
+  /** Parts of its prompt are blamed for the end of upstreams. */
+  PoisonedPrompt = 'poisoned-prompt',
   /** Every upstream tried stated that it has not run the request. */
   Rejected = 'rejected',
   /** The request may have run and its response is lost. */
@@ -43,6 +45,7 @@
   [RefusalCode.NotReady]: 503,
   [RefusalCode.LateStart]: 503,
   [RefusalCode.NoUpstream]: 503,
+  [RefusalCode.PoisonedPrompt]: 503,
   [RefusalCode.Rejected]: 503,
   [RefusalCode.OutcomeUnknown]: 502,
   [RefusalCode.TimedOut]: 504,
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -30,6 +30,7 @@
 import type {Dispatcher} from './dispatcher';
 import {REQUEST_ENDED} from './events';
 import type {GatewayMetrics} from './gateway-metrics';
+import type {PromptGuard} from './prompt-guard';
 import {REFUSAL_STATUSES, RefusalCode} from './refusals';
 import type {Refusal} from './refusals';
 import {createRequestSession} from './request-session';
@@ -45,6 +46,7 @@
   pool: ConnectionPool;
   format: ExchangeFormat;
   retryBudget: RetryBudgetOptions;
+  guard: PromptGuard;
   /** Fraction of the retry budget of all gateways that this one may use. */
   getFleetFraction(): number;
   /** Age of the configuration from which keys are not trusted. */
@@ -65,6 +67,8 @@
   handle(incoming: IncomingMessage, outgoing: ServerResponse): void;
   /** Requests without a final response. */
   countOpen(): number;
+  /** Stops requests whose prompts were blamed before they were answered. */
+  refuseBlamed(): void;
   /** Fails requests over from unresponsive upstreams. */
   checkProgress(): void;
 }
@@ -293,6 +297,7 @@
         recordFailover: options.metrics.recordFailover,
         recordUnreachable: ({upstream}) =>
           upstreams.recordUnreachable(upstream.id, clock.getNowMs()),
+        guard: options.guard,
         trySpendRetry: () => budget.trySpend(clock.getNowMs()),
         sendRefusal,
         onEnd: outcome => {
@@ -388,6 +393,9 @@
   return {
     handle,
     countOpen: () => openCount,
+    refuseBlamed: () => {
+      for (const session of [...sessions]) session.refuseBlamed();
+    },
     checkProgress: () => {
       const nowMs = clock.getNowMs();
       for (const session of sessions) session.checkProgress(nowMs);
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -32,6 +32,7 @@
   const {admitted, response, format, clock, logger} = options;
   const {request, route, deadlineAtMs} = admitted;
   const isRepeatable = canRepeat(route);
+  const sharedParts = listSharedParts(request.promptParts);
   const triedUpstreamIds = new Set<string>();
   let current: Attempt | undefined;
   let sentCount = 0;
@@ -44,6 +45,8 @@
   let hasSpentRetry = false;
   let stopSearch: (() => void) | undefined;
   let firstByteMs: number | undefined;
+  /** Whether this request tests a blame of its prompt. */
+  let isTrial = false;
 
   const end = (
     status: number,
@@ -93,6 +96,18 @@
     }
   };
 
+  /** Refuses the request if its prompt ends upstreams; true if it may be sent. */
+  const checkPrompt = (): boolean => {
+    if (isTrial) return true;
+    const verdict = options.guard.checkPrompt(sharedParts);
+    isTrial = verdict.isTrial;
+    if (!verdict.isRefused) return true;
+    const {retryAfterMs} = verdict;
+    if (mayHaveRun) refuseUnserved();
+    else refuse({code: RefusalCode.PoisonedPrompt, retryAfterMs}, 503);
+    return false;
+  };
+
   const onTimeout = (): void => {
     cancelAttempt();
     if (mayHaveRun) refuse({code: RefusalCode.TimedOut}, 504);
@@ -108,7 +123,7 @@
       status: attempt.getHead()?.status,
       wasSent: attempt.wasSent(),
       hadEvents: attempt.hasEvents(),
-      sharedParts: listSharedParts(request.promptParts).join(' '),
+      sharedParts: sharedParts.join(' '),
       open: attempt.entry.open.requests,
       leftMs: Math.round(deadlineAtMs - clock.getNowMs()),
     });
@@ -122,7 +137,7 @@
       triedUpstreamIds,
       entry => {
         stopSearch = undefined;
-        if (hasEnded) return;
+        if (hasEnded || !checkPrompt()) return;
         const maySend = !isRepeat || hasSpentRetry || options.trySpendRetry();
         hasSpentRetry = false;
         if (maySend) sendTo(entry);
@@ -142,7 +157,7 @@
 
   /** Starts another attempt, or refuses the request. */
   const tryNext = (): void => {
-    if (hasEnded) return;
+    if (hasEnded || !checkPrompt()) return;
     if (canTryAnother()) search(sentCount > 0, refuseUnserved);
     else refuseUnserved();
   };
@@ -221,11 +236,25 @@
     clock.startTimer(SAME_UPSTREAM_DELAY_MS, () => {
       if (hasEnded) return;
       const isPossible = options.isUsable(attempt.entry);
-      if (isPossible && options.trySpendRetry()) sendTo(attempt.entry);
+      const maySend = isPossible && checkPrompt() && options.trySpendRetry();
+      if (maySend) sendTo(attempt.entry);
       else refuseUnserved();
     });
   };
 
+  /** Tries another upstream unless this one ended under the request. */
+  const retryUnlessEnded = ({upstream}: UpstreamEntry): void => {
+    let isDecided = false;
+    const stop = options.guard.reportBroken(upstream, sharedParts, mayRetry => {
+      isDecided = true;
+      stopSearch = undefined;
+      if (hasEnded) return;
+      if (mayRetry) tryNext();
+      else refuseUnserved();
+    });
+    if (!isDecided) stopSearch = stop;
+  };
+
   const onFailure = (attempt: Attempt, failure: ExchangeFailure): void => {
     current = undefined;
     logAttempt(attempt, `${failure.code}: ${failure.reason}`);
@@ -235,7 +264,10 @@
     if (failure.code === ExchangeFailureCode.NotConnected) {
       options.recordUnreachable(attempt.entry);
     }
-    tryNext();
+    const maySuspect =
+      failure.code === ExchangeFailureCode.BrokenOff && !attempt.isAnswering();
+    if (maySuspect) retryUnlessEnded(attempt.entry);
+    else tryNext();
   };
 
   const sendTo = (entry: UpstreamEntry): void => {
@@ -273,6 +305,7 @@
         onAnswer: (head, body) => onAnswer(attempt, head, body, wasStreamed),
         onRejection: responseClass => onRejection(attempt, responseClass),
         onFailure: failure => onFailure(attempt, failure),
+        onAnswering: () => options.guard.recordAnswer(sharedParts),
       },
     });
     current = attempt;
@@ -320,6 +353,13 @@
   return {
     start: tryNext,
     checkProgress,
+    refuseBlamed: () => {
+      const isExempt = isTrial || current === undefined;
+      if (hasEnded || isExempt || current?.isAnswering()) return;
+      if (!options.guard.isBlamed(sharedParts)) return;
+      cancelAttempt();
+      refuseUnserved();
+    },
     abandon: () => {
       if (hasEnded) return;
       cancelAttempt();
--- a/packages/gateway/src/session-types.ts
+++ b/packages/gateway/src/session-types.ts
@@ -13,6 +13,7 @@
   Route,
 } from '@siskinplank/serving';
 import type {CallerResponse} from './caller-response';
+import type {PromptGuard} from './prompt-guard';
 import type {Refusal} from './refusals';
 
 /** An admitted request with its route, service and deadline. */
@@ -72,6 +73,8 @@
   recordFailover(reason: FailoverReason): void;
   /** Spends one retry of the service's budget; false when it is exhausted. */
   trySpendRetry(): boolean;
+  /** Evidence about the shared parts of prompts. */
+  guard: PromptGuard;
   sendRefusal(refusal: Refusal): void;
   onEnd(outcome: SessionOutcome): void;
 }
@@ -81,6 +84,8 @@
   start(): void;
   /** The caller has disconnected; cancels the attempt at the upstream. */
   abandon(): void;
+  /** Stops the request if its prompt was blamed before it was answered. */
+  refuseBlamed(): void;
   /** Fails over from an unresponsive upstream if a retry is allowed. */
   checkProgress(nowMs: number): void;
 }
--- a/packages/gateway/src/upstream-attempt.ts
+++ b/packages/gateway/src/upstream-attempt.ts
@@ -41,6 +41,8 @@
   /** The upstream states that the request has not run. */
   onRejection(responseClass: ResponseClass): void;
   onFailure(failure: ExchangeFailure): void;
+  /** The upstream has begun to answer and still runs. */
+  onAnswering(): void;
 }
 
 /** A running attempt. */
@@ -50,6 +52,8 @@
   wasSent(): boolean;
   /** Whether events were received. */
   hasEvents(): boolean;
+  /** Whether the upstream has begun to answer and still ran after that. */
+  isAnswering(): boolean;
   /** Milliseconds since the last bytes, or since the request was sent. */
   getIdleMs(nowMs: number): number;
   /** Cancels the exchange, so that the upstream stops. */
@@ -63,6 +67,8 @@
  * retried when its response breaks off.
  */
 const MAX_BUFFERED_BYTES = 262_144;
+/** An upstream that ends as it begins to answer ends within this time. */
+const ANSWERING_MS = 100;
 /** A longer event counts as one that never ends. */
 const MAX_EVENT_BYTES = 1_048_576;
 /** The rest of a longer rejection is not read. */
@@ -80,6 +86,8 @@
   let rejectionBytes = 0;
   let isStreamed = false;
   let hasEvents = false;
+  let firstEventAtMs = 0;
+  let isAnswering = false;
   let wasSent = false;
   let hasEnded = false;
   let lastBytesAtMs = clock.getNowMs();
@@ -101,12 +109,20 @@
     return pauseMs;
   };
 
+  const markAnswering = (): void => {
+    if (isAnswering) return;
+    isAnswering = true;
+    observer.onAnswering();
+  };
+
   const recordEvents = (pauseMs: number): void => {
     if (hasEvents) {
+      if (lastBytesAtMs - firstEventAtMs >= ANSWERING_MS) markAnswering();
       progress.recordPause(options.model ?? '', pauseMs, lastBytesAtMs);
       return;
     }
     hasEvents = true;
+    firstEventAtMs = lastBytesAtMs;
     progress.addStream(lastBytesAtMs);
     open.markPromptProcessed();
   };
@@ -187,6 +203,7 @@
     const answer = head;
     if (answer === undefined || !end()) return;
     if (responseClass === ResponseClass.Answer) {
+      if (answer.status < 300) markAnswering();
       observer.onAnswer(answer, Buffer.concat(chunks));
     } else {
       observer.onRejection(responseClass ?? ResponseClass.Unusable);
@@ -220,6 +237,7 @@
     getHead: () => head,
     wasSent: () => wasSent,
     hasEvents: () => hasEvents,
+    isAnswering: () => isAnswering,
     getIdleMs: nowMs => nowMs - lastBytesAtMs,
     cancel: () => {
       if (!end()) return;
--- a/packages/messages/src/gateway.ts
+++ b/packages/messages/src/gateway.ts
@@ -4,6 +4,24 @@
 
 const countSchema = z.int().min(0);
 const amountSchema = z.number().min(0);
+const partsSchema = z.array(z.string()).max(8);
+
+/** Evidence about prompt parts that end upstreams. */
+const poisonReportSchema = z.strictObject({
+  /**
+   * Upstreams that ended, how long ago, and the unproven prompt parts of each
+   * request that the sender had open there without an answer.
+   */
+  endings: z.array(
+    z.tuple([z.string(), amountSchema, z.array(partsSchema).max(32)]),
+  ),
+  /** Parts that a gateway suspects and the sender saw answered. */
+  sound: z.array(z.string()),
+  /** Blamed parts, episode, whether it is lifted, time until the test. */
+  blames: z.array(
+    z.tuple([partsSchema, countSchema, z.boolean(), amountSchema]),
+  ),
+});
 
 /**
  * Open requests, demand and account tokens of one gateway; sent to all others
@@ -46,6 +64,7 @@
    * and the store revision at which the sender learned of it.
    */
   leaving: z.array(z.tuple([z.string(), z.number(), countSchema])),
+  poison: poisonReportSchema,
 });
 
 /** Transfers tokens of client accounts to the receiver. */
--- /dev/null
+++ b/packages/poison-prompts/src/index.ts
@@ -0,0 +1,12 @@
+/**
+ * Finds prompt parts that end upstreams. Does no I/O and takes the current time
+ * as an argument.
+ */
+export {createPoisonTracker} from './poison-tracker';
+export type {
+  PoisonTracker,
+  PoisonTrackerOptions,
+  PromptVerdict,
+} from './poison-tracker';
+export {BlameEnd} from './blame-table';
+export type {PoisonReport} from './types';
