Keep all gateways together within the limit that an upstream names

Cause: nothing read the header, and no limit was shared but those of client accounts, whose fractions are too small for a few requests a second.

Change: gateways report limits that upstreams name to each other, with the age of the report. The units of a limit accrue at one gateway, which lends whole units; unspent ones are returned after 1 s. A gateway that reaches k of n registered gateways counts on k/n of the limit. Requests that find no unit go to another upstream, wait for at most 0.7 s, or are refused at once if more requests wait than units will come. A limit ends with the first answer to a request sent after it was named that names none.

Why it works: only the owner of a limit accrues units, and lending withdraws them before it deposits them, so that the sum over all gateways grows with the limit however many there are.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -6,6 +6,8 @@
   UpstreamTable,
 } from '@siskinplank/dispatch';
 import type {Clock, Timer} from '@siskinplank/foundation';
+import {MAX_UNIT_WAIT_MS} from './upstream-limits';
+import type {UpstreamLimits} from './upstream-limits';
 
 /** Search of an upstream for one attempt of a request. */
 export interface UpstreamSearch {
@@ -27,6 +29,7 @@
 export interface DispatcherOptions {
   table: UpstreamTable;
   policy: DispatchPolicy;
+  limits: UpstreamLimits;
   failureDomain: string;
   clock: Clock;
   /** Latest time to start requests; undefined unless this gateway drains. */
@@ -71,17 +74,20 @@
   isLoadingAdapter: boolean;
   isDone: boolean;
   adapterTries: number;
+  /** Wait for a unit of an upstream's limit. */
+  unitWait: {stop(): void; endsAtMs: number} | undefined;
 }
 
 /** Creates a dispatcher without waiting searches. */
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
-  const {table, policy, clock} = options;
+  const {table, policy, clock, limits} = options;
   const waiting = new Set<PendingSearch>();
   let timer: Timer | undefined;
 
   const finish = (item: PendingSearch): boolean => {
     if (item.isDone) return false;
     item.isDone = true;
+    item.unitWait?.stop();
     waiting.delete(item);
     return true;
   };
@@ -141,6 +147,37 @@
     if (finish(item)) item.search.onRefused(retryAfterMs);
   };
 
+  const startWaiting = (item: PendingSearch): void => {
+    if (waiting.has(item)) return;
+    waiting.add(item);
+    options.onWaiting();
+    scheduleRetry();
+  };
+
+  /** Keeps the search waiting for a unit of an upstream's limit, for a while. */
+  const waitForUnit = (
+    item: PendingSearch,
+    {upstream}: UpstreamEntry,
+    nowMs: number,
+  ): void => {
+    if (item.unitWait === undefined) {
+      const started = limits.startWaiting(upstream);
+      if (started !== undefined) {
+        const endsAtMs = Math.min(
+          nowMs + MAX_UNIT_WAIT_MS,
+          item.search.deadlineAtMs,
+        );
+        item.unitWait = {...started, endsAtMs};
+      }
+    }
+    const {unitWait} = item;
+    if (unitWait === undefined || nowMs >= unitWait.endsAtMs) {
+      refuse(item, limits.estimateWaitMs(upstream));
+      return;
+    }
+    startWaiting(item);
+  };
+
   /** Chooses an upstream, keeps the search waiting, or refuses the request. */
   const tryServe = (item: PendingSearch): void => {
     if (item.isDone || item.isLoadingAdapter) return;
@@ -150,18 +187,23 @@
       item.failedUpstreamIds.size === 0
         ? search.triedUpstreamIds
         : new Set([...search.triedUpstreamIds, ...item.failedUpstreamIds]);
-    const choice = policy.chooseUpstream(
-      {
-        model: search.model,
-        adapter: search.adapter,
-        promptTokens: search.promptTokens,
-        triedUpstreamIds: excluded,
-        failureDomain: options.failureDomain,
-      },
+    const request = {
+      model: search.model,
+      adapter: search.adapter,
+      promptTokens: search.promptTokens,
+      triedUpstreamIds: excluded,
+      failureDomain: options.failureDomain,
+    };
+    const {spendable, exhausted} = limits.splitBySpendable(
       table.listServiceUpstreams(search.service),
-      nowMs,
     );
-    if (choice !== undefined) {
+    const choice = policy.chooseUpstream(request, spendable, nowMs);
+    const limited =
+      exhausted.length === 0
+        ? undefined
+        : policy.chooseUpstream(request, exhausted, nowMs);
+    if (limited !== undefined) limits.noteWish(limited.entry.upstream);
+    if (choice !== undefined && limits.trySpend(choice.entry.upstream)) {
       const {model, adapter} = search;
       const needsAdapterLoad =
         choice.needsAdapterLoad && model !== undefined && adapter !== undefined;
@@ -173,6 +215,10 @@
       else loadAdapter(item, choice.entry, model, adapter);
       return;
     }
+    if (limited !== undefined) {
+      waitForUnit(item, limited.entry, nowMs);
+      return;
+    }
     const decision = planWait({
       arrivedAtMs: search.arrivedAtMs,
       deadlineAtMs: search.deadlineAtMs,
@@ -189,10 +235,7 @@
       refuse(item, decision.retryAfterMs);
       return;
     }
-    if (waiting.has(item)) return;
-    waiting.add(item);
-    options.onWaiting();
-    scheduleRetry();
+    startWaiting(item);
   };
 
   const retryWaiting = (): void => {
@@ -216,6 +259,7 @@
         isLoadingAdapter: false,
         isDone: false,
         adapterTries: 0,
+        unitWait: undefined,
       };
       tryServe(item);
       return () => void finish(item);
--- a/packages/gateway/src/endless-responses.test.ts
+++ b/packages/gateway/src/endless-responses.test.ts
@@ -95,6 +95,7 @@
           onAnswer: () => resolve('answer'),
           onRejection: responseClass => resolve(`rejection ${responseClass}`),
           onAnswering: () => undefined,
+          onHead: () => undefined,
           onFailure: ({code}) => resolve(`failure ${code}`),
         },
       });
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -47,6 +47,11 @@
   LogLevel.Warn,
   'request fails over from an unresponsive upstream to another one',
 );
+export const UPSTREAM_LIMIT_CHANGED = defineEvent(
+  6022,
+  LogLevel.Warn,
+  'limit that an upstream names for all gateways began, changed or ended',
+);
 export const UPSTREAM_ENDED = defineEvent(
   6050,
   LogLevel.Warn,
--- a/packages/gateway/src/fleet-node.test.ts
+++ b/packages/gateway/src/fleet-node.test.ts
@@ -53,6 +53,8 @@
           accounts: {},
           faults: {},
           leaving: [],
+          limits: {},
+          unitNeeds: {},
           poison: {endings: [], sound: [], blames: []},
         }),
         onPeerStates: () => undefined,
--- a/packages/gateway/src/fleet-node.ts
+++ b/packages/gateway/src/fleet-node.ts
@@ -286,6 +286,7 @@
   network.subscribe(
     [
       MessageType.TokenDonation,
+      MessageType.UnitTransfer,
       MessageType.UpstreamLoads,
       MessageType.AdapterRequest,
       MessageType.AdapterReply,
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -13,6 +13,7 @@
   isOrdering: boolean;
   peers: number;
   blamedPrompts: number;
+  limitedUpstreams: number;
   /** Messages and bytes over the links to other gateways, since the start. */
   links: {
     sentMessages: number;
@@ -135,6 +136,11 @@
     'Sets of prompt parts that are refused',
     r => r.blamedPrompts,
   );
+  createGauge(
+    'gateway_limited_upstreams',
+    'Upstreams that name a limit',
+    r => r.limitedUpstreams,
+  );
   const linkMessages = metrics.createGauge(
     'gateway_link_messages',
     'Messages over links to other gateways since the start, by direction',
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -9,14 +9,11 @@
 } from '@siskinplank/foundation';
 import type {Clock, Logger, Metrics, Random} from '@siskinplank/foundation';
 import type {ConnectionPool} from '@siskinplank/http-exchange';
-import {MessageType} from '@siskinplank/messages';
 import {rankMembers} from '@siskinplank/membership';
 import type {PlatformPorts, RouteTable} from '@siskinplank/serving';
 import type {GatewaySettings} from '@siskinplank/settings';
-import {createTokenShares} from '@siskinplank/token-shares';
 import {Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import {createAccountLimiter} from './account-limiter';
 import {createCallerListener} from './caller-listener';
 import {createConfigurationReplica} from './configuration-replica';
 import {createDemandCounter} from './demand-counter';
@@ -29,7 +26,6 @@
   GATEWAY_STOPPED,
   PROCESS_PAUSED,
 } from './events';
-import {createFleetFraction} from './fleet-fraction';
 import {createFleetNode} from './fleet-node';
 import type {FleetNode} from './fleet-node';
 import {createGatewayMetrics} from './gateway-metrics';
@@ -39,6 +35,7 @@
 import {createPromptGuard} from './prompt-guard';
 import {createRequestHandler} from './request-handler';
 import {createMetricsServer, createReadinessServer} from './status-servers';
+import {createSharedLimits} from './shared-limits';
 import {createStoreHealth} from './store-health';
 import {createUpstreamView} from './upstream-view';
 
@@ -64,11 +61,6 @@
 const DRAIN_POLL_MS = 50;
 /** Time kept before the forced kill, for the last responses and logs. */
 const KILL_MARGIN_MS = 500;
-/**
- * Fraction of the slack that is added to each account's burst, so that one
- * large request fits; the rest covers the delay of reports between gateways.
- */
-const EXTRA_BURST_FRACTION = 0.45;
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Fraction of the grace period in which waiting requests may still start. */
 const START_FRACTION = 0.5;
@@ -98,28 +90,24 @@
     settings.drain.graceSeconds * MILLISECONDS_PER_SECOND - KILL_MARGIN_MS;
   let isLeaving = false;
   let lastStartAtMs: number | undefined;
-  const fleetFraction = createFleetFraction(settings.limits.settleMs);
   const upstreams = createUpstreamTable();
-  const shares = createTokenShares({
-    extraBurst: settings.limits.slackTokens * EXTRA_BURST_FRACTION,
-    startedAtMs: clock.getStartedMs(),
+  const limits = createSharedLimits({
+    ownName,
+    slackTokens: settings.limits.slackTokens,
+    settleMs: settings.limits.settleMs,
+    upstreams,
+    clock,
+    logger,
+    getFleet: () => fleet,
+    onUnits: () => dispatcher.retryWaiting(),
   });
   const pauseDetector = createPauseDetector(PAUSE_TOLERANCE_MS);
   const turns = createTurnMonitor({usualGapMs: HOUSEKEEPING_MS * 1.5});
   pool.observeReads(() => turns.observe(clock.getNowMs()));
 
   const applyConfiguration = ({configuration}: RouteTable): void => {
-    const {limits, accounts} = configuration;
-    callers.applyLimits(limits);
-    shares.setLimits(
-      new Map(
-        (accounts ?? []).map(({name, ratePerSecond, burst}) => [
-          name,
-          {ratePerSecond, burst},
-        ]),
-      ),
-      clock.getNowMs(),
-    );
+    callers.applyLimits(configuration.limits);
+    limits.setAccounts(configuration.accounts ?? []);
   };
 
   const watchOptions = {
@@ -148,6 +136,7 @@
   });
   const dispatcher = createDispatcher({
     table: upstreams,
+    limits: limits.upstreams,
     policy: createDispatchPolicy(settings.dispatch.policy, random),
     failureDomain: settings.process.failureDomain,
     clock,
@@ -169,11 +158,6 @@
     },
   });
   const demand = createDemandCounter(dispatcher.describeWaiting);
-  const limiter = createAccountLimiter({
-    shares,
-    clock,
-    onTokensNeeded: () => fleet.scheduleStateToDonors(),
-  });
   const orders = createOrderManager({
     objects: ports.sharedObjects,
     control: ports.upstreamControl,
@@ -203,12 +187,6 @@
     return rankMembers(members, key)[0].name === ownName;
   };
 
-  const sendDonations = (nowMs: number): void => {
-    for (const [peer, tokens] of shares.withdrawDonations(nowMs)) {
-      fleet.sendTo(peer, {type: MessageType.TokenDonation, tokens});
-    }
-  };
-
   const fleet: FleetNode = createFleetNode({
     objects: ports.sharedObjects,
     ownRecord: {
@@ -229,54 +207,40 @@
       isOrdering: orders.leadership.getTerm() !== undefined,
       open: upstreams.collectLocalLoad(isLeader),
       demand: isLeader ? demand.describe(nowMs) : {},
-      accounts: shares.describeAccounts(nowMs, donors),
+      ...limits.describe(nowMs, donors),
       faults: upstreams.collectLocalFaults(nowMs),
       leaving: view.listLeaving(nowMs).map(report => [...report]),
       poison: guard.describe(nowMs),
     }),
     onPeerStates: (changed, nowMs) => {
       let isWaiting = false;
-      let isInNeed = false;
       for (const {name, state} of changed) {
         orders.leadership.observeToken(state.orderToken);
         upstreams.setPeerLoad(name, state.open);
         upstreams.setPeerFaults(name, state.faults, nowMs);
         view.recordLeaving(state.leaving, nowMs);
-        shares.updatePeer(name, state.accounts);
         guard.updatePeer(state.poison, nowMs);
         isWaiting ||= Object.values(state.demand).some(
           ([, waiting]) => waiting > 0,
         );
-        isInNeed ||= Object.values(state.accounts).some(([, need]) => need > 0);
       }
-      if (isInNeed) sendDonations(nowMs);
+      limits.updatePeers(changed, nowMs);
       if (isWaiting) orders.schedulePlan();
     },
     onReceive: turns.observe,
     onPeerLost: name => {
       upstreams.removePeer(name);
-      shares.removePeer(name);
+      limits.removePeer(name);
     },
     onMessage: (peer, message) => {
-      if (message.type !== MessageType.TokenDonation) {
-        orders.handleMessage(peer, message);
-        return;
-      }
-      shares.deposit(message.tokens, clock.getNowMs());
-      limiter.retryWaiting();
+      if (!limits.handleMessage(message)) orders.handleMessage(peer, message);
     },
     onPeerConnected: name => orders.handleConnected(name),
-    onMembersChange: () => updateShares(),
-    listDonors: shares.listDonors,
+    onMembersChange: limits.updateMembers,
+    listDonors: limits.listDonors,
     mayRemoveRegistrations: () => orders.leadership.getTerm() !== undefined,
   });
 
-  const updateShares = (): void => {
-    const nowMs = clock.getNowMs();
-    const fraction = fleetFraction.update(fleet.registry, fleet.peers, nowMs);
-    shares.setFraction(fraction, fraction, nowMs);
-  };
-
   const checkLateness = (): void => {
     const nowMs = clock.getNowMs();
     turns.observe(nowMs);
@@ -313,6 +277,7 @@
       configurationAgeMs: configuration.getAgeMs(nowMs),
       isOrdering: orders.leadership.getTerm() !== undefined,
       peers: fleet.peers.listResponsive(nowMs).length,
+      limitedUpstreams: limits.upstreams.countLimits(),
       blamedPrompts: guard.countBlames(),
       links: fleet.getTraffic(),
     };
@@ -347,9 +312,10 @@
     configuration,
     upstreams,
     dispatcher,
-    limiter,
+    limiter: limits.accounts,
     demand,
     guard,
+    limits: limits.upstreams,
     pool,
     format: ports.exchangeFormat,
     retryBudget: {
@@ -357,7 +323,7 @@
       slack: settings.retries.slack,
       windowMs: settings.retries.windowSeconds * MILLISECONDS_PER_SECOND,
     },
-    getFleetFraction: fleetFraction.get,
+    getFleetFraction: limits.getFraction,
     // Subtracts the longest pause that the detector does not report.
     maxConfigurationAgeMs: settings.store.maxAgeMs - PAUSE_TOLERANCE_MS,
     clock,
@@ -382,7 +348,8 @@
     checkPause();
     // Responses may have arrived that were not read yet.
     void waitForPoll().then(handler.checkProgress);
-    updateShares();
+    limits.updateMembers();
+    limits.lendUnits();
     pool.closeExpired(clock.getNowMs());
   });
 
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -35,6 +35,7 @@
 import type {Refusal} from './refusals';
 import {createRequestSession} from './request-session';
 import type {RequestSession, SessionOutcome} from './session-types';
+import type {UpstreamLimits} from './upstream-limits';
 
 /** What `createRequestHandler` needs. */
 export interface RequestHandlerOptions {
@@ -47,6 +48,7 @@
   format: ExchangeFormat;
   retryBudget: RetryBudgetOptions;
   guard: PromptGuard;
+  limits: UpstreamLimits;
   /** Fraction of the retry budget of all gateways that this one may use. */
   getFleetFraction(): number;
   /** Age of the configuration from which keys are not trusted. */
@@ -298,6 +300,7 @@
         recordUnreachable: ({upstream}) =>
           upstreams.recordUnreachable(upstream.id, clock.getNowMs()),
         guard: options.guard,
+        limits: options.limits,
         trySpendRetry: () => budget.trySpend(clock.getNowMs()),
         sendRefusal,
         onEnd: outcome => {
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -7,8 +7,12 @@
 import type {UpstreamEntry} from '@siskinplank/dispatch';
 import {ExchangeFailureCode} from '@siskinplank/http-exchange';
 import type {ExchangeFailure, ResponseHead} from '@siskinplank/http-exchange';
-import {RequestKind, canRepeat, listSharedParts} from '@siskinplank/serving';
-import type {ResponseClass} from '@siskinplank/serving';
+import {
+  RequestKind,
+  ResponseClass,
+  canRepeat,
+  listSharedParts,
+} from '@siskinplank/serving';
 import {ATTEMPT_ENDED, REQUEST_FAILED_OVER} from './events';
 import {RefusalCode} from './refusals';
 import type {Refusal} from './refusals';
@@ -236,7 +240,11 @@
     clock.startTimer(SAME_UPSTREAM_DELAY_MS, () => {
       if (hasEnded) return;
       const isPossible = options.isUsable(attempt.entry);
-      const maySend = isPossible && checkPrompt() && options.trySpendRetry();
+      const maySend =
+        isPossible &&
+        checkPrompt() &&
+        options.trySpendRetry() &&
+        options.limits.trySpend(attempt.entry.upstream);
       if (maySend) sendTo(attempt.entry);
       else refuseUnserved();
     });
@@ -282,6 +290,7 @@
       lastEventId,
     });
     let wasStreamed = false;
+    const sentAtMs = clock.getNowMs();
     const attempt = startAttempt({
       entry,
       open: options.recordOpen(entry),
@@ -305,6 +314,13 @@
         onAnswer: (head, body) => onAnswer(attempt, head, body, wasStreamed),
         onRejection: responseClass => onRejection(attempt, responseClass),
         onFailure: failure => onFailure(attempt, failure),
+        onHead: ({headers: answered}, responseClass) =>
+          options.limits.observeResponse(
+            upstream,
+            format.readUpstreamLimit(answered),
+            sentAtMs,
+            responseClass === ResponseClass.Answer,
+          ),
         onAnswering: () => options.guard.recordAnswer(sharedParts),
       },
     });
--- a/packages/gateway/src/session-types.ts
+++ b/packages/gateway/src/session-types.ts
@@ -14,6 +14,7 @@
 } from '@siskinplank/serving';
 import type {CallerResponse} from './caller-response';
 import type {PromptGuard} from './prompt-guard';
+import type {UpstreamLimits} from './upstream-limits';
 import type {Refusal} from './refusals';
 
 /** An admitted request with its route, service and deadline. */
@@ -73,6 +74,7 @@
   recordFailover(reason: FailoverReason): void;
   /** Spends one retry of the service's budget; false when it is exhausted. */
   trySpendRetry(): boolean;
+  limits: UpstreamLimits;
   /** Evidence about the shared parts of prompts. */
   guard: PromptGuard;
   sendRefusal(refusal: Refusal): void;
--- a/packages/gateway/src/upstream-attempt.ts
+++ b/packages/gateway/src/upstream-attempt.ts
@@ -41,6 +41,8 @@
   /** The upstream states that the request has not run. */
   onRejection(responseClass: ResponseClass): void;
   onFailure(failure: ExchangeFailure): void;
+  /** The head of a response to this request has arrived. */
+  onHead(head: ResponseHead, responseClass: ResponseClass): void;
   /** The upstream has begun to answer and still runs. */
   onAnswering(): void;
 }
@@ -133,6 +135,7 @@
     if (resolved === ResponseClass.Stray) return HeadVerdict.Skip;
     responseClass = resolved;
     head = next;
+    observer.onHead(next, resolved);
     if (resolved === ResponseClass.Unusable) return HeadVerdict.Reject;
     const isSuccess = next.status >= 200 && next.status < 300;
     if (resolved === ResponseClass.Answer && options.isStream && isSuccess) {
--- a/packages/messages/src/enums.ts
+++ b/packages/messages/src/enums.ts
@@ -32,6 +32,7 @@
   GrantReturn = 'grant-return',
   GatewayState = 'gateway-state',
   TokenDonation = 'token-donation',
+  UnitTransfer = 'unit-transfer',
   UpstreamLoads = 'upstream-loads',
   AdapterRequest = 'adapter-request',
   AdapterReply = 'adapter-reply',
--- a/packages/messages/src/gateway.ts
+++ b/packages/messages/src/gateway.ts
@@ -65,6 +65,13 @@
    */
   leaving: z.array(z.tuple([z.string(), z.number(), countSchema])),
   poison: poisonReportSchema,
+  /**
+   * By incarnation of an upstream: the requests a second that it named as its
+   * limit, or -1 if it names none any more, and the age of that information.
+   */
+  limits: z.record(z.string(), z.tuple([z.number().min(-1), amountSchema])),
+  /** Units of such limits that the sender needs. */
+  unitNeeds: z.record(z.string(), countSchema),
 });
 
 /** Transfers tokens of client accounts to the receiver. */
@@ -73,6 +80,13 @@
   tokens: z.record(z.string(), amountSchema),
 });
 
+/** Lends units of limits that upstreams name, or returns them. */
+export const unitTransferSchema = z.strictObject({
+  type: z.literal(MessageType.UnitTransfer),
+  /** By incarnation of an upstream. */
+  units: z.record(z.string(), countSchema),
+});
+
 const residentModelSchema = z.tuple([
   z.string(),
   countSchema,
--- a/packages/messages/src/types.ts
+++ b/packages/messages/src/types.ts
@@ -15,6 +15,7 @@
   adapterRequestSchema,
   gatewayStateSchema,
   tokenDonationSchema,
+  unitTransferSchema,
   upstreamLoadsSchema,
 } from './gateway';
 
@@ -389,6 +390,7 @@
   grantReturnSchema,
   gatewayStateSchema,
   tokenDonationSchema,
+  unitTransferSchema,
   upstreamLoadsSchema,
   adapterRequestSchema,
   adapterReplySchema,
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -34,6 +34,9 @@
     attemptId: string,
   ): ResponseClass;
 
+  /** Requests a second that the upstream takes from all gateways together. */
+  abstract readUpstreamLimit(headers: ResponseHeaders): number | undefined;
+
   /** Headers of the gateway's own responses: alternating names and values. */
   abstract encodeGatewayHeaders(
     attemptId: string | undefined,
--- a/packages/token-shares/src/index.ts
+++ b/packages/token-shares/src/index.ts
@@ -14,3 +14,5 @@
 } from './token-shares';
 export {createShareFraction} from './share-fraction';
 export type {FractionInput, ShareFraction} from './share-fraction';
+export {createUnitLending} from './unit-lending';
+export type {UnitLending, UnitLendingOptions, UnitNeeds} from './unit-lending';
