Send a repeated request over a new connection, and match refusals by id

Reported by other operators: a faulty server writes an earlier refusal once more on a kept connection; callers are told "not run" for requests that ran. It can happen here in two ways, both shown by tests that failed before: - a request that the only upstream refused is sent to it again 60 ms later, on the same connection and with the same id, so that a duplicate of the first refusal passes for the second response (503 for a request that ran); - a refusal without an id on a kept connection is taken for the response; the order was then sent and run a second time.

A repeat to the same upstream now uses a new connection, and a response that names no request counts as none on a connection that had an earlier one.

--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -280,6 +280,7 @@
 
   const sendTo = (entry: UpstreamEntry): void => {
     const {upstream} = entry;
+    const isResent = triedUpstreamIds.has(upstream.id);
     triedUpstreamIds.add(upstream.id);
     sentCount += 1;
     const headers = format.encodeUpstreamHeaders(request, {
@@ -299,13 +300,19 @@
         target: request.target,
         headers,
         body: admitted.body,
+        needsNewConnection: isResent,
       },
       model: request.model,
       isStream: route.kind === RequestKind.Stream,
       pool: options.pool,
       clock,
-      resolveResponseClass: ({status, headers: answered}) =>
-        format.resolveResponseClass(status, answered, request.attemptId),
+      resolveResponseClass: ({status, headers: answered}, isReused) =>
+        format.resolveResponseClass(
+          status,
+          answered,
+          request.attemptId,
+          isReused,
+        ),
       observer: {
         onChunk: (head, chunk, eventId) => {
           wasStreamed = true;
--- a/packages/gateway/src/upstream-attempt.ts
+++ b/packages/gateway/src/upstream-attempt.ts
@@ -28,7 +28,7 @@
   isStream: boolean;
   pool: ConnectionPool;
   clock: Clock;
-  resolveResponseClass(head: ResponseHead): ResponseClass;
+  resolveResponseClass(head: ResponseHead, isReused: boolean): ResponseClass;
   observer: AttemptObserver;
 }
 
@@ -129,9 +129,9 @@
     open.markPromptProcessed();
   };
 
-  const onHead = (next: ResponseHead): HeadVerdict => {
+  const onHead = (next: ResponseHead, isReused: boolean): HeadVerdict => {
     recordBytes();
-    const resolved = options.resolveResponseClass(next);
+    const resolved = options.resolveResponseClass(next, isReused);
     if (resolved === ResponseClass.Stray) return HeadVerdict.Skip;
     responseClass = resolved;
     head = next;
--- a/packages/http-exchange/src/connection-pool.ts
+++ b/packages/http-exchange/src/connection-pool.ts
@@ -102,7 +102,10 @@
 
   return {
     send: (target, request, observer) => {
-      const connection = takeIdle(target.key) ?? openConnection(target);
+      const reused = request.needsNewConnection
+        ? undefined
+        : takeIdle(target.key);
+      const connection = reused ?? openConnection(target);
       return connection.send(request, observer);
     },
     observeReads: callback => void readObservers.push(callback),
--- a/packages/http-exchange/src/connection.ts
+++ b/packages/http-exchange/src/connection.ts
@@ -135,7 +135,8 @@
         if (inFlight === undefined) return;
         keepsAlive = head.keepsAlive;
         idleMs = parseIdleMs(head, options.defaultIdleMs);
-        const verdict = inFlight.observer.onHead(head);
+        const isReused = servedCount > 0 || inFlight.skippedResponses > 0;
+        const verdict = inFlight.observer.onHead(head, isReused);
         if (verdict === HeadVerdict.Accept) inFlight.isAccepted = true;
         else if (verdict === HeadVerdict.Skip) skipResponse(inFlight);
         else fail(ExchangeFailureCode.Malformed, 'unusable response');
--- a/packages/http-exchange/src/types.ts
+++ b/packages/http-exchange/src/types.ts
@@ -18,6 +18,12 @@
   headers: readonly string[];
   /** Undefined sends neither a body nor a Content-Length. */
   body: Buffer | undefined;
+  /**
+   * Whether to use a connection without earlier requests. To be set when the
+   * request was sent before, since a delayed duplicate of the response to it
+   * could not be told from the response to the second one.
+   */
+  needsNewConnection?: boolean;
 }
 
 /** Why an exchange ended without a complete response. */
@@ -52,7 +58,8 @@
 export interface ExchangeObserver {
   /** The request is about to be written. */
   onSend(): void;
-  onHead(head: ResponseHead): HeadVerdict;
+  /** `isReused` tells whether the connection had an earlier response. */
+  onHead(head: ResponseHead, isReused: boolean): HeadVerdict;
   /** A chunk of the accepted response's body, without its transfer coding. */
   onData(chunk: Buffer): void;
   /** The accepted response is complete. */
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -27,11 +27,17 @@
     instructions: UpstreamInstructions,
   ): string[];
 
-  /** Classifies a response to the attempt `attemptId` by its head. */
+  /**
+   * Classifies a response to the attempt `attemptId` by its head.
+   *
+   * @param isReused whether the response may belong to an earlier request on
+   *     the same connection.
+   */
   abstract resolveResponseClass(
     status: number,
     headers: ResponseHeaders,
     attemptId: string,
+    isReused: boolean,
   ): ResponseClass;
 
   /** Requests a second that the upstream takes from all gateways together. */
--- /dev/null
+++ b/packages/soak/src/faulty-upstreams.test.ts
@@ -0,0 +1,340 @@
+import {mkdtempSync, rmSync} from 'node:fs';
+import {connect} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {
+  computeEvent,
+  computeSeal,
+  encodeConfiguration,
+  isReady,
+  startStoreStandIn,
+} from '@siskinplank/platform-stand-ins';
+import type {StoreStandIn} from '@siskinplank/platform-stand-ins';
+import {TYPESCRIPT_ARGUMENTS, WORKSPACE_ROOT} from '@siskinplank/proof';
+import {getMonotonicMs} from '@siskinplank/stand-ins';
+import {afterAll, beforeAll, beforeEach, describe, expect, it} from 'vitest';
+import {createSoakGateway} from './gateways';
+import type {SoakGateway} from './gateways';
+import {startScriptedUpstream} from './testing/scripted-upstream';
+import type {
+  ScriptedRequest,
+  ScriptedUpstream,
+} from './testing/scripted-upstream';
+import {wait} from './testing/single-gateway';
+
+const HOST_NAME = 'faulty.example';
+const KEY = 'key-of-the-faulty-upstreams';
+const READY_TIMEOUT_MS = 30_000;
+const RESPONSE_TIMEOUT_MS = 4_000;
+const STREAM_EVENTS = 6;
+const END_OF_CHUNKS = '0\r\n\r\n';
+const MODEL_HEADERS = ['X-Model: m0', 'X-Token-Count: 10,10'];
+const ERROR_TEXT = 'out of memory';
+
+/** Headers of an upstream's own response. */
+function renderHead(
+  {attemptId}: ScriptedRequest,
+  status: number,
+  more: readonly string[] = [],
+): string {
+  return [
+    `HTTP/1.1 ${status} X`,
+    `X-Attempt-Id: ${attemptId}`,
+    `X-Server-Seal: ${computeSeal(attemptId, status)}`,
+    'Keep-Alive: timeout=10',
+    ...more,
+    '\r\n',
+  ].join('\r\n');
+}
+
+function renderAnswer(request: ScriptedRequest): string {
+  return `${renderHead(request, 200, ['Content-Length: 4'])}done`;
+}
+
+function renderRefusal(attemptId: string | undefined): string {
+  const id = attemptId === undefined ? '' : `X-Attempt-Id: ${attemptId}\r\n`;
+  return `HTTP/1.1 503 X\r\n${id}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`;
+}
+
+function renderEvents(
+  {attemptId}: ScriptedRequest,
+  from: number,
+  to: number,
+): string {
+  let text = '';
+  for (let id = from; id <= to; id += 1) text += computeEvent(attemptId, id);
+  return text;
+}
+
+function renderChunk(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+/** Removes the chunked coding; a missing last chunk is left out. */
+function decodeChunks(text: string): string {
+  let decoded = '';
+  let rest = text;
+  for (;;) {
+    const end = rest.indexOf('\r\n');
+    const size = parseInt(rest.slice(0, end), 16);
+    if (end < 0 || !(size > 0)) return decoded;
+    decoded += rest.slice(end + 2, end + 2 + size);
+    rest = rest.slice(end + 4 + size);
+  }
+}
+
+describe('gateway before faulty upstreams', () => {
+  const directory = mkdtempSync(join(tmpdir(), 'siskinplank-'));
+  let store: StoreStandIn;
+  let gateway: SoakGateway;
+  let engines: ScriptedUpstream[] = [];
+  let desk: ScriptedUpstream;
+  let count = 0;
+
+  const register = (
+    upstream: ScriptedUpstream,
+    service: string,
+    models: readonly string[],
+  ): void =>
+    store.putServer(upstream.id, {
+      service,
+      address: `127.0.0.1:${upstream.port}`,
+      zone: 'a',
+      version: '1',
+      slots: 32,
+      state: 'ready',
+      cold_remaining_ms: 0,
+      sequence: 0,
+      born: 1_700_000_000_000,
+      models: models.map(name => ({name, version: 1, adapters: []})),
+    });
+
+  beforeAll(async () => {
+    store = await startStoreStandIn(() => 0.5);
+    store.putConfiguration(
+      encodeConfiguration({
+        version: 1,
+        hostName: HOST_NAME,
+        accounts: [
+          {name: 'small', keys: [KEY], ratePerSecond: 1e6, burst: 1e6},
+        ],
+        models: [{name: 'm0', weightsMb: 1, adapterCount: 0}],
+        serverMemoryMb: 1,
+        adapterSlots: 1,
+        plainTimeoutMs: RESPONSE_TIMEOUT_MS,
+      }),
+    );
+    engines = [
+      await startScriptedUpstream('engine-1', ['m0']),
+      await startScriptedUpstream('engine-2', ['m0']),
+    ];
+    desk = await startScriptedUpstream('desk-1', []);
+    for (const engine of engines) register(engine, 'engines', ['m0']);
+    register(desk, 'desk', []);
+    const program = [
+      ...TYPESCRIPT_ARGUMENTS,
+      join(WORKSPACE_ROOT, 'packages/cli/src/gateway-main.ts'),
+    ];
+    gateway = await createSoakGateway(0, store.port, program, directory);
+    gateway.start();
+    const endsAtMs = getMonotonicMs() + READY_TIMEOUT_MS;
+    while (!(await isReady(gateway.readinessPort))) {
+      if (getMonotonicMs() > endsAtMs) break;
+      await wait(50);
+    }
+    await wait(1_000);
+  }, 60_000);
+
+  afterAll(async () => {
+    gateway.send('SIGKILL');
+    await gateway.waitForExit();
+    await gateway.storeProxy.close();
+    for (const upstream of [...engines, desk]) await upstream.close();
+    await store.close();
+    rmSync(directory, {recursive: true, force: true});
+  });
+
+  beforeEach(() => {
+    for (const upstream of [...engines, desk]) upstream.requests.length = 0;
+  });
+
+  /** Sends a request and returns all bytes until the gateway closes. */
+  const send = (path: string): Promise<{head: string; body: string}> =>
+    new Promise(resolve => {
+      count += 1;
+      const socket = connect(gateway.port, '127.0.0.1');
+      let text = '';
+      const finish = (): void => {
+        clearTimeout(timer);
+        socket.destroy();
+        const [head, ...body] = text.split('\r\n\r\n');
+        resolve({head, body: body.join('\r\n\r\n')});
+      };
+      const timer = setTimeout(finish, RESPONSE_TIMEOUT_MS + 1_000);
+      socket.on('data', (bytes: Buffer) => (text += bytes.toString('latin1')));
+      socket.on('close', finish);
+      socket.on('error', () => undefined);
+      socket.write(
+        [
+          `POST ${path} HTTP/1.1`,
+          `Host: ${HOST_NAME}`,
+          `X-Attempt-Id: attempt-${count}`,
+          `X-Key: ${KEY}`,
+          `X-Deadline-Ms: ${RESPONSE_TIMEOUT_MS}`,
+          ...(path.startsWith('/stream') ? MODEL_HEADERS : []),
+          'Connection: close',
+          'Content-Length: 0',
+          '\r\n',
+        ].join('\r\n'),
+      );
+    });
+
+  const readStatus = (head: string): number => Number(head.split(' ')[1]);
+
+  /** The first engine asked gets the first script, the other one the second. */
+  const scriptEngines = (
+    first: (request: ScriptedRequest) => void,
+    second: (request: ScriptedRequest) => void,
+  ): void => {
+    let asked = 0;
+    for (const engine of engines) {
+      engine.setScript(request => {
+        asked += 1;
+        (asked === 1 ? first : second)(request);
+      });
+    }
+  };
+
+  const expectWholeStream = (head: string, body: string): void => {
+    expect(readStatus(head)).toBe(200);
+    expect(body.endsWith(END_OF_CHUNKS)).toBe(true);
+    const request = {attemptId: `attempt-${count}`} as ScriptedRequest;
+    expect(decodeChunks(body)).toBe(renderEvents(request, 1, STREAM_EVENTS));
+  };
+
+  it('does not take a repeated refusal for the answer to a resent request', async () => {
+    desk.setScript(request => {
+      if (desk.requests.length === 1) {
+        request.socket.write(renderRefusal(request.attemptId));
+        return;
+      }
+      const isKept = request.earlierOnConnection > 0;
+      const repeated = isKept ? renderRefusal(request.attemptId) : '';
+      request.socket.write(repeated + renderAnswer(request));
+    });
+    const {head} = await send('/order/x');
+    expect(desk.requests.length).toBe(2);
+    expect(readStatus(head)).toBe(200);
+  });
+
+  it('does not promise "not run" for a refusal that names no request', async () => {
+    desk.setScript(request => request.socket.write(renderAnswer(request)));
+    await send('/order/x');
+    desk.setScript(request => {
+      const isKept = request.earlierOnConnection > 0;
+      const repeated = isKept ? renderRefusal(undefined) : '';
+      request.socket.write(repeated + renderAnswer(request));
+    });
+    const {head} = await send('/order/x');
+    expect(desk.requests.length).toBe(2);
+    expect(desk.requests[1].earlierOnConnection).toBeGreaterThan(0);
+    expect([200, 502]).toContain(readStatus(head));
+  });
+
+  for (const length of [20, 400_000]) {
+    it(`keeps an error of ${length} bytes out of a stream that broke off`, async () => {
+      scriptEngines(
+        request => {
+          const head = renderHead(request, 200, ['Transfer-Encoding: chunked']);
+          const chunk = renderChunk(renderEvents(request, 1, 2));
+          request.socket.write(head + chunk, () =>
+            setTimeout(() => request.socket.resetAndDestroy(), 200),
+          );
+        },
+        request => {
+          const body = ERROR_TEXT.padEnd(length, '!');
+          const head = renderHead(request, 500, [`Content-Length: ${length}`]);
+          request.socket.write(head + body);
+        },
+      );
+      const {head, body} = await send('/stream/x');
+      expect(readStatus(head)).toBe(200);
+      expect(body).not.toContain(ERROR_TEXT);
+      expect(body).not.toContain('HTTP/1.1');
+      expect(body.endsWith(END_OF_CHUNKS)).toBe(false);
+    });
+  }
+
+  it('resumes a stream that ends inside an event', async () => {
+    scriptEngines(
+      request => {
+        const events = renderEvents(request, 1, 3);
+        request.socket.end(renderHead(request, 200) + events.slice(0, -20));
+      },
+      request => {
+        const from = request.lastEventId + 1;
+        const events = renderEvents(request, from, STREAM_EVENTS);
+        request.socket.end(renderHead(request, 200) + events);
+      },
+    );
+    const {head, body} = await send('/stream/x');
+    expectWholeStream(head, body);
+  });
+
+  it('does not complete a stream that ends inside an event everywhere', async () => {
+    const cut = (request: ScriptedRequest): void => {
+      const from = request.lastEventId + 1;
+      const events = renderEvents(request, from, from + 1);
+      request.socket.end(renderHead(request, 200) + events.slice(0, -20));
+    };
+    scriptEngines(cut, cut);
+    const {body} = await send('/stream/x');
+    expect(body.endsWith(END_OF_CHUNKS)).toBe(false);
+  });
+
+  it('completes a stream that ends with its connection', async () => {
+    const answer = (request: ScriptedRequest): void => {
+      const events = renderEvents(request, 1, STREAM_EVENTS);
+      request.socket.end(renderHead(request, 200) + events);
+    };
+    scriptEngines(answer, answer);
+    const {head, body} = await send('/stream/x');
+    expectWholeStream(head, body);
+  });
+
+  it('frames a resumed stream anew whatever length its first upstream named', async () => {
+    scriptEngines(
+      request => {
+        const whole = renderEvents(request, 1, STREAM_EVENTS);
+        const head = renderHead(request, 200, [
+          `Content-Length: ${whole.length + 7}`,
+        ]);
+        request.socket.write(head + renderEvents(request, 1, 2), () =>
+          setTimeout(() => request.socket.resetAndDestroy(), 200),
+        );
+      },
+      request => {
+        const from = request.lastEventId + 1;
+        const events = renderEvents(request, from, STREAM_EVENTS);
+        request.socket.write(
+          renderHead(request, 200, [`Content-Length: ${events.length}`]) +
+            events,
+        );
+      },
+    );
+    const {head, body} = await send('/stream/x');
+    expectWholeStream(head, body);
+  });
+
+  it('does not answer 200 when the head of the answer is cut off', async () => {
+    const cuts = [30, 60, -2, -1];
+    for (const cut of cuts) {
+      desk.setScript(request => {
+        const head = renderHead(request, 200, ['Content-Length: 4']);
+        request.socket.end(head.slice(0, cut));
+      });
+      const {head} = await send('/order/x');
+      expect(readStatus(head)).toBe(502);
+    }
+  });
+}, 60_000);
