Treat a stream that ends inside an event as broken off

Callers got a stream that ended as if it were complete though its last event was missing, when the upstream closed in the middle of an event of a response without a length or chunks: the incomplete event was dropped and the end taken for the end of the stream. The stream is resumed at another upstream, or broken off.

--- a/packages/gateway/src/upstream-attempt.ts
+++ b/packages/gateway/src/upstream-attempt.ts
@@ -205,6 +205,14 @@
   const onEnd = (): void => {
     const answer = head;
     if (answer === undefined || !end()) return;
+    if (splitter !== undefined && splitter.getPendingBytes() > 0) {
+      observer.onFailure({
+        code: ExchangeFailureCode.BrokenOff,
+        reason: 'stream ended inside an event',
+        wasReused: false,
+      });
+      return;
+    }
     if (responseClass === ResponseClass.Answer) {
       if (answer.status < 300) markAnswering();
       observer.onAnswer(answer, Buffer.concat(chunks));
