Keep a long error of the next upstream out of a started stream

Callers found the text of an error in the middle of their stream, which then ended as if it were complete: a body beyond 256 KB is passed on as it arrives, and the session passed on that of a failure though the head of the stream had been sent. The case of 400,000 bytes in faulty-upstreams.test.ts failed before; that of 20 bytes, which is buffered, held. The stream is now broken off.

--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -39,6 +39,8 @@
   const sharedParts = listSharedParts(request.promptParts);
   const triedUpstreamIds = new Set<string>();
   let current: Attempt | undefined;
+  /** Attempt whose head was sent to the caller before its body was complete. */
+  let startedBy: Attempt | undefined;
   let sentCount = 0;
   /** Whether an earlier attempt may have run. */
   let mayHaveRun = false;
@@ -170,15 +172,34 @@
     firstByteMs ??= clock.getNowMs() - admitted.arrivedAtMs;
   };
 
+  /**
+   * Breaks off a started stream whose retry got a response that is not a
+   * stream.
+   */
+  const endBrokenStream = (attempt: Attempt): void => {
+    cancelAttempt();
+    response.abort();
+    const refusal = {code: RefusalCode.OutcomeUnknown};
+    end(0, refusal, attempt.entry.upstream.id);
+  };
+
   const onChunk = (
     attempt: Attempt,
     head: ResponseHead,
     chunk: Buffer,
     eventId: string | undefined,
   ): void => {
+    const isSuccess = head.status >= 200 && head.status < 300;
+    if (response.hasStarted() && startedBy !== attempt && !isSuccess) {
+      endBrokenStream(attempt);
+      return;
+    }
     recordFirstByte();
     lastEventId = eventId ?? lastEventId;
-    if (!response.hasStarted()) response.startStream(head);
+    if (!response.hasStarted()) {
+      startedBy = attempt;
+      response.startStream(head);
+    }
     if (!response.writeChunk(chunk)) attempt.pause();
   };
 
@@ -217,11 +238,7 @@
       deliver(attempt, head, body, wasStreamed);
       return;
     }
-    // The retry of a started stream got a response that is not a stream, and
-    // the head of the stream was already sent.
-    response.abort();
-    const refusal = {code: RefusalCode.OutcomeUnknown};
-    end(0, refusal, attempt.entry.upstream.id);
+    endBrokenStream(attempt);
   };
 
   /** Tries another upstream, the same one after a delay, or refuses. */
