Frame streams by chunks, not by the length that their upstream named

Callers of a resumed stream got the length of the first upstream's response with the events of two, so that the response looked cut off or ran into the next one on the connection. The case "frames a resumed stream anew" of faulty-upstreams.test.ts failed before. Streams are sent in chunks; other long bodies, which are never continued elsewhere, keep their length.

--- a/packages/gateway/src/caller-response.ts
+++ b/packages/gateway/src/caller-response.ts
@@ -8,8 +8,13 @@
   sendStatus(status: number, headers: readonly string[]): void;
   /** Sends an upstream's head and complete body. */
   sendWhole(head: ResponseHead, body: Buffer): void;
-  /** Sends an upstream's head; the body follows in chunks. */
-  startStream(head: ResponseHead): void;
+  /**
+   * Sends an upstream's head; the body follows in chunks.
+   *
+   * @param keepsLength whether the upstream's length applies to the body, which
+   *     it does not when another upstream may continue it.
+   */
+  startStream(head: ResponseHead, keepsLength: boolean): void;
   /** Writes a chunk; false asks the caller to pause until `onDrain`. */
   writeChunk(chunk: Buffer): boolean;
   endStream(): void;
@@ -80,9 +85,9 @@
       ]);
       response.end(body);
     },
-    startStream: head => {
+    startStream: (head, keepsLength) => {
       if (response.headersSent || response.destroyed) return;
-      writeHead(head.status, head.reason, copyHeaders(head, true));
+      writeHead(head.status, head.reason, copyHeaders(head, keepsLength));
     },
     writeChunk: chunk => response.write(chunk),
     endStream: () => void response.end(),
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -198,7 +198,7 @@
     lastEventId = eventId ?? lastEventId;
     if (!response.hasStarted()) {
       startedBy = attempt;
-      response.startStream(head);
+      response.startStream(head, route.kind !== RequestKind.Stream);
     }
     if (!response.writeChunk(chunk)) attempt.pause();
   };
