Measure how close gateways keep to the limit that an upstream names

npm run capacity, part server-limit: 2 to 48 gateway processes before an engine stand-in that names 1.5 or 2 requests a second, and gets four times as many from callers, unevenly spread.

--- a/packages/measure/src/capacity-main.ts
+++ b/packages/measure/src/capacity-main.ts
@@ -14,6 +14,7 @@
 import {measureRoutingQuality} from './capacity/routing-quality';
 import {measureClaimSweep} from './capacity/claim-sweep';
 import {createFigureSink} from './capacity/sink';
+import {measureServerLimits} from './capacity/server-limit';
 import {measureStateDecisions} from './capacity/state-decisions';
 import {measureWire} from './capacity/wire';
 import type {CapacityReport} from './capacity/types';
@@ -30,6 +31,10 @@
 /** Gateways of the users' platform, as processes. */
 const GATEWAY_FLEET_SIZES = [4, 8, 16, 24, 32] as const;
 
+/** Gateways before an upstream that names a limit, and the limits. */
+const LIMITED_FLEET_SIZES = [2, 6, 12, 24, 48] as const;
+const NAMED_LIMITS = [1.5, 2] as const;
+
 /** Streams per second of one gateway. */
 const STREAM_RATES = [5, 10, 20, 40] as const;
 
@@ -55,6 +60,7 @@
   await buildGatewayProgram();
   await measureGatewayRequests(sink, STREAM_RATES);
   await measureGatewayFleets(sink, GATEWAY_FLEET_SIZES);
+  await measureServerLimits(sink, LIMITED_FLEET_SIZES, NAMED_LIMITS);
   const index = process.argv.indexOf('--json');
   const file = index === -1 ? undefined : process.argv[index + 1];
   if (file !== undefined) {
--- a/packages/soak/src/testing/gateway-fleet.ts
+++ b/packages/soak/src/testing/gateway-fleet.ts
@@ -38,10 +38,17 @@
 const PROMPT_TOKENS = 300;
 const OUTPUT_TOKENS = 72;
 
+const SOURCE_PROGRAM = [
+  ...TYPESCRIPT_ARGUMENTS,
+  join(WORKSPACE_ROOT, 'packages/cli/src/gateway-main.ts'),
+];
+
 /** What `startGatewayFleet` needs. */
 export interface GatewayFleetOptions {
   gatewayCount: number;
   engineCount: number;
+  /** Arguments of node that start a gateway; its sources by default. */
+  program?: readonly string[];
 }
 
 /** One stream to send. */
@@ -100,10 +107,7 @@
     upstream.register();
     upstreams.push(upstream);
   }
-  const program = [
-    ...TYPESCRIPT_ARGUMENTS,
-    join(WORKSPACE_ROOT, 'packages/cli/src/gateway-main.ts'),
-  ];
+  const {program = SOURCE_PROGRAM} = options;
   const gateways: SoakGateway[] = [];
   for (let index = 0; index < options.gatewayCount; index += 1) {
     gateways.push(
