Do not count refused connections as attempts of a request

Callers were refused with "no upstream" while an upstream could serve them: two upstreams that were down used up the attempts that the route allows, though nothing was sent to them. A request now goes on after up to four upstreams that accept no connection; the route bounds those that it is sent to.

--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -28,6 +28,8 @@
 const REJECTED_RETRY_MS = 200;
 /** Delay before a request is sent again to the upstream that rejected it. */
 const SAME_UPSTREAM_DELAY_MS = 60;
+/** Upstreams that one request finds unreachable before it is refused. */
+const MAX_UNREACHABLE = 4;
 /** Least time before the deadline at which a request is still sent. */
 const MIN_SEND_MS = 5;
 
@@ -42,6 +44,8 @@
   /** Attempt whose head was sent to the caller before its body was complete. */
   let startedBy: Attempt | undefined;
   let sentCount = 0;
+  /** Upstreams to which no connection was made, so that nothing was sent. */
+  let unreachableCount = 0;
   /** Whether an earlier attempt may have run. */
   let mayHaveRun = false;
   let lastEventId: string | undefined;
@@ -156,9 +160,14 @@
     );
   };
 
+  /** Whether the route allows to send the request to a further upstream. */
+  const hasAttemptsLeft = (): boolean =>
+    triedUpstreamIds.size - unreachableCount < route.maxAttempts &&
+    unreachableCount < MAX_UNREACHABLE;
+
   const canTryAnother = (): boolean =>
     (isRepeatable || !mayHaveRun) &&
-    triedUpstreamIds.size < route.maxAttempts &&
+    hasAttemptsLeft() &&
     deadlineAtMs - clock.getNowMs() > MIN_SEND_MS;
 
   /** Starts another attempt, or refuses the request. */
@@ -248,7 +257,7 @@
   ): void => {
     current = undefined;
     logAttempt(attempt, responseClass);
-    if (triedUpstreamIds.size < route.maxAttempts || hasResent) {
+    if (hasAttemptsLeft() || hasResent) {
       tryNext();
       return;
     }
@@ -283,8 +292,12 @@
   const onFailure = (attempt: Attempt, failure: ExchangeFailure): void => {
     current = undefined;
     logAttempt(attempt, `${failure.code}: ${failure.reason}`);
-    if (attempt.wasSent()) mayHaveRun = true;
-    else sentCount -= 1;
+    if (attempt.wasSent()) {
+      mayHaveRun = true;
+    } else {
+      sentCount -= 1;
+      unreachableCount += 1;
+    }
     options.recordFault(attempt.entry, CONNECTION_FAULT);
     if (failure.code === ExchangeFailureCode.NotConnected) {
       options.recordUnreachable(attempt.entry);
@@ -354,7 +367,7 @@
   const checkProgress = (nowMs: number): void => {
     const attempt = current;
     if (hasEnded || attempt === undefined || !attempt.wasSent()) return;
-    if (triedUpstreamIds.size >= route.maxAttempts) return;
+    if (!hasAttemptsLeft()) return;
     const {progress, upstream} = attempt.entry;
     const silentMs = attempt.getIdleMs(nowMs);
     const upstreamSilentMs = progress.getUnansweredMs(nowMs);
--- a/packages/soak/src/faulty-upstreams.test.ts
+++ b/packages/soak/src/faulty-upstreams.test.ts
@@ -28,7 +28,8 @@
 const RESPONSE_TIMEOUT_MS = 4_000;
 const STREAM_EVENTS = 6;
 const END_OF_CHUNKS = '0\r\n\r\n';
-const MODEL_HEADERS = ['X-Model: m0', 'X-Token-Count: 10,10'];
+/** Nothing listens there. */
+const CLOSED_PORT = 1;
 const ERROR_TEXT = 'out of memory';
 
 /** Headers of an upstream's own response. */
@@ -47,6 +48,10 @@
   ].join('\r\n');
 }
 
+function renderModelHeaders(model: string): string[] {
+  return [`X-Model: ${model}`, 'X-Token-Count: 10,10'];
+}
+
 function renderAnswer(request: ScriptedRequest): string {
   return `${renderHead(request, 200, ['Content-Length: 4'])}done`;
 }
@@ -89,17 +94,20 @@
   let gateway: SoakGateway;
   let engines: ScriptedUpstream[] = [];
   let desk: ScriptedUpstream;
+  /** The only running engine with its model, in another failure domain. */
+  let distant: ScriptedUpstream;
   let count = 0;
 
   const register = (
-    upstream: ScriptedUpstream,
+    upstream: Pick<ScriptedUpstream, 'id' | 'port'>,
     service: string,
     models: readonly string[],
+    zone = 'a',
   ): void =>
     store.putServer(upstream.id, {
       service,
       address: `127.0.0.1:${upstream.port}`,
-      zone: 'a',
+      zone,
       version: '1',
       slots: 32,
       state: 'ready',
@@ -118,7 +126,11 @@
         accounts: [
           {name: 'small', keys: [KEY], ratePerSecond: 1e6, burst: 1e6},
         ],
-        models: [{name: 'm0', weightsMb: 1, adapterCount: 0}],
+        models: ['m0', 'm1'].map(name => ({
+          name,
+          weightsMb: 1,
+          adapterCount: 0,
+        })),
         serverMemoryMb: 1,
         adapterSlots: 1,
         plainTimeoutMs: RESPONSE_TIMEOUT_MS,
@@ -130,6 +142,11 @@
     ];
     desk = await startScriptedUpstream('desk-1', []);
     for (const engine of engines) register(engine, 'engines', ['m0']);
+    distant = await startScriptedUpstream('engine-3', ['m1']);
+    register(distant, 'engines', ['m1'], 'b');
+    for (const id of ['engine-4', 'engine-5', 'engine-6']) {
+      register({id, port: CLOSED_PORT}, 'engines', ['m1']);
+    }
     register(desk, 'desk', []);
     const program = [
       ...TYPESCRIPT_ARGUMENTS,
@@ -149,7 +166,7 @@
     gateway.send('SIGKILL');
     await gateway.waitForExit();
     await gateway.storeProxy.close();
-    for (const upstream of [...engines, desk]) await upstream.close();
+    for (const upstream of [...engines, distant, desk]) await upstream.close();
     await store.close();
     rmSync(directory, {recursive: true, force: true});
   });
@@ -159,7 +176,10 @@
   });
 
   /** Sends a request and returns all bytes until the gateway closes. */
-  const send = (path: string): Promise<{head: string; body: string}> =>
+  const send = (
+    path: string,
+    model = 'm0',
+  ): Promise<{head: string; body: string}> =>
     new Promise(resolve => {
       count += 1;
       const socket = connect(gateway.port, '127.0.0.1');
@@ -181,7 +201,7 @@
           `X-Attempt-Id: attempt-${count}`,
           `X-Key: ${KEY}`,
           `X-Deadline-Ms: ${RESPONSE_TIMEOUT_MS}`,
-          ...(path.startsWith('/stream') ? MODEL_HEADERS : []),
+          ...(path.startsWith('/stream') ? renderModelHeaders(model) : []),
           'Connection: close',
           'Content-Length: 0',
           '\r\n',
@@ -326,6 +346,15 @@
     expectWholeStream(head, body);
   });
 
+  it('tries a further upstream when connections to others are refused', async () => {
+    distant.setScript(request => {
+      const events = renderEvents(request, 1, STREAM_EVENTS);
+      request.socket.end(renderHead(request, 200) + events);
+    });
+    const {head, body} = await send('/stream/x', 'm1');
+    expectWholeStream(head, body);
+  });
+
   it('does not answer 200 when the head of the answer is cut off', async () => {
     const cuts = [30, 60, -2, -1];
     for (const cut of cuts) {
