Poison prompts and name limits in the fault soak, and check both

Two kinds of fault: a part of prompts ends the engines that begin to answer it, and an upstream names a limit. Checks: few requests with the part reach upstreams once it is known, none ends two upstreams, and no upstream gets more than it allows.

--- a/packages/soak/src/checks/bounds.ts
+++ b/packages/soak/src/checks/bounds.ts
@@ -20,3 +20,11 @@
 export const MIN_SERVED_FRACTION = 0.25;
 /** Time by which the deadline at an upstream may exceed the caller's. */
 export const DEADLINE_SLACK_MS = 500;
+/** Ends after which a poisoned part must be known (`BUDGET`). */
+export const TOLERATED_ENDS = 5;
+/** Requests with that part that may still reach upstreams. */
+export const TOLERATED_POISONED = 3;
+/** Window, factor and slack of the limits that upstreams name (`LIMIT`). */
+export const NAMED_LIMIT_WINDOW_MS = 4_000;
+export const NAMED_LIMIT_FACTOR = 1.5;
+export const NAMED_LIMIT_SLACK = 5;
--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -60,7 +60,8 @@
     ],
     leaving: [],
     poisonedEnds: [],
-    poisonedAttempts: new Set(),
+    poisonedAttempts: new Map(),
+    namedLimits: [],
     memoryMb: 100,
     ...changes,
   };
@@ -110,6 +111,52 @@
         withdrawnKeys: new Map([['k1', 1_000]]),
       },
     ],
+    [
+      'poison',
+      {
+        calls: ['p1', 'p2', 'p3', 'p4', 'p5', 'p6', 'p7', 'p8', 'p9'].map(id =>
+          makeCall(id, {status: 502}),
+        ),
+        runs: [],
+        arrivals: ['p6', 'p7', 'p8', 'p9'].map(attemptId => ({
+          attemptId,
+          upstreamId: 'engines-1',
+          atMs: 4_100,
+        })),
+        poisonedAttempts: new Map(
+          [1, 2, 3, 4, 5, 6, 7, 8, 9].map(index => [`p${index}`, 'bad']),
+        ),
+        poisonedEnds: [1, 2, 3, 4, 5].map(index => ({
+          attemptId: `p${index}`,
+          upstreamId: `engines-${index}`,
+          atMs: 1_000,
+        })),
+      },
+    ],
+    [
+      'poison-repeat',
+      {
+        poisonedEnds: ['engines-1', 'engines-2'].map(upstreamId => ({
+          attemptId: 'c1',
+          upstreamId,
+          atMs: 1_000,
+        })),
+      },
+    ],
+    [
+      'named-limit',
+      {
+        // A limit of 1 a second allows 11 requests in four seconds.
+        arrivals: Array.from({length: 12}, (_, index) => ({
+          attemptId: `a${index}`,
+          upstreamId: 'engines-1',
+          atMs: 5_000,
+        })),
+        namedLimits: [
+          {upstreamId: 'engines-1', perSecond: 1, fromMs: 0, toMs: 9_000},
+        ],
+      },
+    ],
     [
       'limit',
       {
--- a/packages/soak/src/checks/index.ts
+++ b/packages/soak/src/checks/index.ts
@@ -17,6 +17,12 @@
   checkStops,
 } from './fleet';
 
+import {
+  checkNamedLimits,
+  checkPoisonedPrompts,
+  checkPoisonedRepeats,
+} from './upstreams';
+
 const CHECKS: ReadonlyArray<(history: History) => Violation[]> = [
   checkResponses,
   checkSingleRuns,
@@ -30,6 +36,9 @@
   checkOrders,
   checkStops,
   checkRecovery,
+  checkPoisonedPrompts,
+  checkPoisonedRepeats,
+  checkNamedLimits,
 ];
 
 /** Runs all checks; returns the violations. */
--- /dev/null
+++ b/packages/soak/src/checks/upstreams.ts
@@ -0,0 +1,115 @@
+/** Checks of what upstreams ask of all gateways together. */
+import {FaultKind} from '../history';
+import type {History, Violation} from '../history';
+import {
+  CONTACT_MS,
+  NAMED_LIMIT_FACTOR,
+  NAMED_LIMIT_SLACK,
+  NAMED_LIMIT_WINDOW_MS,
+  TOLERATED_ENDS,
+  TOLERATED_POISONED,
+} from './bounds';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+/** Faults after which a gateway may not have heard from the others. */
+const GATEWAY_FAULTS: ReadonlySet<FaultKind> = new Set([
+  FaultKind.GatewayStop,
+  FaultKind.GatewayKill,
+  FaultKind.GatewayPause,
+  FaultKind.StoreCut,
+]);
+
+/** Whether the attempt's gateway had a fault in the span or shortly before. */
+function createExcuse(
+  history: History,
+): (attemptId: string, fromMs: number, toMs: number) => boolean {
+  const gateways = new Map(
+    history.calls.map(({attemptId, gateway}) => [attemptId, gateway]),
+  );
+  return (attemptId, fromMs, toMs) => {
+    const gateway = gateways.get(attemptId);
+    return history.faults.some(
+      fault =>
+        GATEWAY_FAULTS.has(fault.kind) &&
+        `gateway-${Number(fault.target) + 1}` === gateway &&
+        fault.fromMs <= toMs &&
+        fault.toMs >= fromMs - CONTACT_MS,
+    );
+  };
+}
+
+/** Requests with a part that ends upstreams reach few of them once it is known. */
+export function checkPoisonedPrompts(history: History): Violation[] {
+  const isExcused = createExcuse(history);
+  const {poisonedAttempts, poisonedEnds} = history;
+  return [...new Set(poisonedAttempts.values())].flatMap(part => {
+    const ends = poisonedEnds
+      .filter(({attemptId}) => poisonedAttempts.get(attemptId) === part)
+      .map(({atMs}) => atMs)
+      .sort((left, right) => left - right);
+    const knownAtMs = (ends[TOLERATED_ENDS - 1] ?? Infinity) + CONTACT_MS;
+    const late = history.arrivals.filter(
+      ({attemptId, atMs}) =>
+        atMs > knownAtMs &&
+        poisonedAttempts.get(attemptId) === part &&
+        !isExcused(attemptId, atMs, atMs),
+    );
+    if (late.length <= TOLERATED_POISONED) return [];
+    const detail = `${late.length} requests with ${part} after ${ends.length} ends`;
+    return [{check: 'poison', detail}];
+  });
+}
+
+/** A request under which an upstream ended is not sent to a second one. */
+export function checkPoisonedRepeats(history: History): Violation[] {
+  const hasLinkFault = (atMs: number): boolean =>
+    history.faults.some(
+      ({kind, fromMs, toMs}) =>
+        kind.startsWith('link') && fromMs <= atMs && toMs >= atMs - CONTACT_MS,
+    );
+  const seen = new Set<string>();
+  return history.poisonedEnds.flatMap(({attemptId, atMs}) => {
+    const isRepeated = seen.has(attemptId) && !hasLinkFault(atMs);
+    seen.add(attemptId);
+    return isRepeated
+      ? [{check: 'poison-repeat', detail: `${attemptId} ended two upstreams`}]
+      : [];
+  });
+}
+
+/** An upstream gets no more than the limit that it named. */
+export function checkNamedLimits(history: History): Violation[] {
+  const isExcused = createExcuse(history);
+  return history.namedLimits.flatMap(
+    ({upstreamId, perSecond, fromMs, toMs}) => {
+      const times = history.arrivals
+        .filter(
+          arrival =>
+            arrival.upstreamId === upstreamId &&
+            arrival.atMs > fromMs + CONTACT_MS &&
+            arrival.atMs <= toMs &&
+            !isExcused(
+              arrival.attemptId,
+              arrival.atMs - NAMED_LIMIT_WINDOW_MS,
+              arrival.atMs,
+            ),
+        )
+        .map(({atMs}) => atMs);
+      const most = Math.max(
+        0,
+        ...times.map(
+          endMs =>
+            times.filter(
+              atMs => atMs <= endMs && atMs > endMs - NAMED_LIMIT_WINDOW_MS,
+            ).length,
+        ),
+      );
+      const seconds = NAMED_LIMIT_WINDOW_MS / MILLISECONDS_PER_SECOND;
+      const allowed =
+        NAMED_LIMIT_FACTOR * perSecond * seconds + NAMED_LIMIT_SLACK;
+      if (most <= allowed) return [];
+      const detail = `${upstreamId} got ${most} requests, allowed ${allowed}`;
+      return [{check: 'named-limit', detail}];
+    },
+  );
+}
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -5,7 +5,7 @@
 import type {FaultProxy} from '@siskinplank/stand-ins';
 import type {SoakGateway} from './gateways';
 import {FaultKind} from './history';
-import type {FaultSpan, History} from './history';
+import type {FaultSpan, History, NamedLimit} from './history';
 import type {PlannedFault} from './plan';
 import type {SoakUpstream} from './upstreams';
 
@@ -18,6 +18,8 @@
   getNowMs(): number;
   /** Withdraws a key of the account that `variant` selects. */
   withdrawKey(variant: number): void;
+  /** Poisons a part of the prompts of new streams; the result ends it. */
+  poisonPrompts(variant: number): () => void;
   /** Changes the limit of the account that `variant` selects. */
   changeLimit(variant: number): void;
 }
@@ -32,6 +34,13 @@
 const ENTRY_EXPIRY_MS = 3_600;
 /** Time that a draining upstream keeps serving after it reported the drain. */
 const DRAINING_MS = 3_500;
+/** Time in which gateways learn of a limit, and a window to count it in. */
+const LIMIT_MS = 8_000;
+/** Range of the limits that upstreams name, in requests a second. */
+const MIN_LIMIT = 0.5;
+const MAX_LIMIT = 4;
+/** Time for which prompts with a poisoned part are sent. */
+const POISON_MS = 10_000;
 /** Time for a process to restart. */
 const RESTART_MS = 1_500;
 
@@ -143,6 +152,21 @@
         await wait(forMs);
         proxy.applyFault({cut: true, stall: null});
         return;
+      case FaultKind.UpstreamLimited: {
+        const perSecond = MIN_LIMIT + variant * (MAX_LIMIT - MIN_LIMIT);
+        const limit: NamedLimit = {
+          upstreamId: standIn.getId(),
+          perSecond: Math.round(perSecond * 10) / 10,
+          fromMs: targets.getNowMs(),
+          toMs: Infinity,
+        };
+        targets.history.namedLimits.push(limit);
+        standIn.setFault({namedLimit: limit.perSecond});
+        await wait(LIMIT_MS + forMs);
+        limit.toMs = targets.getNowMs();
+        standIn.setFault({});
+        return;
+      }
       case FaultKind.UpstreamFails:
         standIn.setFault({failShare: 0.2 + variant * 0.6});
         break;
@@ -167,6 +191,12 @@
       case FaultKind.LimitChanged:
         targets.changeLimit(fault.variant);
         return;
+      case FaultKind.PromptPoisoned: {
+        const stop = targets.poisonPrompts(fault.variant);
+        await wait(POISON_MS);
+        stop();
+        return;
+      }
       case FaultKind.GatewayStop:
       case FaultKind.GatewayKill:
       case FaultKind.GatewayPause:
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -35,6 +35,10 @@
   LinkDelay = 'link-delay',
   LinkCut = 'link-cut',
   LinkStall = 'link-silent',
+  /** A part of prompts ends the upstreams that begin to answer it. */
+  PromptPoisoned = 'prompt-poisoned',
+  /** An upstream names a limit in its answers. */
+  UpstreamLimited = 'upstream-limited',
   KeyWithdrawn = 'key-withdrawn',
   LimitChanged = 'limit-changed',
 }
@@ -62,6 +66,15 @@
   atMs: number;
 }
 
+/** Limit that an upstream named in its answers. */
+export interface NamedLimit {
+  upstreamId: string;
+  perSecond: number;
+  fromMs: number;
+  /** Infinity while it is named. */
+  toMs: number;
+}
+
 /** An upstream that ended under a prompt with a poisoned part. */
 export interface PoisonedEnd {
   attemptId: string;
@@ -83,8 +96,9 @@
   /** Drains of upstreams. */
   leaving: DrainStart[];
   poisonedEnds: PoisonedEnd[];
-  /** Attempts with a poisoned part in their prompts. */
-  poisonedAttempts: Set<string>;
+  /** Poisoned part of the prompt, by attempt. */
+  poisonedAttempts: Map<string, string>;
+  namedLimits: NamedLimit[];
   /** Memory of an engine. */
   memoryMb: number;
 }
@@ -107,7 +121,8 @@
     limits: [],
     leaving: [],
     poisonedEnds: [],
-    poisonedAttempts: new Set(),
+    poisonedAttempts: new Map(),
+    namedLimits: [],
     memoryMb,
   };
 }
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -40,9 +40,21 @@
   FaultKind.StoreCut,
 ]);
 
+/**
+ * Kinds that are drawn after all others, so that a seed keeps the other faults
+ * that it had before these kinds were added.
+ */
+const LATER_KINDS: readonly FaultKind[] = [
+  FaultKind.PromptPoisoned,
+  FaultKind.UpstreamLimited,
+];
+const LATER_MEAN_GAP_MS = 6_000;
+
 /** Draws the faults of a soak. */
 export function planFaults(random: Random, input: PlanInput): PlannedFault[] {
-  const kinds = Object.values(FaultKind);
+  const kinds = Object.values(FaultKind).filter(
+    kind => !LATER_KINDS.includes(kind),
+  );
   const lastMs = input.lengthMs - input.calmMs;
   const faults: PlannedFault[] = [];
   const addFault = (kind: FaultKind, atMs: number): void => {
@@ -71,5 +83,10 @@
     }
     atMs += -Math.log(1 - random.getNext()) * MEAN_GAP_MS;
   }
+  atMs = FIRST_FAULT_MS;
+  while (atMs < lastMs) {
+    addFault(LATER_KINDS[random.getInteger(LATER_KINDS.length)], atMs);
+    atMs += -Math.log(1 - random.getNext()) * LATER_MEAN_GAP_MS;
+  }
   return faults;
 }
--- a/packages/soak/src/poisoned-prompts.test.ts
+++ b/packages/soak/src/poisoned-prompts.test.ts
@@ -40,7 +40,7 @@
         }
       }
       if (isPoisoned) {
-        history.poisonedAttempts.add(input.attemptId);
+        history.poisonedAttempts.set(input.attemptId, POISON);
         const promptParts = [SHARED, subject, POISON, own];
         calls.push(fleet.sendStream({...input, promptParts}));
       } else {
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -140,6 +140,8 @@
   for (const gateway of gateways) gateway.start();
   const areReady = await Promise.all(gateways.map(waitUntilReady));
 
+  const poisonedParts = new Set<string>();
+  let poisonCount = 0;
   const faultInjector = createFaultInjector({
     gateways,
     upstreams,
@@ -155,6 +157,15 @@
       putConfiguration();
       history.withdrawnKeys.set(key, getNowMs());
     },
+    poisonPrompts: () => {
+      poisonCount += 1;
+      const part = `poison-${poisonCount}`;
+      poisonedParts.add(part);
+      for (const {standIn} of upstreams) {
+        standIn.setPoisonedParts(poisonedParts);
+      }
+      return traffic.addPoison(part);
+    },
     changeLimit: variant => {
       const index = Math.floor(variant * accounts.length);
       const account = accounts[index];
--- a/packages/soak/src/traffic.ts
+++ b/packages/soak/src/traffic.ts
@@ -24,6 +24,8 @@
 
 /** Running callers. */
 export interface Traffic {
+  /** Adds a poisoned part to a share of the streams; the result ends it. */
+  addPoison(part: string): () => void;
   /** Stops the callers once their open calls have ended. */
   stop(): Promise<void>;
 }
@@ -32,6 +34,10 @@
 const MEAN_PAUSE_MS = 350;
 /** Probability of switching gateways after a failed connection or a 503. */
 const SWITCH_PROBABILITY = 0.5;
+/** Fraction of the streams with a poisoned part while there is one. */
+const POISONED_FRACTION = 0.08;
+/** Parts that the prompts of several requests have in common. */
+const SUBJECT_COUNT = 12;
 /** Fraction of the calls after which a caller opens a new connection. */
 const RECONNECT_FRACTION = 0.05;
 const DEADLINES: Readonly<Record<CallKind, number>> = {
@@ -45,6 +51,18 @@
   const {gateways, accounts, history, random} = options;
   let isRunning = true;
   let callCount = 0;
+  const poisons: string[] = [];
+
+  const makePromptParts = (account: string, attemptId: string): string[] => {
+    const subject = `${account}-${random.getInteger(SUBJECT_COUNT)}`;
+    const parts = [account, subject];
+    if (poisons.length > 0 && random.getNext() < POISONED_FRACTION) {
+      const poison = poisons[random.getInteger(poisons.length)];
+      parts.push(poison);
+      history.poisonedAttempts.set(attemptId, poison);
+    }
+    return [...parts, attemptId];
+  };
 
   const chooseKind = (): CallKind => {
     const drawn = random.getNext();
@@ -75,8 +93,9 @@
       if (!isRunning) break;
       callCount += 1;
       const kind = chooseKind();
+      const attemptId = `c${index}-${callCount}`;
       const record = await caller.call({
-        attemptId: `c${index}-${callCount}`,
+        attemptId,
         kind,
         account: account.name,
         key: account.keys[random.getInteger(account.keys.length)],
@@ -86,6 +105,10 @@
         deadlineMs: DEADLINES[kind],
         gateway: gateway.name,
         port: gateway.port,
+        promptParts:
+          kind === CallKind.Stream
+            ? makePromptParts(account.name, attemptId)
+            : undefined,
       });
       history.calls.push(record);
       const isUnserved = record.status === 0 || record.status === 503;
@@ -101,6 +124,10 @@
 
   const callers = Array.from({length: CALLER_COUNT}, (_, index) => run(index));
   return {
+    addPoison: part => {
+      poisons.push(part);
+      return () => void poisons.splice(poisons.indexOf(part), 1);
+    },
     stop: async () => {
       isRunning = false;
       await Promise.all(callers);
--- a/packages/soak/src/upstreams.ts
+++ b/packages/soak/src/upstreams.ts
@@ -63,6 +63,8 @@
     onPoisoned: (attemptId, upstreamId, atMs) => {
       history.poisonedEnds.push({attemptId, upstreamId, atMs});
       setTimeout(() => {
+        // An injected fault may have restarted it since.
+        if (standIn.getId() !== upstreamId) return;
         store.removeServer(upstreamId);
         standIn.restart();
         put('ready');
