Name the limit of an upstream as the reason of a refusal

A request that waited for a unit of such a limit was logged with the code of a request whose model no upstream holds, so that the log could not tell the two apart.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -6,6 +6,7 @@
   UpstreamTable,
 } from '@siskinplank/dispatch';
 import type {Clock, Timer} from '@siskinplank/foundation';
+import {RefusalCode} from './refusals';
 import {MAX_UNIT_WAIT_MS} from './upstream-limits';
 import type {UpstreamLimits} from './upstream-limits';
 
@@ -22,7 +23,7 @@
   targetPauseMs: number | undefined;
   /** Either this or `onRefused` is called once, unless cancelled. */
   onUpstream(entry: UpstreamEntry): void;
-  onRefused(retryAfterMs: number | undefined): void;
+  onRefused(retryAfterMs: number | undefined, code: RefusalCode): void;
 }
 
 /** What `createDispatcher` needs. */
@@ -143,8 +144,9 @@
   const refuse = (
     item: PendingSearch,
     retryAfterMs: number | undefined,
+    code = RefusalCode.NoUpstream,
   ): void => {
-    if (finish(item)) item.search.onRefused(retryAfterMs);
+    if (finish(item)) item.search.onRefused(retryAfterMs, code);
   };
 
   const startWaiting = (item: PendingSearch): void => {
@@ -172,7 +174,8 @@
     }
     const {unitWait} = item;
     if (unitWait === undefined || nowMs >= unitWait.endsAtMs) {
-      refuse(item, limits.estimateWaitMs(upstream));
+      const retryAfterMs = limits.estimateWaitMs(upstream);
+      refuse(item, retryAfterMs, RefusalCode.UpstreamLimit);
       return;
     }
     startWaiting(item);
--- a/packages/gateway/src/refusals.ts
+++ b/packages/gateway/src/refusals.ts
@@ -15,6 +15,8 @@
   LateStart = 'late-start',
   /** No upstream can run the request now. */
   NoUpstream = 'no-upstream',
+  /** The upstreams that could run it are at the limits that they named. */
+  UpstreamLimit = 'upstream-limit',
   /** Parts of its prompt are blamed for the end of upstreams. */
   PoisonedPrompt = 'poisoned-prompt',
   /** Every upstream tried stated that it has not run the request. */
@@ -45,6 +47,7 @@
   [RefusalCode.NotReady]: 503,
   [RefusalCode.LateStart]: 503,
   [RefusalCode.NoUpstream]: 503,
+  [RefusalCode.UpstreamLimit]: 503,
   [RefusalCode.PoisonedPrompt]: 503,
   [RefusalCode.Rejected]: 503,
   [RefusalCode.OutcomeUnknown]: 502,
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -97,12 +97,15 @@
     end(status, refusal, undefined);
   };
 
-  const refuseUnserved = (retryAfterMs = REJECTED_RETRY_MS): void => {
+  const refuseUnserved = (
+    retryAfterMs = REJECTED_RETRY_MS,
+    code = RefusalCode.NoUpstream,
+  ): void => {
     if (mayHaveRun) refuse({code: RefusalCode.OutcomeUnknown}, 502);
     else if (sentCount > 0) {
       refuse({code: RefusalCode.Rejected, retryAfterMs}, 503);
     } else {
-      refuse({code: RefusalCode.NoUpstream, retryAfterMs}, 503);
+      refuse({code, retryAfterMs}, 503);
     }
   };
 
@@ -141,7 +144,7 @@
   /** Searches an upstream; without one, `onNone` gets the suggested delay. */
   const search = (
     isRepeat: boolean,
-    onNone: (retryAfterMs: number | undefined) => void,
+    onNone: (retryAfterMs?: number, code?: RefusalCode) => void,
   ): void => {
     stopSearch = options.acquireUpstream(
       triedUpstreamIds,
@@ -151,11 +154,11 @@
         const maySend = !isRepeat || hasSpentRetry || options.trySpendRetry();
         hasSpentRetry = false;
         if (maySend) sendTo(entry);
-        else onNone(undefined);
+        else onNone();
       },
-      retryAfterMs => {
+      (retryAfterMs, code) => {
         stopSearch = undefined;
-        if (!hasEnded) onNone(retryAfterMs);
+        if (!hasEnded) onNone(retryAfterMs, code);
       },
     );
   };
--- a/packages/gateway/src/session-types.ts
+++ b/packages/gateway/src/session-types.ts
@@ -15,7 +15,7 @@
 import type {CallerResponse} from './caller-response';
 import type {PromptGuard} from './prompt-guard';
 import type {UpstreamLimits} from './upstream-limits';
-import type {Refusal} from './refusals';
+import type {Refusal, RefusalCode} from './refusals';
 
 /** An admitted request with its route, service and deadline. */
 export interface AdmittedRequest {
@@ -62,7 +62,7 @@
   acquireUpstream(
     triedUpstreamIds: ReadonlySet<string>,
     onUpstream: (entry: UpstreamEntry) => void,
-    onRefused: (retryAfterMs: number | undefined) => void,
+    onRefused: (retryAfterMs: number | undefined, code: RefusalCode) => void,
   ): () => void;
   /** Counts the request as open at an upstream. */
   recordOpen(entry: UpstreamEntry): OpenRequest;
