Recognize the connection of an accept measurement that is accepted first

Callers saw nothing since measurements end after 2 s or an empty queue; before that, gateways refused all new connections as late.

Cause, open since then: a turn that accepts a connection before the measuring one is made asked for its local address, which Node.js then remembers as port 0 until the connect event; when the listener accepts the measuring connection before that event, it is taken for a caller's.

The new test failed before.

Change: connections that are accepted before the connect event are compared when it comes; the local address is not asked for earlier.

--- a/packages/gateway/src/accept-probe.ts
+++ b/packages/gateway/src/accept-probe.ts
@@ -38,8 +38,10 @@
 interface Measurement {
   socket: Socket;
   startedAtMs: number;
-  /** When the connection entered the queue; undefined until that is known. */
+  /** When the connection entered the queue; undefined until it is made. */
   queuedAtMs: number | undefined;
+  /** Connections that were accepted before this one was known to be made. */
+  acceptedBefore: Socket[];
 }
 
 /** Least time between the starts of two measurements. */
@@ -63,6 +65,16 @@
   return nowMs - startedAtMs > MAX_CONNECT_MS ? nowMs : startedAtMs;
 }
 
+/** Whether an accepted connection is that of the measurement. */
+function isOwnConnection({socket}: Measurement, accepted: Socket): boolean {
+  const {localPort, localAddress} = socket;
+  return (
+    localPort !== undefined &&
+    accepted.remotePort === localPort &&
+    accepted.remoteAddress === localAddress
+  );
+}
+
 /** Creates a probe without a measurement. */
 export function createAcceptProbe(options: AcceptProbeOptions): AcceptProbe {
   const {host, port, clock} = options;
@@ -91,10 +103,19 @@
         socket,
         startedAtMs,
         queuedAtMs: undefined,
+        acceptedBefore: [],
       };
       pending = measurement;
       socket.on('connect', () => {
         measurement.queuedAtMs = getQueuedAtMs(measurement, clock.getNowMs());
+        const own = measurement.acceptedBefore.find(accepted =>
+          isOwnConnection(measurement, accepted),
+        );
+        measurement.acceptedBefore = [];
+        if (own === undefined) return;
+        // It hardly waited, so there is nothing to report.
+        own.destroy();
+        if (pending === measurement) endPending();
       });
       // The listener is closed while the process stops.
       socket.on('error', () => undefined);
@@ -104,14 +125,15 @@
     },
     takeWaitMs: (socket, nowMs) => {
       if (pending === undefined) return undefined;
-      const {localPort, localAddress} = pending.socket;
-      const isOwn =
-        localPort !== undefined &&
-        socket.remotePort === localPort &&
-        socket.remoteAddress === localAddress;
-      if (!isOwn) return undefined;
-      const waitMs =
-        nowMs - (pending.queuedAtMs ?? getQueuedAtMs(pending, nowMs));
+      const {queuedAtMs} = pending;
+      if (queuedAtMs === undefined) {
+        // Node.js remembers the local address from the first time it is asked
+        // for, also if the socket was not bound by then.
+        pending.acceptedBefore.push(socket);
+        return undefined;
+      }
+      if (!isOwnConnection(pending, socket)) return undefined;
+      const waitMs = nowMs - queuedAtMs;
       socket.destroy();
       endPending();
       return waitMs;
--- a/packages/gateway/src/arrival-times.test.ts
+++ b/packages/gateway/src/arrival-times.test.ts
@@ -105,6 +105,26 @@
   });
 });
 
+describe('accept probe that is asked before its connection is made', () => {
+  it('ends with the connection all the same', async () => {
+    const clock = createSystemClock();
+    const listener = createServer();
+    await new Promise<void>(resolve =>
+      listener.listen(0, '127.0.0.1', () => resolve()),
+    );
+    const {port} = listener.address() as AddressInfo;
+    const probe = createAcceptProbe({host: '127.0.0.1', port, clock});
+    listener.on('connection', socket => {
+      probe.takeWaitMs(socket, clock.getNowMs());
+    });
+    probe.start(clock.getNowMs());
+    probe.takeWaitMs({} as Socket, clock.getNowMs());
+    await clock.waitMs(100);
+    expect(probe.getPendingMs(clock.getNowMs())).toBe(0);
+    listener.close();
+  });
+});
+
 describe('arrival times of a listener under load', () => {
   const CONNECTIONS = 40;
   /** Processor time spent on each connection; no single turn is late. */
