Suspect requests whose responses had just begun before those that waited

Cause: all requests without an answer counted alike, though an upstream that ends as it begins to answer leaves the head of that response behind.

The new tests of the tracker hold this case, the report of it by a peer, and the way back when the begun request turns out to be sound.

Change: gateways report both kinds of requests; if any response of an end had begun without an event, only such requests are suspected, and blames that rest on the others are lifted.

--- a/packages/gateway/src/prompt-guard.ts
+++ b/packages/gateway/src/prompt-guard.ts
@@ -7,7 +7,11 @@
 import type {Clock, Logger, Timer} from '@siskinplank/foundation';
 import type {ConnectionPool} from '@siskinplank/http-exchange';
 import {createPoisonTracker} from '@siskinplank/poison-prompts';
-import type {PoisonReport, PromptVerdict} from '@siskinplank/poison-prompts';
+import type {
+  EndedRequest,
+  PoisonReport,
+  PromptVerdict,
+} from '@siskinplank/poison-prompts';
 import type {Upstream, UpstreamControl} from '@siskinplank/serving';
 import {
   PROMPT_BLAMED,
@@ -47,7 +51,7 @@
    */
   reportBroken(
     upstream: Upstream,
-    parts: readonly string[],
+    ended: EndedRequest,
     onDecided: (mayRetry: boolean) => void,
   ): () => void;
   updatePeer(report: PoisonReport, nowMs: number): void;
@@ -70,7 +74,7 @@
 /** Requests whose connections to one incarnation of an upstream were lost. */
 interface BrokenGroup {
   hasEnded: boolean;
-  requests: Array<readonly string[]>;
+  requests: EndedRequest[];
   waiting: Set<HeldRequest>;
 }
 
@@ -147,7 +151,7 @@
       upstream: upstream.id,
       reason: String(report.extract()),
       requests: group.requests.length,
-      parts: group.requests.map(parts => parts.join(' ')).join(', '),
+      parts: group.requests.map(({parts}) => parts.join(' ')).join(', '),
     });
     tracker.recordEnding(key, group.requests, clock.getNowMs());
     for (const request of waiting) hold(request);
@@ -164,7 +168,8 @@
       tracker.recordAnswer(parts, clock.getNowMs());
       releaseProven();
     },
-    reportBroken: (upstream, parts, onDecided) => {
+    reportBroken: (upstream, ended, onDecided) => {
+      const {parts} = ended;
       if (isProven(parts)) {
         onDecided(true);
         return () => undefined;
@@ -179,10 +184,10 @@
       };
       groups.set(key, group);
       if (group.hasEnded) {
-        tracker.recordEnding(key, [parts], clock.getNowMs());
+        tracker.recordEnding(key, [ended], clock.getNowMs());
         hold(request);
       } else {
-        group.requests.push(parts);
+        group.requests.push(ended);
         group.waiting.add(request);
         if (known === undefined) void checkUpstream(upstream, key, group);
       }
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -280,15 +280,22 @@
   };
 
   /** Tries another upstream unless this one ended under the request. */
-  const retryUnlessEnded = ({upstream}: UpstreamEntry): void => {
+  const retryUnlessEnded = (
+    {upstream}: UpstreamEntry,
+    hasBegun: boolean,
+  ): void => {
     let isDecided = false;
-    const stop = options.guard.reportBroken(upstream, sharedParts, mayRetry => {
-      isDecided = true;
-      stopSearch = undefined;
-      if (hasEnded) return;
-      if (mayRetry) tryNext();
-      else refuseUnserved();
-    });
+    const stop = options.guard.reportBroken(
+      upstream,
+      {parts: sharedParts, hasBegun},
+      mayRetry => {
+        isDecided = true;
+        stopSearch = undefined;
+        if (hasEnded) return;
+        if (mayRetry) tryNext();
+        else refuseUnserved();
+      },
+    );
     if (!isDecided) stopSearch = stop;
   };
 
@@ -307,8 +314,12 @@
     }
     const maySuspect =
       failure.code === ExchangeFailureCode.BrokenOff && !attempt.isAnswering();
-    if (maySuspect) retryUnlessEnded(attempt.entry);
-    else tryNext();
+    if (maySuspect) {
+      const hasBegun = attempt.getHead() !== undefined && !attempt.hasEvents();
+      retryUnlessEnded(attempt.entry, hasBegun);
+    } else {
+      tryNext();
+    }
   };
 
   const sendTo = (entry: UpstreamEntry): void => {
--- a/packages/messages/src/gateway.ts
+++ b/packages/messages/src/gateway.ts
@@ -10,10 +10,16 @@
 const poisonReportSchema = z.strictObject({
   /**
    * Upstreams that ended, how long ago, and the unproven prompt parts of each
-   * request that the sender had open there without an answer.
+   * request that the sender had open there without an answer: of those whose
+   * responses had begun and of those that waited.
    */
   endings: z.array(
-    z.tuple([z.string(), amountSchema, z.array(partsSchema).max(32)]),
+    z.tuple([
+      z.string(),
+      amountSchema,
+      z.array(partsSchema).max(16),
+      z.array(partsSchema).max(16),
+    ]),
   ),
   /** Parts that a gateway suspects and the sender saw answered. */
   sound: z.array(z.string()),
--- a/packages/poison-prompts/src/ending-table.ts
+++ b/packages/poison-prompts/src/ending-table.ts
@@ -3,13 +3,19 @@
 /** Unproven parts of one request. */
 export type Suspect = readonly string[];
 
+/** Suspects by whether their responses had begun. */
+export interface Suspects {
+  begun: Suspect[];
+  waiting: Suspect[];
+}
+
 /** An upstream that ended, as seen by one or more gateways. */
 export interface Ending {
   readonly upstream: string;
   readonly atMs: number;
-  suspects: Suspect[];
-  /** Those of them that this gateway had sent. */
-  ownSuspects: Suspect[];
+  readonly all: Suspects;
+  /** Those that this gateway had sent. */
+  readonly own: Suspects;
 }
 
 /** Bounded table of endings. */
@@ -18,11 +24,14 @@
   merge(
     upstream: string,
     atMs: number,
-    suspects: readonly Suspect[],
+    suspects: Suspects,
     isOwn: boolean,
   ): Ending | undefined;
-  /** Removes a part that was found to be sound from all suspects. */
-  clearPart(part: string): void;
+  /**
+   * Removes a part that was found to be sound; returns the endings of which
+   * other requests are suspected therefore.
+   */
+  clearPart(part: string): Ending[];
   /** Whether a part is among the suspects of any ending. */
   hasSuspect(part: string): boolean;
   list(nowMs: number): Ending[];
@@ -30,7 +39,7 @@
 
 const MAX_ENDINGS = 32;
 /** Requests at the moment of an end; the rest is left out of the evidence. */
-const MAX_SUSPECTS = 32;
+const MAX_SUSPECTS = 16;
 const MAX_PARTS = 8;
 const ENDING_LIFETIME_MS = 60_000;
 
@@ -49,10 +58,27 @@
   return known.length > countBefore;
 }
 
-function removePart(suspects: readonly Suspect[], part: string): Suspect[] {
-  return suspects
-    .map(suspect => suspect.filter(other => other !== part))
-    .filter(suspect => suspect.length > 0);
+function mergeSuspects(known: Suspects, added: Suspects): boolean {
+  const hasBegun = addSuspects(known.begun, added.begun);
+  const hasWaiting = addSuspects(known.waiting, added.waiting);
+  return hasBegun || hasWaiting;
+}
+
+function removePart(suspects: Suspects, part: string): void {
+  const remove = (list: readonly Suspect[]): Suspect[] =>
+    list
+      .map(suspect => suspect.filter(other => other !== part))
+      .filter(suspect => suspect.length > 0);
+  suspects.begun = remove(suspects.begun);
+  suspects.waiting = remove(suspects.waiting);
+}
+
+/**
+ * Lists the requests that may have ended the upstream: those whose responses
+ * had just begun, if there are any.
+ */
+export function listSuspects({all}: Ending): readonly Suspect[] {
+  return all.begun.length > 0 ? all.begun : all.waiting;
 }
 
 /** Creates an empty table. */
@@ -64,11 +90,11 @@
       const ending = endings.get(upstream) ?? {
         upstream,
         atMs,
-        suspects: [],
-        ownSuspects: [],
+        all: {begun: [], waiting: []},
+        own: {begun: [], waiting: []},
       };
-      if (isOwn) addSuspects(ending.ownSuspects, suspects);
-      if (!addSuspects(ending.suspects, suspects)) return undefined;
+      if (isOwn) mergeSuspects(ending.own, suspects);
+      if (!mergeSuspects(ending.all, suspects)) return undefined;
       endings.set(upstream, ending);
       if (endings.size > MAX_ENDINGS) {
         const [oldest] = endings.keys();
@@ -77,14 +103,18 @@
       return ending;
     },
     clearPart: part => {
+      const changed: Ending[] = [];
       for (const ending of endings.values()) {
-        ending.suspects = removePart(ending.suspects, part);
-        ending.ownSuspects = removePart(ending.ownSuspects, part);
+        const hadBegun = ending.all.begun.length > 0;
+        removePart(ending.all, part);
+        removePart(ending.own, part);
+        if (hadBegun && ending.all.begun.length === 0) changed.push(ending);
       }
+      return changed;
     },
     hasSuspect: part =>
-      [...endings.values()].some(({suspects}) =>
-        suspects.some(suspect => suspect.includes(part)),
+      [...endings.values()].some(({all}) =>
+        [...all.begun, ...all.waiting].some(suspect => suspect.includes(part)),
       ),
     list: nowMs => {
       for (const [upstream, {atMs}] of [...endings]) {
--- a/packages/poison-prompts/src/index.ts
+++ b/packages/poison-prompts/src/index.ts
@@ -9,4 +9,4 @@
   PromptVerdict,
 } from './poison-tracker';
 export {BlameEnd} from './blame-table';
-export type {PoisonReport} from './types';
+export type {EndedRequest, PoisonReport} from './types';
--- a/packages/poison-prompts/src/poison-tracker.test.ts
+++ b/packages/poison-prompts/src/poison-tracker.test.ts
@@ -3,7 +3,14 @@
 import {createPoisonTracker} from './poison-tracker';
 import type {PoisonTracker} from './poison-tracker';
 
-interface TestTracker extends PoisonTracker {
+interface TestTracker extends Omit<PoisonTracker, 'recordEnding'> {
+  /** Records an end with requests that waited, and those that had begun. */
+  recordEnding(
+    upstream: string,
+    waiting: readonly string[][],
+    nowMs: number,
+    begun?: readonly string[][],
+  ): void;
   blamed: string[];
   lifted: Array<[string, BlameEnd]>;
   countNews(): number;
@@ -21,11 +28,25 @@
       news += 1;
     },
   });
-  return {...tracker, blamed, lifted, countNews: () => news};
+  return {
+    ...tracker,
+    recordEnding: (upstream, waiting, nowMs, begunRequests = []) =>
+      tracker.recordEnding(
+        upstream,
+        [
+          ...waiting.map(parts => ({parts, hasBegun: false})),
+          ...begunRequests.map(parts => ({parts, hasBegun: true})),
+        ],
+        nowMs,
+      ),
+    blamed,
+    lifted,
+    countNews: () => news,
+  };
 }
 
 /** Passes the reports of all trackers to each other. */
-function sendReports(trackers: readonly PoisonTracker[], nowMs: number): void {
+function sendReports(trackers: readonly TestTracker[], nowMs: number): void {
   const reports = trackers.map(tracker => tracker.describe(nowMs));
   trackers.forEach((tracker, index) =>
     reports.forEach((report, from) => {
@@ -129,6 +150,38 @@
     expect(peer.isBlamed(['bad'])).toBe(true);
   });
 
+  it('suspects requests whose responses had begun before those that waited', () => {
+    const tracker = createTestTracker();
+    tracker.recordEnding('u1', [['retried']], 1_000, [['bad', 'x']]);
+    tracker.recordEnding('u2', [['retried']], 2_000, [['bad', 'y']]);
+    expect(tracker.blamed).toEqual(['bad']);
+  });
+
+  it('lifts a blame when a peer reports a request whose response had begun', () => {
+    const tracker = createTestTracker();
+    const peer = createTestTracker();
+    tracker.recordEnding('u1', [['retried']], 1_000);
+    tracker.recordEnding('u2', [['retried']], 2_000);
+    expect(tracker.isBlamed(['retried'])).toBe(true);
+    peer.recordEnding('u1', [], 1_000, [['bad', 'x']]);
+    peer.recordEnding('u2', [], 2_000, [['bad', 'y']]);
+    sendReports([tracker, peer], 2_100);
+    sendReports([tracker, peer], 2_300);
+    for (const gateway of [tracker, peer]) {
+      expect(gateway.isBlamed(['retried'])).toBe(false);
+      expect(gateway.isBlamed(['bad'])).toBe(true);
+    }
+  });
+
+  it('suspects the waiting requests once those that had begun are sound', () => {
+    const tracker = createTestTracker();
+    tracker.recordEnding('u1', [['bad']], 1_000, [['begun']]);
+    tracker.recordEnding('u2', [['bad']], 2_000);
+    expect(tracker.blamed).toEqual([]);
+    tracker.recordAnswer(['begun'], 2_500);
+    expect(tracker.blamed).toEqual(['bad']);
+  });
+
   it('tests a blame with one request after its delay, at the owner only', () => {
     const owner = createTestTracker();
     const other = createTestTracker(false);
@@ -205,8 +258,8 @@
     }
     const report = tracker.describe(33_000);
     expect(report.endings.length).toBeLessThanOrEqual(8);
-    for (const [, , suspects] of report.endings) {
-      expect(suspects.length).toBeLessThanOrEqual(32);
+    for (const [, , begun, waiting] of report.endings) {
+      expect(begun.length + waiting.length).toBeLessThanOrEqual(32);
     }
     expect(report.sound).toEqual([]);
   });
--- a/packages/poison-prompts/src/poison-tracker.ts
+++ b/packages/poison-prompts/src/poison-tracker.ts
@@ -6,10 +6,10 @@
  */
 import {BlameEnd, createBlameTable} from './blame-table';
 import type {Blame} from './blame-table';
-import {createEndingTable} from './ending-table';
-import type {Ending, Suspect} from './ending-table';
+import {createEndingTable, listSuspects} from './ending-table';
+import type {Ending, Suspect, Suspects} from './ending-table';
 import {createSoundParts} from './sound-parts';
-import type {PoisonReport, ReportedBlame} from './types';
+import type {EndedRequest, PoisonReport, ReportedBlame} from './types';
 
 /** Whether a prompt may be sent to an upstream. */
 export interface PromptVerdict {
@@ -34,10 +34,10 @@
 export interface PoisonTracker {
   /** Records that an upstream answered a request with these parts. */
   recordAnswer(parts: readonly string[], nowMs: number): void;
-  /** Records an end with the parts of the requests it had not answered. */
+  /** Records an end with the requests that the upstream had not answered. */
   recordEnding(
     upstream: string,
-    requests: readonly (readonly string[])[],
+    requests: readonly EndedRequest[],
     nowMs: number,
   ): void;
   /** Lists the parts that were not seen in an answered request. */
@@ -93,7 +93,7 @@
 
 /** Whether many of the requests at the upstream have all of the parts. */
 function isCommon(ending: Ending, parts: readonly string[]): boolean {
-  const count = ending.suspects.filter(suspect =>
+  const count = listSuspects(ending).filter(suspect =>
     hasAll(suspect, parts),
   ).length;
   return count >= COMMON_REQUESTS;
@@ -161,16 +161,6 @@
     );
   };
 
-  const clearPart = (part: string, nowMs: number): void => {
-    endings.clearPart(part);
-    for (const blame of blames.listActive()) {
-      if (!blame.parts.includes(part)) continue;
-      const rest = blame.parts.filter(other => other !== part);
-      if (rest.length === 0) lift(blame, BlameEnd.FoundSound, nowMs);
-      else narrowBlame(blame, rest, nowMs);
-    }
-  };
-
   const isSuspected = (part: string): boolean =>
     endings.hasSuspect(part) ||
     blames.listActive().some(({parts}) => parts.includes(part));
@@ -197,7 +187,7 @@
     const cause = active.find(
       ({parts, upstreams}) =>
         !upstreams.has(ending.upstream) &&
-        ending.suspects.some(suspect => hasAll(suspect, parts)),
+        listSuspects(ending).some(suspect => hasAll(suspect, parts)),
     );
     if (cause === undefined) return false;
     cause.upstreams.add(ending.upstream);
@@ -220,7 +210,7 @@
   const listSupport = (parts: readonly string[], nowMs: number): Ending[] => {
     const support: Ending[] = [];
     for (const ending of endings.list(nowMs)) {
-      const hasSuspect = ending.suspects.some(suspect =>
+      const hasSuspect = listSuspects(ending).some(suspect =>
         hasAll(suspect, parts),
       );
       const isSeparate = support.every(
@@ -235,8 +225,8 @@
     const candidates = new Map<string, string[]>();
     for (const other of endings.list(nowMs)) {
       if (other === ending) continue;
-      for (const suspect of ending.suspects) {
-        for (const otherSuspect of other.suspects) {
+      for (const suspect of listSuspects(ending)) {
+        for (const otherSuspect of listSuspects(other)) {
           const parts = selectCommon(suspect, otherSuspect);
           if (parts.length > 0) candidates.set(parts.join(' '), parts);
         }
@@ -261,27 +251,62 @@
     }
   };
 
+  /** Lifts blames that rest on requests which are not suspected any more. */
+  const liftUnsupported = (ending: Ending, nowMs: number): void => {
+    for (const blame of blames.listActive()) {
+      if (!blame.upstreams.has(ending.upstream)) continue;
+      const isSupported = listSuspects(ending).some(suspect =>
+        hasAll(suspect, blame.parts),
+      );
+      if (isSupported) continue;
+      const hadEnough = blame.upstreams.size >= MIN_ENDINGS;
+      blame.upstreams.delete(ending.upstream);
+      if (!hadEnough || blame.upstreams.size >= MIN_ENDINGS) continue;
+      lift(blame, BlameEnd.ExplainedByOther, nowMs);
+    }
+  };
+
+  const evaluateEnding = (ending: Ending, nowMs: number): void => {
+    liftUnsupported(ending, nowMs);
+    if (!attributeEnding(ending, nowMs)) blameCommonParts(ending, nowMs);
+  };
+
+  const clearPart = (part: string, nowMs: number): void => {
+    const changed = endings.clearPart(part);
+    for (const blame of blames.listActive()) {
+      if (!blame.parts.includes(part)) continue;
+      const rest = blame.parts.filter(other => other !== part);
+      if (rest.length === 0) lift(blame, BlameEnd.FoundSound, nowMs);
+      else narrowBlame(blame, rest, nowMs);
+    }
+    for (const ending of changed) evaluateEnding(ending, nowMs);
+  };
+
+  /** Reports the sound ones among the parts that a peer suspects. */
+  const correctPeer = (parts: readonly string[], nowMs: number): void => {
+    for (const part of parts) {
+      if (sound.has(part, nowMs)) reportSound(part, nowMs);
+    }
+  };
+
   const mergeEnding = (
     upstream: string,
     atMs: number,
-    requests: readonly (readonly string[])[],
+    requests: readonly EndedRequest[],
     isOwn: boolean,
     nowMs: number,
   ): void => {
-    const suspects: Suspect[] = [];
-    for (const parts of requests) {
+    const suspects: Suspects = {begun: [], waiting: []};
+    for (const {parts, hasBegun} of requests) {
       const unproven = sound.listUnproven(parts, nowMs);
-      if (unproven.length > 0) suspects.push(unproven);
-      if (isOwn || unproven.length === parts.length) continue;
-      for (const part of parts) {
-        if (sound.has(part, nowMs)) reportSound(part, nowMs);
-      }
+      if (!isOwn) correctPeer(parts, nowMs);
+      if (unproven.length === 0) continue;
+      (hasBegun ? suspects.begun : suspects.waiting).push(unproven);
     }
-    if (suspects.length === 0) return;
     const ending = endings.merge(upstream, atMs, suspects, isOwn);
     if (ending === undefined) return;
     if (isOwn) options.onNews();
-    if (!attributeEnding(ending, nowMs)) blameCommonParts(ending, nowMs);
+    evaluateEnding(ending, nowMs);
   };
 
   const adoptBlame = (
@@ -360,7 +385,11 @@
         if (!wasSound) clearPart(part, nowMs);
       }
       for (const blame of report.blames) adoptBlame(blame, nowMs);
-      for (const [upstream, ageMs, requests] of report.endings) {
+      for (const [upstream, ageMs, begun, waiting] of report.endings) {
+        const requests = [
+          ...begun.map(parts => ({parts, hasBegun: true})),
+          ...waiting.map(parts => ({parts, hasBegun: false})),
+        ];
         mergeEnding(upstream, nowMs - ageMs, requests, false, nowMs);
       }
     },
@@ -371,12 +400,13 @@
       return {
         endings: endings
           .list(nowMs)
-          .filter(({ownSuspects}) => ownSuspects.length > 0)
+          .filter(({own}) => own.begun.length + own.waiting.length > 0)
           .slice(-MAX_REPORTED_ENDINGS)
-          .map(({upstream, atMs, ownSuspects}) => [
+          .map(({upstream, atMs, own}) => [
             upstream,
             Math.round(nowMs - atMs),
-            ownSuspects.map(suspect => [...suspect]),
+            own.begun.map(suspect => [...suspect]),
+            own.waiting.map(suspect => [...suspect]),
           ]),
         sound: [...reportedSound.keys()].slice(-MAX_REPORTED_SOUND),
         blames: blames
--- a/packages/poison-prompts/src/types.ts
+++ b/packages/poison-prompts/src/types.ts
@@ -1,13 +1,23 @@
 /** Evidence about prompt parts that gateways exchange. */
 
+/** A request that an upstream had not answered when it ended. */
+export interface EndedRequest {
+  /** Shared parts of its prompt. */
+  parts: readonly string[];
+  /** Whether the head of the response had arrived, but none of its events. */
+  hasBegun: boolean;
+}
+
 /**
- * An incarnation of an upstream that ended, its age in milliseconds, and the
- * unproven parts of each request that it had not begun to answer.
+ * An incarnation of an upstream that ended, how long ago that was, and the
+ * unproven parts of each unanswered request: of those whose responses had begun
+ * and of those that waited.
  */
 export type ReportedEnding = [
   upstream: string,
   ageMs: number,
-  suspects: string[][],
+  begun: string[][],
+  waiting: string[][],
 ];
 
 /**
