--- a/packages/soak/src/faulty-upstreams.test.ts
+++ b/packages/soak/src/faulty-upstreams.test.ts
@@ -4,22 +4,24 @@
 import {join} from 'node:path';
 import {
   computeEvent,
-  computeSeal,
   encodeConfiguration,
   isReady,
+  renderCallerRequest,
+  renderNotRun,
+  renderResponseHead,
+  startScriptedServer,
   startStoreStandIn,
 } from '@siskinplank/platform-stand-ins';
-import type {StoreStandIn} from '@siskinplank/platform-stand-ins';
+import type {
+  ScriptedRequest,
+  ScriptedServer,
+  StoreStandIn,
+} from '@siskinplank/platform-stand-ins';
 import {TYPESCRIPT_ARGUMENTS, WORKSPACE_ROOT} from '@siskinplank/proof';
 import {getMonotonicMs} from '@siskinplank/stand-ins';
 import {afterAll, beforeAll, beforeEach, describe, expect, it} from 'vitest';
 import {createSoakGateway} from './gateways';
 import type {SoakGateway} from './gateways';
-import {startScriptedUpstream} from './testing/scripted-upstream';
-import type {
-  ScriptedRequest,
-  ScriptedUpstream,
-} from './testing/scripted-upstream';
 import {wait} from './testing/single-gateway';
 
 const HOST_NAME = 'faulty.example';
@@ -32,35 +34,18 @@
 const CLOSED_PORT = 1;
 const ERROR_TEXT = 'out of memory';
 
-/** Headers of an upstream's own response. */
 function renderHead(
   {attemptId}: ScriptedRequest,
   status: number,
   more: readonly string[] = [],
 ): string {
-  return [
-    `HTTP/1.1 ${status} X`,
-    `X-Attempt-Id: ${attemptId}`,
-    `X-Server-Seal: ${computeSeal(attemptId, status)}`,
-    'Keep-Alive: timeout=10',
-    ...more,
-    '\r\n',
-  ].join('\r\n');
-}
-
-function renderModelHeaders(model: string): string[] {
-  return [`X-Model: ${model}`, 'X-Token-Count: 10,10'];
+  return renderResponseHead(attemptId, status, more);
 }
 
 function renderAnswer(request: ScriptedRequest): string {
   return `${renderHead(request, 200, ['Content-Length: 4'])}done`;
 }
 
-function renderRefusal(attemptId: string | undefined): string {
-  const id = attemptId === undefined ? '' : `X-Attempt-Id: ${attemptId}\r\n`;
-  return `HTTP/1.1 503 X\r\n${id}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`;
-}
-
 function renderEvents(
   {attemptId}: ScriptedRequest,
   from: number,
@@ -92,14 +77,14 @@
   const directory = mkdtempSync(join(tmpdir(), 'siskinplank-'));
   let store: StoreStandIn;
   let gateway: SoakGateway;
-  let engines: ScriptedUpstream[] = [];
-  let desk: ScriptedUpstream;
+  let engines: ScriptedServer[] = [];
+  let desk: ScriptedServer;
   /** The only running engine with its model, in another failure domain. */
-  let distant: ScriptedUpstream;
+  let distant: ScriptedServer;
   let count = 0;
 
   const register = (
-    upstream: Pick<ScriptedUpstream, 'id' | 'port'>,
+    upstream: Pick<ScriptedServer, 'id' | 'port'>,
     service: string,
     models: readonly string[],
     zone = 'a',
@@ -137,12 +122,12 @@
       }),
     );
     engines = [
-      await startScriptedUpstream('engine-1', ['m0']),
-      await startScriptedUpstream('engine-2', ['m0']),
+      await startScriptedServer('engine-1', ['m0']),
+      await startScriptedServer('engine-2', ['m0']),
     ];
-    desk = await startScriptedUpstream('desk-1', []);
+    desk = await startScriptedServer('desk-1', []);
     for (const engine of engines) register(engine, 'engines', ['m0']);
-    distant = await startScriptedUpstream('engine-3', ['m1']);
+    distant = await startScriptedServer('engine-3', ['m1']);
     register(distant, 'engines', ['m1'], 'b');
     for (const id of ['engine-4', 'engine-5', 'engine-6']) {
       register({id, port: CLOSED_PORT}, 'engines', ['m1']);
@@ -195,17 +180,14 @@
       socket.on('close', finish);
       socket.on('error', () => undefined);
       socket.write(
-        [
-          `POST ${path} HTTP/1.1`,
-          `Host: ${HOST_NAME}`,
-          `X-Attempt-Id: attempt-${count}`,
-          `X-Key: ${KEY}`,
-          `X-Deadline-Ms: ${RESPONSE_TIMEOUT_MS}`,
-          ...(path.startsWith('/stream') ? renderModelHeaders(model) : []),
-          'Connection: close',
-          'Content-Length: 0',
-          '\r\n',
-        ].join('\r\n'),
+        renderCallerRequest({
+          path,
+          hostName: HOST_NAME,
+          attemptId: `attempt-${count}`,
+          key: KEY,
+          deadlineMs: RESPONSE_TIMEOUT_MS,
+          model: path.startsWith('/stream') ? model : undefined,
+        }),
       );
     });
 
@@ -235,11 +217,11 @@
   it('does not take a repeated refusal for the answer to a resent request', async () => {
     desk.setScript(request => {
       if (desk.requests.length === 1) {
-        request.socket.write(renderRefusal(request.attemptId));
+        request.socket.write(renderNotRun(request.attemptId));
         return;
       }
       const isKept = request.earlierOnConnection > 0;
-      const repeated = isKept ? renderRefusal(request.attemptId) : '';
+      const repeated = isKept ? renderNotRun(request.attemptId) : '';
       request.socket.write(repeated + renderAnswer(request));
     });
     const {head} = await send('/order/x');
@@ -252,7 +234,7 @@
     await send('/order/x');
     desk.setScript(request => {
       const isKept = request.earlierOnConnection > 0;
-      const repeated = isKept ? renderRefusal(undefined) : '';
+      const repeated = isKept ? renderNotRun(undefined) : '';
       request.socket.write(repeated + renderAnswer(request));
     });
     const {head} = await send('/order/x');
