Give the overloaded gateway of the test its processor time beside load

The test lets the process run for 4 of 80 ms, and beside load it gets less in these 4 ms than the 0.05 of a processor that its settings name and by which it bounds its accept queue. That case is not what the test is about: a host with less processor time than its settings say is slowed.

The process is now stopped by the processor time that it has used, so that it gets 0.05 whatever runs beside it.

--- a/packages/soak/src/gateways.ts
+++ b/packages/soak/src/gateways.ts
@@ -22,6 +22,8 @@
   readonly metricsPort: number;
   readonly storeProxy: FaultProxy;
   start(): void;
+  /** -1 unless it was started. */
+  getPid(): number;
   send(signal: NodeJS.Signals): void;
   waitForExit(): Promise<void>;
   isRunning(): boolean;
@@ -103,6 +105,7 @@
         logFile: join(directory, `${name}.log`),
       });
     },
+    getPid: () => running?.pid ?? -1,
     send: signal => running?.sendSignal(signal),
     waitForExit: async () => {
       await running?.waitForExit();
--- a/packages/soak/src/overloaded-gateway.test.ts
+++ b/packages/soak/src/overloaded-gateway.test.ts
@@ -1,6 +1,8 @@
 import {CallKind} from '@siskinplank/platform-stand-ins';
 import {getMonotonicMs} from '@siskinplank/stand-ins';
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {startProcessorQuota} from './testing/processor-quota';
+import type {ProcessorQuota} from './testing/processor-quota';
 import {startSingleGateway, wait} from './testing/single-gateway';
 import type {SingleGateway} from './testing/single-gateway';
 
@@ -16,25 +18,12 @@
 const MIN_HELD_ON = 8;
 const MAX_HELD_ON_FRACTION = 0.25;
 const CPU_SHARE = 0.05;
-const RUN_MS = 4;
-const STOP_MS = 76;
 const LOAD_MS = 6_000;
 const REQUEST_PERIOD_MS = 10;
 
 describe('gateway with more connections than processor time', () => {
   let single: SingleGateway;
-  let isThrottled = true;
-  let throttle: Promise<void>;
-
-  /** Lets the process run for a share of the time, as a small host does. */
-  const runThrottle = async (): Promise<void> => {
-    while (isThrottled) {
-      single.gateway.send('SIGSTOP');
-      await wait(STOP_MS);
-      single.gateway.send('SIGCONT');
-      await wait(RUN_MS);
-    }
-  };
+  let quota: ProcessorQuota;
 
   beforeAll(async () => {
     single = await startSingleGateway({
@@ -43,12 +32,11 @@
       deadlineMs: DEADLINE_MS,
       cpuShare: CPU_SHARE,
     });
-    throttle = runThrottle();
+    quota = startProcessorQuota(single.gateway, CPU_SHARE);
   }, 60_000);
 
   afterAll(async () => {
-    isThrottled = false;
-    await throttle;
+    await quota.end();
     await single.close();
   });
 
