Date back the connections that are accepted before the queue is measured

Callers saw: on a busy host, requests on new connections could be dated up to two turns too late, so that work started for callers whose deadline had passed.

Cause: the queue of a listener is measured by a connection that enters it only after the second accepted one, and counted from when that connection is known to be made. Connections accepted before were dated by one turn at most, though two turns, each just short of late, may have passed.

Evidence: 'dates back the connections before the first measurement' failed before with 0 in place of 140 ms, 'counts from its start, since the queue is as old at least' with 0 in place of 170 ms.

Change: the second connection of a run counts as old as the first; a pending measurement counts from the arrival of the connection before it.

--- a/packages/gateway/src/accept-probe.ts
+++ b/packages/gateway/src/accept-probe.ts
@@ -11,16 +11,21 @@
 
 /** Measures the accept queue of one listener. */
 export interface AcceptProbe {
-  /** Starts a measurement unless one is pending or one started just before. */
-  start(nowMs: number): void;
+  /**
+   * Starts a measurement unless one is pending or one started just before.
+   * `queuedSinceMs` is when the connection that was accepted last had arrived.
+   */
+  start(nowMs: number, queuedSinceMs: number): void;
   /**
    * Ends the measurement if `socket` is its accepted connection, closes the
    * connection, and returns for how long it waited, in milliseconds.
    */
   takeWaitMs(socket: Socket, nowMs: number): number | undefined;
   /**
-   * Age of the pending measurement, in milliseconds; 0 without one. Connections
-   * that are accepted before it have waited at least as long.
+   * Longest time for which connections that are accepted now may have waited,
+   * by the pending measurement, in milliseconds; 0 without one. They entered the
+   * queue before the connection of the measurement, and after the connection
+   * that was accepted when it started.
    */
   getPendingMs(nowMs: number): number;
   /** Drops the pending measurement, as the queue was seen empty since. */
@@ -38,6 +43,8 @@
 interface Measurement {
   socket: Socket;
   startedAtMs: number;
+  /** Arrival of the last connection that was accepted before the start. */
+  queuedSinceMs: number;
   /** When the connection entered the queue; undefined until it is made. */
   queuedAtMs: number | undefined;
   /** Connections that were accepted before this one was known to be made. */
@@ -88,7 +95,7 @@
   };
 
   return {
-    start: nowMs => {
+    start: (nowMs, queuedSinceMs) => {
       if (nowMs - startedAtMs < PROBE_PERIOD_MS) return;
       if (pending !== undefined) {
         const isLost =
@@ -102,6 +109,7 @@
       const measurement: Measurement = {
         socket,
         startedAtMs,
+        queuedSinceMs,
         queuedAtMs: undefined,
         acceptedBefore: [],
       };
@@ -139,10 +147,14 @@
       return waitMs;
     },
     getPendingMs: nowMs => {
-      const pendingMs = nowMs - (pending?.queuedAtMs ?? nowMs);
-      if (pendingMs <= MAX_PENDING_MS) return pendingMs;
-      endPending();
-      return 0;
+      if (pending === undefined) return 0;
+      const {queuedAtMs = getQueuedAtMs(pending, nowMs)} = pending;
+      if (nowMs - queuedAtMs > MAX_PENDING_MS) {
+        endPending();
+        return 0;
+      }
+      const hasWaited = queuedAtMs === pending.startedAtMs;
+      return nowMs - (hasWaited ? pending.queuedSinceMs : queuedAtMs);
     },
     discard: endPending,
     stop: endPending,
--- a/packages/gateway/src/arrival-times.test.ts
+++ b/packages/gateway/src/arrival-times.test.ts
@@ -16,10 +16,12 @@
     });
     let pendingMs = 0;
     let measuredMs: number | undefined;
+    const starts: Array<[number, number]> = [];
     const arrivals = createArrivalTimes({
       turns,
       probe: {
-        start: () => undefined,
+        start: (nowMs, queuedSinceMs) =>
+          void starts.push([nowMs, queuedSinceMs]),
         takeWaitMs: () => measuredMs,
         getPendingMs: () => pendingMs,
         discard: () => (pendingMs = 0),
@@ -46,6 +48,7 @@
     return {
       runTurn,
       acceptOnly,
+      starts,
       setPendingMs: (ms: number) => (pendingMs = ms),
       measure: (waitMs: number, nowMs: number) => {
         measuredMs = waitMs;
@@ -102,6 +105,15 @@
     expect(read(1_505)).toBe(1_505);
   });
 
+  // Turns of a busy machine can each be just short of late.
+  it('dates back the connections before the first measurement', () => {
+    const {runTurn, starts} = createLoop();
+    runTurn(0, false);
+    expect(runTurn(140)).toBe(0);
+    expect(runTurn(280)).toBe(140);
+    expect(starts).toEqual([[280, 140]]);
+  });
+
   // A measurement whose connection is not recognized would date all later
   // connections back to its start.
   it('drops a measurement that is pending when the queue is empty', () => {
@@ -122,7 +134,7 @@
     );
     const {port} = listener.address() as AddressInfo;
     const probe = createAcceptProbe({host: '127.0.0.1', port, clock});
-    probe.start(clock.getNowMs());
+    probe.start(clock.getNowMs(), clock.getNowMs());
     await clock.waitMs(100);
     expect(probe.getPendingMs(clock.getNowMs())).toBeGreaterThan(0);
     expect(probe.getPendingMs(clock.getNowMs() + 3_000)).toBe(0);
@@ -132,6 +144,23 @@
 });
 
 describe('accept probe that is asked before its connection is made', () => {
+  it('counts from its start, since the queue is as old at least', async () => {
+    const clock = createSystemClock();
+    const listener = createServer();
+    await new Promise<void>(resolve =>
+      listener.listen(0, '127.0.0.1', () => resolve()),
+    );
+    const {port} = listener.address() as AddressInfo;
+    const probe = createAcceptProbe({host: '127.0.0.1', port, clock});
+    const startedAtMs = clock.getNowMs();
+    probe.start(startedAtMs, startedAtMs - 40);
+    expect(probe.getPendingMs(startedAtMs + 130)).toBe(170);
+    // Its connection was dropped by a full queue.
+    expect(probe.getPendingMs(startedAtMs + 900)).toBe(0);
+    probe.stop();
+    listener.close();
+  });
+
   it('ends with the connection all the same', async () => {
     const clock = createSystemClock();
     const listener = createServer();
@@ -143,7 +172,7 @@
     listener.on('connection', socket => {
       probe.takeWaitMs(socket, clock.getNowMs());
     });
-    probe.start(clock.getNowMs());
+    probe.start(clock.getNowMs(), clock.getNowMs());
     probe.takeWaitMs({} as Socket, clock.getNowMs());
     await clock.waitMs(100);
     expect(probe.getPendingMs(clock.getNowMs())).toBe(0);
--- a/packages/gateway/src/arrival-times.ts
+++ b/packages/gateway/src/arrival-times.ts
@@ -26,8 +26,11 @@
 /** A series of turns of the event loop that each accepted a connection. */
 interface AcceptRun {
   lastTurn: number;
+  lastAtMs: number;
   /** Time for which its connections waited, as last measured. */
   waitMs: number;
+  /** Whether only one connection was accepted so far. */
+  isFirst: boolean;
 }
 
 /** When a connection arrived, and the turn in which it was accepted. */
@@ -48,13 +51,26 @@
   const connectionArrivals = new WeakMap<Socket, ConnectionArrival>();
   let run: AcceptRun | undefined;
 
+  /** Longest wait of the next connection of a run that is not measured yet. */
+  const estimateQueueMs = (nowMs: number): number => {
+    if (run === undefined) return 0;
+    // The second connection may have arrived together with the first; from then
+    // on a measurement is pending.
+    return run.waitMs + (run.isFirst ? nowMs - run.lastAtMs : 0);
+  };
+
   return {
     recordConnection: (socket, nowMs) => {
       turns.observe(nowMs);
       const lastTurn = turns.countTurns();
       const measuredMs = probe.takeWaitMs(socket, nowMs);
       if (measuredMs !== undefined) {
-        run = {lastTurn, waitMs: measuredMs};
+        run = {
+          lastTurn,
+          lastAtMs: nowMs,
+          waitMs: measuredMs,
+          isFirst: false,
+        };
         options.onWaitMeasured(measuredMs);
         return;
       }
@@ -62,13 +78,13 @@
       const isQueued = run !== undefined && lastTurn - run.lastTurn <= 1;
       if (!isQueued) probe.discard();
       const lateMs = nowMs - turns.getEarliestArrivalMs(nowMs);
-      const waitMs = Math.max(lateMs, isQueued ? (run?.waitMs ?? 0) : 0);
-      run = {lastTurn, waitMs};
+      const waitMs = Math.max(lateMs, isQueued ? estimateQueueMs(nowMs) : 0);
+      run = {lastTurn, lastAtMs: nowMs, waitMs, isFirst: !isQueued};
       connectionArrivals.set(socket, {
         atMs: nowMs - Math.max(waitMs, probe.getPendingMs(nowMs)),
         turn: lastTurn,
       });
-      if (isQueued) probe.start(nowMs);
+      if (isQueued) probe.start(nowMs, nowMs - waitMs);
     },
     takeArrivalMs: (socket, nowMs) => {
       turns.observe(nowMs);
