Pool the tokens of client accounts at a home gateway

Cause: with 68 gateways each accrues 1/68 of a rate, less than one request needs. A request had to gather donations from many peers by levels that are up to 2 s old, while donors stood at their caps and lost what accrued.

What accrues is returned to the home of the account, which grants it to requests, keeps promised tokens in line, and says at once when there will be enough. Messages between gateways: version 4.

--- a/packages/gateway/src/arrival-times.test.ts
+++ b/packages/gateway/src/arrival-times.test.ts
@@ -152,7 +152,8 @@
     );
     const {port} = listener.address() as AddressInfo;
     const probe = createAcceptProbe({host: '127.0.0.1', port, clock});
-    const startedAtMs = clock.getNowMs();
+    // Whole, so that differences of times are exact.
+    const startedAtMs = Math.round(clock.getNowMs());
     probe.start(startedAtMs, startedAtMs - 40);
     expect(probe.getPendingMs(startedAtMs + 130)).toBe(170);
     // Its connection was dropped by a full queue.
--- a/packages/gateway/src/demand-counter.test.ts
+++ b/packages/gateway/src/demand-counter.test.ts
@@ -17,7 +17,7 @@
     isOrdering: false,
     open: {},
     demand: demand.describe(0),
-    accounts: {},
+    poolCapacity: 0,
     faults: {},
     leaving: [],
     poison: {endings: [], sound: [], blames: [], deadlyPrompts: []},
--- a/packages/gateway/src/fleet-node.test.ts
+++ b/packages/gateway/src/fleet-node.test.ts
@@ -51,7 +51,7 @@
           isOrdering: index === 0,
           open: {},
           demand: {},
-          accounts: {},
+          poolCapacity: 0,
           faults: {},
           leaving: [],
           limits: {},
@@ -64,7 +64,7 @@
         onMessage: () => undefined,
         onPeerConnected: () => undefined,
         onMembersChange: () => undefined,
-        listDonors: () => new Set(),
+        listLenders: () => new Set(),
         mayRemoveRegistrations: () => false,
       }),
     );
--- a/packages/gateway/src/fleet-node.ts
+++ b/packages/gateway/src/fleet-node.ts
@@ -18,6 +18,7 @@
 import type {Message, MessageOf} from '@siskinplank/messages';
 import {createPeerNetwork} from '@siskinplank/transport';
 import type {
+  Link,
   LinkTraffic,
   ManagedPeerNetwork,
   PeerNetworkOptions,
@@ -31,8 +32,6 @@
 export interface StateAudience {
   /** Demand and load by model are for the order leader only. */
   isLeader: boolean;
-  /** Peers that are asked for tokens; undefined if all receive the state. */
-  donors?: ReadonlySet<string>;
 }
 
 /** What `createFleetNode` needs. */
@@ -63,8 +62,8 @@
   /** Called when a link to a peer has opened. */
   onPeerConnected(name: string): void;
   onMembersChange(nowMs: number): void;
-  /** Peers to ask for tokens. */
-  listDonors(nowMs: number): ReadonlySet<string>;
+  /** Peers to ask for units of limits that upstreams name. */
+  listLenders(nowMs: number): ReadonlySet<string>;
   /**
    * Whether this gateway may remove expired registrations of others; one
    * gateway at a time may.
@@ -82,8 +81,10 @@
   scheduleState(): void;
   /** Sends it to the order leader within milliseconds. */
   scheduleStateToLeader(): void;
-  /** Asks peers for tokens within milliseconds. */
-  scheduleStateToDonors(): void;
+  /** Asks peers for units of limits within milliseconds. */
+  scheduleStateToLenders(): void;
+  /** Whether there is an open link to the peer. */
+  isLinked(peer: string): boolean;
   /** Returns false when there is no link to the peer. */
   sendTo(peer: string, message: Message): boolean;
   sendToAll(message: Message): void;
@@ -93,7 +94,7 @@
 
 /** Changes of the state are batched for this time before it is sent. */
 const STATE_DELAY_MS = 10;
-/** Least time between two states for the leader or for donors. */
+/** Least time between two states for the leader or for lenders. */
 const TARGETED_STATE_PERIOD_MS = 50;
 /** Period of the checks for unresponsive peers. */
 const PEER_CHECK_MS = 200;
@@ -121,6 +122,8 @@
   let isStopped = false;
   let listeningSinceMs = clock.getNowMs();
   const connected = new Map<string, GatewayRecord>();
+  /** By name of the peer. */
+  const links = new Map<string, Link>();
 
   const {createNetwork = createPeerNetwork} = options;
   const network: ManagedPeerNetwork = createNetwork({
@@ -227,11 +230,11 @@
     stateTimer = clock.startTimer(Math.max(0, dueMs - nowMs), sendState);
   };
 
-  const sendStateToDonors = (nowMs: number): void => {
-    const donors = options.listDonors(nowMs);
-    if (donors.size === 0) return;
-    const state = makeState(nowMs, {isLeader: false, donors});
-    network.sendToAll(state, ({peer}) => donors.has(peer.name));
+  const sendStateToLenders = (nowMs: number): void => {
+    const lenders = options.listLenders(nowMs);
+    if (lenders.size === 0) return;
+    const state = makeState(nowMs, {isLeader: false});
+    network.sendToAll(state, ({peer}) => lenders.has(peer.name));
   };
 
   const targetedTiming = {
@@ -243,9 +246,9 @@
     ...targetedTiming,
     run: sendStateToLeader,
   });
-  const donorStates = createThrottle({
+  const lenderStates = createThrottle({
     ...targetedTiming,
-    run: sendStateToDonors,
+    run: sendStateToLenders,
   });
 
   /** Timers run before sockets are read: states may have arrived meanwhile. */
@@ -287,7 +290,9 @@
   });
   network.subscribe(
     [
-      MessageType.TokenDonation,
+      MessageType.TokenRequest,
+      MessageType.TokenGrant,
+      MessageType.TokenReturn,
       MessageType.UnitTransfer,
       MessageType.UpstreamLoads,
       MessageType.AdapterRequest,
@@ -303,9 +308,17 @@
   );
   network.observeLinks({
     onLinkOpen: link => {
+      links.set(link.peer.name, link);
       link.send(makeState(clock.getNowMs(), {isLeader: true}));
       options.onPeerConnected(link.peer.name);
     },
+    onLinkClose: closed => {
+      const {name} = closed.peer;
+      if (links.get(name) !== closed) return;
+      const other = network.listLinks().find(({peer}) => peer.name === name);
+      if (other === undefined) links.delete(name);
+      else links.set(name, other);
+    },
   });
 
   const linkKeys = createLinkKeys({
@@ -341,7 +354,7 @@
       for (const timer of timers) timer.cancel();
       stateTimer?.cancel();
       leaderStates.stop();
-      donorStates.stop();
+      lenderStates.stop();
       registry.stop();
       linkKeys.stop();
       await network.stop();
@@ -352,11 +365,9 @@
       scheduleStateAt(Math.max(nowMs + STATE_DELAY_MS, allowedMs));
     },
     scheduleStateToLeader: leaderStates.request,
-    scheduleStateToDonors: donorStates.request,
-    sendTo: (peer, message) => {
-      const link = network.listLinks().find(({peer: {name}}) => name === peer);
-      return link?.send(message) ?? false;
-    },
+    scheduleStateToLenders: lenderStates.request,
+    isLinked: peer => links.has(peer),
+    sendTo: (peer, message) => links.get(peer)?.send(message) ?? false,
     sendToAll: message => network.sendToAll(message),
     getTraffic: network.getTraffic,
   };
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -84,6 +84,9 @@
   const upstreams = createUpstreamTable();
   const limits = createSharedLimits({
     ownName,
+    capacity: settings.process.cpuShare * settings.process.cpuSpeed,
+    // The order leader is busy with plans and reports of upstreams.
+    canPool: () => !isLeaving && orders.leadership.getTerm() === undefined,
     slackTokens: settings.limits.slackTokens,
     settleMs: settings.limits.settleMs,
     upstreams,
@@ -233,14 +236,14 @@
     clock,
     random,
     logger,
-    collectState: (nowMs, {isLeader, donors}) => ({
+    collectState: (nowMs, {isLeader}) => ({
       isLeaving,
       configurationVersion: configuration.getVersion(),
       orderToken: orders.leadership.getHighestToken(),
       isOrdering: orders.leadership.getTerm() !== undefined,
       open: upstreams.collectLocalLoad(isLeader),
       demand: isLeader ? demand.describe(nowMs) : {},
-      ...limits.describe(nowMs, donors),
+      ...limits.describe(nowMs),
       faults: upstreams.collectLocalFaults(nowMs),
       leaving: view.listLeaving(nowMs).map(report => [...report]),
       poison: guard.describe(nowMs),
@@ -271,11 +274,12 @@
       limits.removePeer(name);
     },
     onMessage: (peer, message) => {
-      if (!limits.handleMessage(message)) orders.handleMessage(peer, message);
+      if (!limits.handleMessage(peer, message))
+        orders.handleMessage(peer, message);
     },
     onPeerConnected: name => orders.handleConnected(name),
     onMembersChange: limits.updateMembers,
-    listDonors: limits.listDonors,
+    listLenders: limits.listLenders,
     mayRemoveRegistrations: () => orders.leadership.getTerm() !== undefined,
   });
 
@@ -377,7 +381,7 @@
     // Responses may have arrived that were not read yet.
     void waitForPoll().then(handler.checkProgress);
     limits.updateMembers();
-    limits.lendUnits();
+    limits.sendAccrued();
     pool.closeExpired(clock.getNowMs());
   });
 
--- a/packages/gateway/src/link-keys.test.ts
+++ b/packages/gateway/src/link-keys.test.ts
@@ -71,7 +71,7 @@
         isOrdering: false,
         open: {},
         demand: {},
-        accounts: {},
+        poolCapacity: 0,
         faults: {},
         leaving: [],
         limits: {},
@@ -84,7 +84,7 @@
       onMessage: () => undefined,
       onPeerConnected: peer => connectedPeers.push(peer),
       onMembersChange: () => undefined,
-      listDonors: () => new Set(),
+      listLenders: () => new Set(),
       mayRemoveRegistrations: () => false,
     });
     node.start();
--- a/packages/gateway/src/odd-entries.test.ts
+++ b/packages/gateway/src/odd-entries.test.ts
@@ -179,7 +179,7 @@
     isOrdering: false,
     open,
     demand: {},
-    accounts: {},
+    poolCapacity: 0,
     faults,
     leaving: upstreams.map(({id, startedAtMs}) => [
       id,
--- a/packages/gateway/src/refusals.ts
+++ b/packages/gateway/src/refusals.ts
@@ -9,6 +9,8 @@
   BodyTooLarge = 'body-too-large',
   /** The client account is over its limit. */
   OverLimit = 'over-limit',
+  /** No gateway that pools the account's tokens replied. */
+  LimitUnknown = 'limit-unknown',
   /** No configuration is loaded yet, or it is too old to trust its keys. */
   NotReady = 'not-ready',
   /** The request waited too long before it could be started. */
@@ -48,6 +50,7 @@
   [RefusalCode.NoRoute]: 404,
   [RefusalCode.BodyTooLarge]: 413,
   [RefusalCode.OverLimit]: 429,
+  [RefusalCode.LimitUnknown]: 503,
   [RefusalCode.NotReady]: 503,
   [RefusalCode.LateStart]: 503,
   [RefusalCode.Stopping]: 503,
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -158,7 +158,7 @@
         tokens,
         limitPerSecond: limit?.ratePerSecond,
         ownLevel: limit && Math.round(limit.ownLevel),
-        peerLevel: limit && Math.round(limit.peerLevel),
+        tokenHome: limit?.home,
         code: refusal?.code,
         retryAfterMs: refusal?.retryAfterMs,
         route: admission.route?.name,
@@ -360,9 +360,9 @@
           return;
         }
         taken.caseOf({
-          Left: ({retryAfterMs, readings}) => {
+          Left: ({code, retryAfterMs, readings}) => {
             limit = readings;
-            refuse({code: RefusalCode.OverLimit, retryAfterMs}, admission);
+            refuse({code, retryAfterMs}, admission);
           },
           Right: tokens => run(request, admission, body, tokens),
         });
--- a/packages/gateway/src/shared-limits.ts
+++ b/packages/gateway/src/shared-limits.ts
@@ -19,6 +19,10 @@
 /** What `createSharedLimits` needs. */
 export interface SharedLimitsOptions {
   ownName: string;
+  /** Processor time of this host, in cores. */
+  capacity: number;
+  /** Whether this gateway may pool tokens for others now. */
+  canPool(): boolean;
   /** Tokens by which an account's limit may be exceeded in a window. */
   slackTokens: number;
   /** Time within which a change of the gateways reaches all of them. */
@@ -34,7 +38,7 @@
 /** The parts of a state that concern shared limits. */
 export type SharedLimitsState = Pick<
   GatewayState,
-  'accounts' | 'limits' | 'unitNeeds'
+  'poolCapacity' | 'limits' | 'unitNeeds'
 >;
 
 /** Shared limits of one gateway. */
@@ -44,8 +48,8 @@
   /** This gateway's fraction of the budgets of all gateways. */
   getFraction(): number;
   setAccounts(accounts: readonly ClientAccount[]): void;
-  describe(nowMs: number, donors?: ReadonlySet<string>): SharedLimitsState;
-  /** Replaces what peers need and hold, and sends them what they lack. */
+  describe(nowMs: number): SharedLimitsState;
+  /** Replaces what peers need, and sends them what they lack. */
   updatePeers(
     changed: ReadonlyArray<{name: string; state: SharedLimitsState}>,
     nowMs: number,
@@ -53,12 +57,15 @@
   removePeer(peer: string): void;
   /** Follows changes of the fleet. */
   updateMembers(): void;
-  /** Lends units that have accrued; to be called several times a second. */
-  lendUnits(): void;
+  /**
+   * Lends units and returns tokens that have accrued; to be called several times
+   * a second.
+   */
+  sendAccrued(): void;
   /** Returns false for messages that concern no shared limit. */
-  handleMessage(message: Message): boolean;
+  handleMessage(peer: string, message: Message): boolean;
   /** Peers that should be told at once what this gateway needs. */
-  listDonors(nowMs: number): ReadonlySet<string>;
+  listLenders(nowMs: number): ReadonlySet<string>;
 }
 
 /**
@@ -72,26 +79,29 @@
   const {clock, ownName, getFleet} = options;
   const fraction = createFleetFraction(options.settleMs);
   const shares = createTokenShares({
+    ownName,
     extraBurst: options.slackTokens * EXTRA_BURST_FRACTION,
     startedAtMs: clock.getStartedMs(),
   });
   const accounts = createAccountLimiter({
+    ownName,
     shares,
     clock,
-    onTokensNeeded: () => getFleet().scheduleStateToDonors(),
+    sendTo: (peer, message) => getFleet().sendTo(peer, message),
+    getLastSeenAtMs: peer => getFleet().peers.getLastSeenAtMs(peer),
   });
   const upstreams = createUpstreamLimits({
     ownName,
     upstreams: options.upstreams,
     clock,
     logger: options.logger,
-    onNeed: () => getFleet().scheduleStateToDonors(),
+    onNeed: () => getFleet().scheduleStateToLenders(),
     onNews: () => getFleet().scheduleState(),
   });
 
-  const sendDonations = (nowMs: number): void => {
-    for (const [peer, tokens] of shares.withdrawDonations(nowMs)) {
-      getFleet().sendTo(peer, {type: MessageType.TokenDonation, tokens});
+  const sendReturns = (nowMs: number): void => {
+    for (const [home, tokens] of shares.withdrawReturns(nowMs)) {
+      getFleet().sendTo(home, {type: MessageType.TokenReturn, tokens});
     }
   };
 
@@ -101,17 +111,30 @@
     }
   };
 
+  /** A gateway without a fraction would drop what others return to it. */
+  const getPoolCapacity = (): number =>
+    options.canPool() && fraction.get() > 0 ? options.capacity : 0;
+
   const updateReached = (nowMs: number): void => {
-    const {registry, peers} = getFleet();
+    const {registry, peers, isLinked} = getFleet();
     const others = new Set(registry.listOthers().map(({name}) => name));
     const reached = peers
       .listResponsive(nowMs)
-      .map(({name}) => name)
-      .filter(name => others.has(name));
+      .filter(({name}) => others.has(name));
     const registered = registry.isRegistered()
       ? countMembers(registry, peers)
       : 0;
-    upstreams.setMembers([ownName, ...reached].sort(), registered);
+    const names = reached.map(({name}) => name);
+    upstreams.setMembers([ownName, ...names].sort(), registered);
+    shares.setMembers(
+      [
+        {name: ownName, capacity: getPoolCapacity()},
+        ...reached
+          .filter(({name}) => isLinked(name))
+          .map(({name, state}) => ({name, capacity: state.poolCapacity})),
+      ],
+      nowMs,
+    );
   };
 
   return {
@@ -128,45 +151,39 @@
         ),
         clock.getNowMs(),
       ),
-    describe: (nowMs, donors) => ({
-      accounts: shares.describeAccounts(nowMs, donors),
+    describe: nowMs => ({
+      poolCapacity: getPoolCapacity(),
       limits: upstreams.describeLimits(nowMs),
       unitNeeds: upstreams.describeNeeds(nowMs),
     }),
     updatePeers: (changed, nowMs) => {
-      let isInNeed = false;
       for (const {name, state} of changed) {
-        shares.updatePeer(name, state.accounts);
         upstreams.updatePeer(name, state.limits, state.unitNeeds);
-        isInNeed ||= Object.values(state.accounts).some(([, need]) => need > 0);
+        shares.markResponsive(name, nowMs);
       }
-      if (isInNeed) sendDonations(nowMs);
       sendUnits(nowMs);
     },
-    removePeer: peer => {
-      shares.removePeer(peer);
-      upstreams.removePeer(peer);
-    },
+    removePeer: upstreams.removePeer,
     updateMembers: () => {
       const nowMs = clock.getNowMs();
       const {registry, peers} = getFleet();
       const own = fraction.update(registry, peers, nowMs);
-      shares.setFraction(own, own, nowMs);
+      shares.setFraction(own, nowMs);
       updateReached(nowMs);
       upstreams.removeStale(nowMs);
     },
-    lendUnits: () => sendUnits(clock.getNowMs()),
-    handleMessage: message => {
+    sendAccrued: () => {
+      const nowMs = clock.getNowMs();
+      sendUnits(nowMs);
+      sendReturns(nowMs);
+    },
+    handleMessage: (peer, message) => {
       if (message.type === MessageType.UnitTransfer) {
         if (upstreams.deposit(message.units)) options.onUnits();
         return true;
       }
-      if (message.type !== MessageType.TokenDonation) return false;
-      shares.deposit(message.tokens, clock.getNowMs());
-      accounts.retryWaiting();
-      return true;
+      return accounts.handleMessage(peer, message);
     },
-    listDonors: nowMs =>
-      new Set([...shares.listDonors(nowMs), ...upstreams.listLenders(nowMs)]),
+    listLenders: upstreams.listLenders,
   };
 }
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,6 +1,6 @@
 /** Membership view: the processes of the platform and their states. */
 export * from './types';
-export {rankMembers} from './rank';
+export {rankMembers, scoreMember} from './rank';
 export {
   TREE_DEGREE,
   WATCHER_COUNT,
--- a/packages/membership/src/rank.ts
+++ b/packages/membership/src/rank.ts
@@ -1,7 +1,8 @@
 /** Rendezvous hashing over members. */
 import {createHash} from 'node:crypto';
 
-function computeScore(name: string, key: string): string {
+/** Score of a member in rendezvous hashing for `key`: 64 hexadecimal digits. */
+export function scoreMember(name: string, key: string): string {
   // The length marks where the name ends; otherwise `a:` with `b` and `a` with
   // `:b` would hash alike.
   return createHash('sha256')
@@ -19,7 +20,7 @@
   key: string,
 ): M[] {
   return members
-    .map(member => ({member, score: computeScore(member.name, key)}))
+    .map(member => ({member, score: scoreMember(member.name, key)}))
     .sort((left, right) => (left.score < right.score ? 1 : -1))
     .map(({member}) => member);
 }
--- a/packages/messages/src/enums.ts
+++ b/packages/messages/src/enums.ts
@@ -1,7 +1,7 @@
 /** Protocol version and enums of the messages. */
 
 /** Version of the protocol; links between different versions are refused. */
-export const PROTOCOL_VERSION = 3;
+export const PROTOCOL_VERSION = 4;
 
 /** Discriminator of each message. */
 export enum MessageType {
@@ -31,7 +31,9 @@
   Grant = 'grant',
   GrantReturn = 'grant-return',
   GatewayState = 'gateway-state',
-  TokenDonation = 'token-donation',
+  TokenRequest = 'token-request',
+  TokenGrant = 'token-grant',
+  TokenReturn = 'token-return',
   UnitTransfer = 'unit-transfer',
   UpstreamLoads = 'upstream-loads',
   AdapterRequest = 'adapter-request',
@@ -87,3 +89,14 @@
   /** The process does not coordinate the account's bucket, or is stopping. */
   NotCoordinator = 'not-coordinator',
 }
+
+/** Reply of the home of an account to a request for tokens. */
+export enum TokenOutcome {
+  Granted = 'granted',
+  /** The request has a place in line and may ask again after the wait. */
+  Promised = 'promised',
+  /** The account won't have the tokens in time. */
+  OverLimit = 'over-limit',
+  /** The gateway does not pool the account's tokens. */
+  Unavailable = 'unavailable',
+}
--- a/packages/messages/src/gateway.ts
+++ b/packages/messages/src/gateway.ts
@@ -1,6 +1,6 @@
 /** Schemas of the messages between gateways. */
 import {z} from 'zod';
-import {MessageType} from './enums';
+import {MessageType, TokenOutcome} from './enums';
 
 const countSchema = z.int().min(0);
 const amountSchema = z.number().min(0);
@@ -32,7 +32,7 @@
 });
 
 /**
- * Open requests, demand and account tokens of one gateway; sent to all others
+ * Open requests and demand of one gateway; sent to all others
  * several times a second. Each message replaces the previous one. Tuples keep
  * it small.
  */
@@ -70,8 +70,11 @@
     z.string(),
     z.tuple([countSchema, countSchema, amountSchema]),
   ),
-  /** By client account: tokens that the sender holds, and tokens it needs. */
-  accounts: z.record(z.string(), z.tuple([z.number(), amountSchema])),
+  /**
+   * Processor time of the sender's host in cores; 0 if it may not pool the
+   * tokens of client accounts.
+   */
+  poolCapacity: amountSchema,
   /** Score of recent faults, by upstream. */
   faults: z.record(z.string(), amountSchema),
   /**
@@ -92,9 +95,34 @@
   unitNeeds: z.record(z.string(), countSchema),
 });
 
-/** Transfers tokens of client accounts to the receiver. */
-export const tokenDonationSchema = z.strictObject({
-  type: z.literal(MessageType.TokenDonation),
+/** Asks the home of a client account for the tokens of one request. */
+export const tokenRequestSchema = z.strictObject({
+  type: z.literal(MessageType.TokenRequest),
+  /** Unique at the sender; a request that asks again keeps it. */
+  requestId: countSchema,
+  account: z.string(),
+  tokens: amountSchema,
+  /** Further tokens that the sender is likely to spend soon. */
+  wantedTokens: amountSchema,
+  /** Longest time for which the request may still wait. */
+  patienceMs: amountSchema,
+});
+
+/** Reply to a `TokenRequest`; transfers the tokens that it grants. */
+export const tokenGrantSchema = z.strictObject({
+  type: z.literal(MessageType.TokenGrant),
+  requestId: countSchema,
+  account: z.string(),
+  outcome: z.enum(TokenOutcome),
+  /** Tokens granted, at least those of the request; else 0. */
+  tokens: amountSchema,
+  /** Time until the account may have the tokens. */
+  waitMs: amountSchema,
+});
+
+/** Transfers tokens to the home of their accounts. */
+export const tokenReturnSchema = z.strictObject({
+  type: z.literal(MessageType.TokenReturn),
   tokens: z.record(z.string(), amountSchema),
 });
 
--- a/packages/token-shares/src/account-share.ts
+++ b/packages/token-shares/src/account-share.ts
@@ -1,7 +1,7 @@
 /**
  * One gateway's share of the tokens of one client account. Tokens come from
- * two sources only: the gateway's fraction of the rate, and donations, which
- * the donor deducts before it sends them. The sum over all gateways therefore
+ * two sources only: the gateway's fraction of the rate, and transfers, which the
+ * sender deducts before it sends them. The sum over all gateways therefore
  * never grows faster than the rate, even if messages are lost or late.
  */
 
@@ -22,16 +22,19 @@
   trySpend(tokens: number, nowMs: number): boolean;
   /** Returns tokens that were spent but not used. */
   refund(tokens: number, nowMs: number): void;
-  /** Takes at most `tokens` for a donation; returns how many. */
+  /** Takes at most `tokens` for a transfer; returns how many. */
   withdraw(tokens: number, nowMs: number): number;
-  /** Adds tokens that another gateway donated. */
+  /** Adds tokens that another gateway granted. */
   deposit(tokens: number, nowMs: number): void;
+  /** Keeps a level above the next, lower cap for `EXCESS_LIFETIME_MS`. */
+  keepExcess(nowMs: number): void;
 }
 
 /**
  * Time for which a level above the cap is kept for the request that needed the
- * donation. Then the excess is dropped: the donor's share is below its cap and
- * accrues again, so keeping both would exceed the burst.
+ * tokens, or until they are returned. Then the excess is dropped: the sender's
+ * share is below its cap and accrues again, so keeping both would exceed the
+ * burst.
  */
 export const EXCESS_LIFETIME_MS = 300;
 
@@ -97,5 +100,9 @@
       level += tokens;
       if (level > limits.capTokens) excessEndsAtMs = atMs + EXCESS_LIFETIME_MS;
     },
+    keepExcess: atMs => {
+      accrue(atMs);
+      excessEndsAtMs = atMs + EXCESS_LIFETIME_MS;
+    },
   };
 }
--- a/packages/token-shares/src/index.ts
+++ b/packages/token-shares/src/index.ts
@@ -1,14 +1,16 @@
 /**
  * Rate limits of client accounts, split into shares of tokens that gateways
- * hold and transfer to each other.
+ * hold, pool at one of them, and grant to each other.
  */
 export {createAccountShare} from './account-share';
 export type {AccountShare, ShareLimits} from './account-share';
-export {SpendResult, createTokenShares} from './token-shares';
+export type {HomeMember} from './token-homes';
+export {createTokenShares} from './token-shares';
 export type {
   AccountLimit,
   LimitReadings,
-  PeerAccounts,
+  TokenDemand,
+  TokenGrant,
   TokenShares,
   TokenSharesOptions,
 } from './token-shares';
--- a/packages/token-shares/src/token-shares.ts
+++ b/packages/token-shares/src/token-shares.ts
@@ -1,12 +1,19 @@
 /**
- * Spends the tokens of all client accounts at one gateway and transfers them
- * between gateways. A caller's requests all arrive at the gateway that its
- * connection reached, so the load of an account is uneven: with a fixed
- * fraction of the rate for each gateway, requests would be refused although the
- * account is within its limit.
+ * Spends the tokens of all client accounts at one gateway. A fraction of every
+ * rate accrues at each gateway, and is less than a request needs in a large
+ * fleet. So what accrues is returned to the home of the account, which grants
+ * it to requests at all gateways.
+ *
+ * A transfer is deducted before it is sent, so that tokens may be lost and are
+ * never made: the sum over all gateways grows no faster than the rate.
  */
+import {TokenOutcome} from '@siskinplank/messages';
 import {createAccountShare} from './account-share';
 import type {AccountShare} from './account-share';
+import {createTokenHomes} from './token-homes';
+import type {HomeMember} from './token-homes';
+import {createTokenPromises} from './token-promises';
+import type {TokenPromises} from './token-promises';
 
 /** Rate limit of one account over all gateways. */
 export interface AccountLimit {
@@ -16,29 +23,40 @@
   burst: number;
 }
 
-/** By account: tokens that a peer holds, and tokens that it needs. */
-export type PeerAccounts = Readonly<Record<string, readonly [number, number]>>;
-
-/** Outcome of an attempt to spend tokens. */
-export enum SpendResult {
-  Spent = 'spent',
-  /** Other gateways hold enough; retry when a donation has arrived. */
-  Pending = 'pending',
-  /** The account is over its limit. */
-  OverLimit = 'over-limit',
-}
-
-/** Rate limit of one account and the tokens held for it. */
+/** Rate limit of one account and what is known of its tokens. */
 export interface LimitReadings {
   ratePerSecond: number;
   /** Tokens held here. */
   ownLevel: number;
-  /** Tokens that the peers hold by their last reports. */
-  peerLevel: number;
+  /** Gateway that pools the account's tokens. */
+  home: string;
+}
+
+/** A request for tokens, as the home of the account receives it. */
+export interface TokenDemand {
+  /** Unique over all gateways; a request that waits keeps it. */
+  key: string;
+  account: string;
+  /** Tokens of the request. */
+  tokens: number;
+  /** Further tokens that the gateway is likely to spend soon. */
+  wantedTokens: number;
+  /** Longest time for which the request may still wait. */
+  patienceMs: number;
+}
+
+/** Reply to a `TokenDemand`. */
+export interface TokenGrant {
+  outcome: TokenOutcome;
+  /** Tokens granted, at least those of the request; else 0. */
+  tokens: number;
+  /** Time until the account may have the tokens; 0 if they are granted. */
+  waitMs: number;
 }
 
 /** What `createTokenShares` needs. */
 export interface TokenSharesOptions {
+  ownName: string;
   /** Tokens added to each account's burst, so that one large request fits. */
   extraBurst: number;
   /**
@@ -52,98 +70,149 @@
 export interface TokenShares {
   /** Replaces all limits; the shares of accounts left out are removed. */
   setLimits(limits: ReadonlyMap<string, AccountLimit>, nowMs: number): void;
-  /** Sets the fractions of every rate and every burst that this gateway has. */
-  setFraction(rateFraction: number, capFraction: number, nowMs: number): void;
-  /** Replaces the report of a peer; each reported need is met at most once. */
-  updatePeer(peer: string, accounts: PeerAccounts): void;
-  removePeer(peer: string): void;
-  /** Takes tokens for one request. */
-  spend(account: string, tokens: number, nowMs: number): SpendResult;
-  /** Takes tokens for a request whose demand `spend` has counted already. */
-  retry(account: string, tokens: number, nowMs: number): SpendResult;
-  /** Adds the tokens of a waiting request to those that this gateway needs. */
-  addWaiting(account: string, tokens: number): void;
-  removeWaiting(account: string, tokens: number): void;
+  /** Sets the fraction of every rate and burst that this gateway has. */
+  setFraction(fraction: number, nowMs: number): void;
+  /** Replaces the gateways that this one reaches, itself included. */
+  setMembers(members: readonly HomeMember[], nowMs: number): void;
+  /** Takes tokens that are held here for one request, if they suffice. */
+  trySpend(account: string, tokens: number, nowMs: number): boolean;
+  /** Gateway that has the tokens which are missing here. */
+  findHome(account: string): string;
+  /** Chooses other homes in place of one that did not reply. */
+  markUnresponsive(home: string, nowMs: number): void;
+  /** Chooses the home again, since it was heard. */
+  markResponsive(home: string, nowMs: number): void;
+  /** Tokens worth holding here beyond those of the waiting request. */
+  computeWanted(account: string, nowMs: number): number;
+  /** Grants tokens that are held here, as the home of the account. */
+  grant(demand: TokenDemand, nowMs: number): TokenGrant;
+  /** Adds tokens that the home granted. */
+  deposit(account: string, tokens: number, nowMs: number): void;
+  /** Adds tokens that other gateways returned. */
+  depositReturns(tokens: Readonly<Record<string, number>>, nowMs: number): void;
+  /** Adds the tokens of a request that has not run. */
   refund(account: string, tokens: number, nowMs: number): void;
-  deposit(tokens: Readonly<Record<string, number>>, nowMs: number): void;
-  /** Time until the account may have `tokens` again, in milliseconds. */
-  estimateWaitMs(account: string, tokens: number, nowMs: number): number;
-  /** Returns the figures behind a refusal, for its message and log entry. */
+  /** Takes out what other gateways pool; the caller must send it. */
+  withdrawReturns(nowMs: number): Map<string, Record<string, number>>;
+  /** Returns the figures behind a refusal, for its log entry. */
   describeLimit(account: string, nowMs: number): LimitReadings;
-  /**
-   * Returns the tokens held and needed, to be sent to the peers. If only some
-   * of them receive it, `donors`, each is asked for a larger part of the need.
-   */
-  describeAccounts(
-    nowMs: number,
-    donors?: ReadonlySet<string>,
-  ): Record<string, [number, number]>;
-  /** Lists the peers that hold most of the tokens that this gateway needs. */
-  listDonors(nowMs: number): ReadonlySet<string>;
-  /** Takes tokens out for each peer in need; the caller must send them. */
-  withdrawDonations(nowMs: number): Map<string, Record<string, number>>;
 }
 
 interface AccountState {
   share: AccountShare;
   limit: AccountLimit;
-  waitingTokens: number;
+  promises: TokenPromises;
+  isHome: boolean;
+  /** Smoothed tokens of one request. */
+  meanTokens: number;
   /** Smoothed tokens per second that requests at this gateway need. */
   demandPerSecond: number;
   demandAtMs: number;
 }
 
+/**
+ * Part of the burst that is split between the gateways, by their fractions; the
+ * home holds the rest.
+ */
+const SPLIT_BURST_FRACTION = 0.35;
+/** Level, as a part of the cap, from which tokens are returned. */
+const RETURN_LEVEL = 0.8;
+/** Level, as a part of the cap, up to which tokens are kept for demand. */
+const MAX_KEPT_LEVEL = 0.5;
+/** Level from which tokens are sent along when others are returned. */
+const JOINT_RETURN_LEVEL = 0.25;
+/** Least time between two returns to one home. */
+const RETURN_PERIOD_MS = 300;
+/** Part of its level that a home grants beyond a request. */
+const EXTRA_GRANT_FRACTION = 0.25;
+/** A waiting request asks again within this time after its tokens accrued. */
+const PROMISE_GRACE_MS = 250;
 /** Time constant of the exponential smoothing of demand. */
 const DEMAND_TIME_CONSTANT_MS = 1_000;
+/** Weight of the last request in the mean size. */
+const SIZE_WEIGHT = 0.2;
 /** Time for whose expected demand a gateway keeps tokens. */
 const DEMAND_HORIZON_MS = 300;
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Time after its removal within which an account gets no new burst. */
 const REMOVED_RETENTION_MS = 60_000;
-/**
- * Donors are asked until they hold this multiple of the need, since they may
- * have spent some of it since their last report.
- */
-const DONOR_RESERVE = 2;
-/** Smaller donations are not sent, to save messages. */
-const MIN_DONATION_TOKENS = 1;
+/** Smaller amounts are not sent, to save messages. */
+const MIN_RETURN_TOKENS = 1;
+
+const NOT_GRANTED: TokenGrant = {
+  outcome: TokenOutcome.Unavailable,
+  tokens: 0,
+  waitMs: 0,
+};
 
 /** Creates token shares without any account. */
 export function createTokenShares(options: TokenSharesOptions): TokenShares {
+  const {ownName, extraBurst} = options;
+  const homes = createTokenHomes(ownName);
   let states = new Map<string, AccountState>();
-  /** Levels and unserved needs of the peers, by account. */
-  const peers = new Map<string, Map<string, {level: number; need: number}>>();
   const removedAtMs = new Map<string, number>();
+  const returnedAtMs = new Map<string, number>();
   let hasLimits = false;
-  let rateFraction = 0;
-  let capFraction = 0;
+  let fraction = 0;
+
+  /** Part of the fleet that this gateway reaches. */
+  const getReach = (): number => Math.min(1, fraction * homes.countMembers());
+
+  /**
+   * The caps of gateways that agree on the home add up to the burst, and so do
+   * those of groups without contact to each other.
+   */
+  const computeCap = (limit: AccountLimit, isHome: boolean): number => {
+    const pooled = isHome ? (1 - SPLIT_BURST_FRACTION) * getReach() : 0;
+    const part = SPLIT_BURST_FRACTION * fraction + pooled;
+    return (limit.burst + extraBurst) * part;
+  };
+
+  const applyLimits = (
+    account: string,
+    state: AccountState,
+    nowMs: number,
+  ): void => {
+    const isHome = homes.findHome(account) === ownName;
+    // What the next home is to pool is not dropped.
+    if (state.isHome && !isHome) state.share.keepExcess(nowMs);
+    state.isHome = isHome;
+    state.share.setLimits(
+      {
+        ratePerSecond: state.limit.ratePerSecond * fraction,
+        capTokens: computeCap(state.limit, isHome),
+      },
+      nowMs,
+    );
+  };
 
   /**
    * An account added while this process runs has spent nothing and starts with
    * its burst, unless it was removed within REMOVED_RETENTION_MS before.
    */
-  const createShare = (
+  const createState = (
     account: string,
     limit: AccountLimit,
     nowMs: number,
-  ): AccountShare => {
-    if (!hasLimits) return createAccountShare(options.startedAtMs);
+  ): AccountState => {
+    const isHome = homes.findHome(account) === ownName;
     const removed = removedAtMs.get(account);
     const mayHaveSpent =
       removed !== undefined && nowMs - removed < REMOVED_RETENTION_MS;
-    const burst = (limit.burst + options.extraBurst) * capFraction;
-    return createAccountShare(nowMs, mayHaveSpent ? 0 : burst);
+    const initialLevel = mayHaveSpent ? 0 : computeCap(limit, isHome);
+    return {
+      share: hasLimits
+        ? createAccountShare(nowMs, initialLevel)
+        : createAccountShare(options.startedAtMs),
+      limit,
+      promises: createTokenPromises(),
+      isHome,
+      meanTokens: 0,
+      demandPerSecond: 0,
+      demandAtMs: nowMs,
+    };
   };
 
-  const applyLimits = (state: AccountState, nowMs: number): void =>
-    state.share.setLimits(
-      {
-        ratePerSecond: state.limit.ratePerSecond * rateFraction,
-        capTokens: (state.limit.burst + options.extraBurst) * capFraction,
-      },
-      nowMs,
-    );
-
   const decayDemand = (state: AccountState, nowMs: number): void => {
     const elapsedMs = Math.max(0, nowMs - state.demandAtMs);
     state.demandPerSecond *= Math.exp(-elapsedMs / DEMAND_TIME_CONSTANT_MS);
@@ -158,104 +227,96 @@
     decayDemand(state, nowMs);
     state.demandPerSecond +=
       (tokens * MILLISECONDS_PER_SECOND) / DEMAND_TIME_CONSTANT_MS;
+    const {meanTokens} = state;
+    state.meanTokens =
+      meanTokens === 0
+        ? tokens
+        : meanTokens + (tokens - meanTokens) * SIZE_WEIGHT;
   };
 
-  /** Tokens for the waiting requests and for the demand expected soon. */
+  /** Tokens to be held here for the demand expected soon. */
   const computeTargetLevel = (state: AccountState, nowMs: number): number => {
     decayDemand(state, nowMs);
+    const maxTokens = computeCap(state.limit, false) * MAX_KEPT_LEVEL;
+    // A share in which no request fits would hold tokens for nobody.
+    if (state.meanTokens === 0 || state.meanTokens > maxTokens) return 0;
     const expectedTokens =
       (state.demandPerSecond * DEMAND_HORIZON_MS) / MILLISECONDS_PER_SECOND;
-    return state.waitingTokens + expectedTokens;
+    return Math.min(maxTokens, expectedTokens);
   };
 
-  const sumPeerLevels = (account: string): number => {
-    let sum = 0;
-    for (const accounts of peers.values()) {
-      sum += Math.max(0, accounts.get(account)?.level ?? 0);
-    }
-    return sum;
+  const updateHomes = (nowMs: number): void => {
+    for (const [account, state] of states) applyLimits(account, state, nowMs);
   };
 
-  const trySpend = (
-    account: string,
-    tokens: number,
-    nowMs: number,
-  ): SpendResult => {
-    const state = states.get(account);
-    if (state === undefined) return SpendResult.OverLimit;
-    if (state.limit.ratePerSecond === 0) return SpendResult.Spent;
-    if (state.share.trySpend(tokens, nowMs)) return SpendResult.Spent;
-    const total = state.share.getLevel(nowMs) + sumPeerLevels(account);
-    return total >= state.waitingTokens + tokens
-      ? SpendResult.Pending
-      : SpendResult.OverLimit;
-  };
-
-  /** Takes the surplus of one account out for the peers in need. */
-  const withdrawAccountDonations = (
-    account: string,
+  /** Takes out what may be returned of one account; 0 if it is too little. */
+  const withdrawReturn = (
     state: AccountState,
-    donations: Map<string, Record<string, number>>,
+    minLevel: number,
     nowMs: number,
-  ): void => {
-    let totalNeed = 0;
-    let otherDonorsLevel = 0;
-    for (const accounts of peers.values()) {
-      const reported = accounts.get(account);
-      if (reported === undefined) continue;
-      if (reported.need > 0) totalNeed += reported.need;
-      else otherDonorsLevel += Math.max(0, reported.level);
-    }
-    if (totalNeed === 0) return;
+  ): number => {
     const level = state.share.getLevel(nowMs);
     const surplus = level - computeTargetLevel(state, nowMs);
-    if (surplus < MIN_DONATION_TOKENS) return;
-    // Each donor covers a fraction of the need in proportion to its level, so
-    // that peers in need do not receive several times the tokens they need.
-    const donorFraction = level / (level + otherDonorsLevel);
-    const donatedTokens = Math.min(surplus, totalNeed * donorFraction);
-    for (const [peer, accounts] of peers) {
-      const reported = accounts.get(account);
-      if (reported === undefined || reported.need <= 0) continue;
-      const allottedTokens = (donatedTokens * reported.need) / totalNeed;
-      if (allottedTokens < MIN_DONATION_TOKENS) continue;
-      const tokens = state.share.withdraw(allottedTokens, nowMs);
-      reported.need = 0;
-      const donation = donations.get(peer) ?? {};
-      donation[account] = tokens;
-      donations.set(peer, donation);
-    }
+    const minTokens = Math.max(
+      MIN_RETURN_TOKENS,
+      computeCap(state.limit, false) * minLevel,
+    );
+    return surplus < minTokens ? 0 : state.share.withdraw(surplus, nowMs);
   };
 
-  const computeNeed = (state: AccountState, nowMs: number): number =>
-    Math.max(0, computeTargetLevel(state, nowMs) - state.share.getLevel(nowMs));
+  /** Homes to which tokens are to be returned now. */
+  const listDueHomes = (nowMs: number): Set<string> => {
+    const due = new Set<string>();
+    for (const [account, state] of states) {
+      if (state.isHome || state.limit.ratePerSecond === 0) continue;
+      const home = homes.findHome(account);
+      if (due.has(home)) continue;
+      const capTokens = computeCap(state.limit, false);
+      const level = state.share.getLevel(nowMs);
+      const sinceMs = nowMs - (returnedAtMs.get(home) ?? -Infinity);
+      const isFull =
+        level >= capTokens * RETURN_LEVEL && sinceMs >= RETURN_PERIOD_MS;
+      if (isFull || level > capTokens) due.add(home);
+    }
+    return due;
+  };
 
-  /** Factor by which the need grows when only `donors` are asked for it. */
-  const computeNeedFactor = (
-    account: string,
-    donors: ReadonlySet<string> | undefined,
-  ): number => {
-    if (donors === undefined) return 1;
-    let askedLevel = 0;
-    for (const donor of donors) {
-      askedLevel += Math.max(0, peers.get(donor)?.get(account)?.level ?? 0);
+  const grantTokens = (
+    state: AccountState,
+    {key, tokens, wantedTokens, patienceMs}: TokenDemand,
+    nowMs: number,
+  ): TokenGrant => {
+    const aheadTokens = state.promises.sumAhead(key, nowMs);
+    const freeTokens = state.share.getLevel(nowMs) - aheadTokens;
+    if (freeTokens >= tokens) {
+      state.promises.remove(key);
+      const extraTokens = Math.min(
+        wantedTokens,
+        (freeTokens - tokens) * EXTRA_GRANT_FRACTION,
+      );
+      const granted = state.share.withdraw(tokens + extraTokens, nowMs);
+      return {outcome: TokenOutcome.Granted, tokens: granted, waitMs: 0};
+    }
+    const ratePerSecond = state.limit.ratePerSecond * getReach();
+    if (!state.isHome || ratePerSecond === 0) return NOT_GRANTED;
+    const missingTokens = tokens - freeTokens;
+    const waitMs = (missingTokens * MILLISECONDS_PER_SECOND) / ratePerSecond;
+    const fits = tokens <= computeCap(state.limit, true);
+    if (!fits || waitMs > patienceMs) {
+      state.promises.remove(key);
+      return {outcome: TokenOutcome.OverLimit, tokens: 0, waitMs};
     }
-    return askedLevel > 0 ? sumPeerLevels(account) / askedLevel : 1;
+    state.promises.set(key, tokens, nowMs + waitMs + PROMISE_GRACE_MS);
+    return {outcome: TokenOutcome.Promised, tokens: 0, waitMs};
   };
 
   return {
     setLimits: (limits, nowMs) => {
       const next = new Map<string, AccountState>();
       for (const [account, limit] of limits) {
-        const state = states.get(account) ?? {
-          share: createShare(account, limit, nowMs),
-          limit,
-          waitingTokens: 0,
-          demandPerSecond: 0,
-          demandAtMs: nowMs,
-        };
+        const state = states.get(account) ?? createState(account, limit, nowMs);
         state.limit = limit;
-        applyLimits(state, nowMs);
+        applyLimits(account, state, nowMs);
         next.set(account, state);
       }
       for (const account of states.keys()) {
@@ -264,92 +325,77 @@
       states = next;
       hasLimits = true;
     },
-    setFraction: (nextRate, nextCap, nowMs) => {
-      if (nextRate === rateFraction && nextCap === capFraction) return;
-      rateFraction = nextRate;
-      capFraction = nextCap;
-      for (const state of states.values()) applyLimits(state, nowMs);
+    setFraction: (next, nowMs) => {
+      if (next === fraction) return;
+      fraction = next;
+      updateHomes(nowMs);
     },
-    updatePeer: (peer, accounts) => {
-      const reported = Object.entries(accounts).map(
-        ([account, [level, need]]) => [account, {level, need}] as const,
-      );
-      peers.set(peer, new Map(reported));
+    setMembers: (members, nowMs) => {
+      homes.setMembers(members);
+      updateHomes(nowMs);
     },
-    removePeer: peer => void peers.delete(peer),
-    spend: (account, tokens, nowMs) => {
+    trySpend: (account, tokens, nowMs) => {
       const state = states.get(account);
-      if (state !== undefined) recordDemand(state, tokens, nowMs);
-      return trySpend(account, tokens, nowMs);
+      if (state === undefined) return false;
+      if (state.limit.ratePerSecond === 0) return true;
+      recordDemand(state, tokens, nowMs);
+      const promisedTokens = state.promises.sumAhead('', nowMs);
+      const freeTokens = state.share.getLevel(nowMs) - promisedTokens;
+      return freeTokens >= tokens && state.share.trySpend(tokens, nowMs);
     },
-    retry: trySpend,
-    addWaiting: (account, tokens) => {
-      const state = states.get(account);
-      if (state !== undefined) state.waitingTokens += tokens;
+    findHome: homes.findHome,
+    markUnresponsive: (home, nowMs) => {
+      homes.markUnresponsive(home);
+      updateHomes(nowMs);
+    },
+    markResponsive: (home, nowMs) => {
+      if (homes.markResponsive(home)) updateHomes(nowMs);
     },
-    removeWaiting: (account, tokens) => {
+    computeWanted: (account, nowMs) => {
       const state = states.get(account);
-      if (state === undefined) return;
-      state.waitingTokens = Math.max(0, state.waitingTokens - tokens);
+      if (state === undefined) return 0;
+      const target = computeTargetLevel(state, nowMs);
+      return Math.max(0, target - state.share.getLevel(nowMs));
+    },
+    grant: (demand, nowMs) => {
+      const state = states.get(demand.account);
+      return state === undefined
+        ? NOT_GRANTED
+        : grantTokens(state, demand, nowMs);
     },
-    refund: (account, tokens, nowMs) =>
-      states.get(account)?.share.refund(tokens, nowMs),
-    deposit: (tokens, nowMs) => {
+    deposit: (account, tokens, nowMs) =>
+      states.get(account)?.share.deposit(tokens, nowMs),
+    depositReturns: (tokens, nowMs) => {
       for (const [account, count] of Object.entries(tokens)) {
-        states.get(account)?.share.deposit(count, nowMs);
+        states.get(account)?.share.refund(count, nowMs);
       }
     },
-    estimateWaitMs: (account, tokens, nowMs) => {
+    refund: (account, tokens, nowMs) => {
       const state = states.get(account);
-      if (state === undefined || state.limit.ratePerSecond === 0) return 0;
-      const total = state.share.getLevel(nowMs) + sumPeerLevels(account);
-      const missing = Math.max(0, tokens + state.waitingTokens - total);
-      return (missing * MILLISECONDS_PER_SECOND) / state.limit.ratePerSecond;
+      if (state === undefined) return;
+      if (state.isHome) state.share.refund(tokens, nowMs);
+      // The share may be too small for it; it is returned to the home.
+      else state.share.deposit(tokens, nowMs);
+    },
+    withdrawReturns: nowMs => {
+      const returns = new Map<string, Record<string, number>>();
+      const dueHomes = listDueHomes(nowMs);
+      if (dueHomes.size === 0) return returns;
+      for (const [account, state] of states) {
+        if (state.isHome || state.limit.ratePerSecond === 0) continue;
+        const home = homes.findHome(account);
+        if (!dueHomes.has(home)) continue;
+        const tokens = withdrawReturn(state, JOINT_RETURN_LEVEL, nowMs);
+        if (tokens === 0) continue;
+        returnedAtMs.set(home, nowMs);
+        returns.set(home, {...returns.get(home), [account]: tokens});
+      }
+      return returns;
     },
     describeLimit: (account, nowMs) => ({
       ratePerSecond: states.get(account)?.limit.ratePerSecond ?? 0,
       ownLevel: states.get(account)?.share.getLevel(nowMs) ?? 0,
-      peerLevel: sumPeerLevels(account),
+      home: homes.findHome(account),
     }),
-    describeAccounts: (nowMs, donors) => {
-      const described: Record<string, [number, number]> = {};
-      for (const [account, state] of states) {
-        if (state.limit.ratePerSecond === 0) continue;
-        const level = state.share.getLevel(nowMs);
-        const need = computeNeed(state, nowMs);
-        const factor = need > 0 ? computeNeedFactor(account, donors) : 1;
-        described[account] = [Math.round(level), Math.round(need * factor)];
-      }
-      return described;
-    },
-    listDonors: nowMs => {
-      const donors = new Set<string>();
-      for (const [account, state] of states) {
-        if (state.waitingTokens === 0) continue;
-        const wanted = computeNeed(state, nowMs) * DONOR_RESERVE;
-        const holders = [...peers]
-          .map(([peer, accounts]) => ({
-            peer,
-            level: accounts.get(account)?.level ?? 0,
-          }))
-          .filter(({level}) => level >= MIN_DONATION_TOKENS)
-          .sort((left, right) => right.level - left.level);
-        let found = 0;
-        for (const {peer, level} of holders) {
-          if (found >= wanted) break;
-          donors.add(peer);
-          found += level;
-        }
-      }
-      return donors;
-    },
-    withdrawDonations: nowMs => {
-      const donations = new Map<string, Record<string, number>>();
-      for (const [account, state] of states) {
-        if (state.limit.ratePerSecond === 0) continue;
-        withdrawAccountDonations(account, state, donations, nowMs);
-      }
-      return donations;
-    },
   };
 }
