--- a/packages/directory/src/directory-watcher.test.ts
+++ b/packages/directory/src/directory-watcher.test.ts
@@ -99,7 +99,7 @@
       directory,
       watchWaitMs: WATCH_WAIT_MS,
       retryDelayMs: 100,
-      batchDelayMs: 0,
+      getBatchDelayMs: () => 0,
       clock,
       logger: createLogger({
         level: LogLevel.Info,
--- a/packages/directory/src/directory-watcher.ts
+++ b/packages/directory/src/directory-watcher.ts
@@ -17,10 +17,10 @@
   /** Delay before a failed call is retried, in milliseconds. */
   retryDelayMs: number;
   /**
-   * Delay between received changes and the next watch call, in milliseconds, so
-   * that one call collects several changes; 0 means no delay.
+   * Returns the delay between received changes and the next watch call, in
+   * milliseconds, so that one call collects several changes; 0 means no delay.
    */
-  batchDelayMs: number;
+  getBatchDelayMs(): number;
   clock: Clock;
   logger: Logger;
   /** Receives a complete list, which replaces all earlier entries. */
@@ -209,7 +209,7 @@
       const hasSucceeded =
         revision === undefined ? await listOnce() : await watchOnce(revision);
       if (!hasSucceeded) await clock.waitMs(options.retryDelayMs);
-      else if (hasReceivedChanges) await clock.waitMs(options.batchDelayMs);
+      else if (hasReceivedChanges) await clock.waitMs(options.getBatchDelayMs());
     }
   };
 
--- a/packages/fleet/src/gateway-registry.ts
+++ b/packages/fleet/src/gateway-registry.ts
@@ -76,7 +76,7 @@
     ),
     watchWaitMs: options.watchWaitMs,
     retryDelayMs: options.retryDelayMs,
-    batchDelayMs: 0,
+    getBatchDelayMs: () => 0,
     clock,
     logger,
     onList: (items, _nowMs, revision) => {
--- a/packages/fleet/src/order-leadership.ts
+++ b/packages/fleet/src/order-leadership.ts
@@ -160,7 +160,7 @@
     ),
     watchWaitMs: options.watchWaitMs,
     retryDelayMs: options.retryDelayMs,
-    batchDelayMs: 0,
+    getBatchDelayMs: () => 0,
     clock,
     logger,
     onList: (items, _nowMs, revision) =>
--- a/packages/gateway/src/configuration-replica.ts
+++ b/packages/gateway/src/configuration-replica.ts
@@ -126,7 +126,7 @@
     directory: options.directory,
     watchWaitMs: options.watchWaitMs,
     retryDelayMs: options.retryDelayMs,
-    batchDelayMs: 0,
+    getBatchDelayMs: () => 0,
     clock,
     logger,
     onList: items => {
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -160,6 +160,7 @@
     directory: ports.upstreams,
     storeHealth,
     getEra: () => ports.sharedObjects.getEra(),
+    countGateways: () => fleet.registry.listOthers().length + 1,
     onChange: usable => {
       upstreams.setUpstreams(usable);
       dispatcher.retryWaiting();
--- a/packages/gateway/src/odd-entries.test.ts
+++ b/packages/gateway/src/odd-entries.test.ts
@@ -260,6 +260,7 @@
           clock,
           logger: SILENT_LOGGER,
           getEra: () => 1,
+          countGateways: () => 1,
           onChange: usable => {
             states.push(usable.map(({id}) => id));
             if (states.length === 2) finish();
--- a/packages/gateway/src/upstream-view.test.ts
+++ b/packages/gateway/src/upstream-view.test.ts
@@ -55,6 +55,7 @@
     retryDelayMs: 100,
     storeHealth: health,
     getEra: () => directory.era,
+    countGateways: () => 1,
     clock,
     logger: SILENT_LOGGER,
     onChange: () => undefined,
--- a/packages/gateway/src/upstream-view.ts
+++ b/packages/gateway/src/upstream-view.ts
@@ -17,6 +17,7 @@
 import {createLeavingMarks} from './leaving-marks';
 import type {LeavingUpstream} from './leaving-marks';
 import type {StoreHealth} from './store-health';
+import {planUpstreamBatchMs} from './upstream-batches';
 
 /** What `createUpstreamView` needs. */
 export interface UpstreamViewOptions {
@@ -26,6 +27,8 @@
   storeHealth: StoreHealth;
   /** Era of the store; it rises when the store returns from an older copy. */
   getEra(): number;
+  /** Gateways that watch the upstreams, this one included. */
+  countGateways(): number;
   clock: Clock;
   logger: Logger;
   /** Called when the usable upstreams or their entries may have changed. */
@@ -55,11 +58,6 @@
   recordDeclared(incarnation: string, nowMs: number): boolean;
 }
 
-/**
- * Changes of several upstreams arrive together when demand shifts. A draining
- * upstream must be known within 2 s.
- */
-const BATCH_DELAY_MS = 300;
 /**
  * A running upstream whose entry expired during a store outage, or that the
  * copy lacks from which the store returned, registers again about 2 s later;
@@ -272,7 +270,7 @@
     directory: options.directory,
     watchWaitMs: options.watchWaitMs,
     retryDelayMs: options.retryDelayMs,
-    batchDelayMs: BATCH_DELAY_MS,
+    getBatchDelayMs: () => planUpstreamBatchMs(options.countGateways()),
     clock,
     logger,
     onList: (items, nowMs, revision) => {
