Give the holder of a new order lease its time, and write the lease in turn

Callers saw: after a mass kill requests wait for models, since no order leader lasts.

Cause: the time without a message of the holder counted from the start of the listening gateway when it had never seen the holder. Two gateways without a link to each other took the lease from each other at once, and the new holder assumed that the former had sent no order since, so that turns within the lease time were possible. A lease that is free was written by all gateways at once, and a refused write was repeated after 0.2 s.

Change: the time counts from when the lease was learned at the earliest; a free lease is written in the order of the candidates, 150 ms apart; a write that the store refused is repeated after 1 s.

--- a/packages/fleet/src/order-leadership.ts
+++ b/packages/fleet/src/order-leadership.ts
@@ -40,10 +40,10 @@
   describePeers(
     holder: string | undefined,
     nowMs: number,
-  ): Pick<
-    TakeoverInput,
-    'candidates' | 'holderIncarnation' | 'holderLastSeenAtMs' | 'isLeaving'
-  >;
+  ): Pick<TakeoverInput, 'candidates' | 'holderLastSeenAtMs' | 'isLeaving'> & {
+    /** Incarnation now running under the holder's name, if known. */
+    holderIncarnation: string | undefined;
+  };
 }
 
 /** A period in which this gateway is the order leader. */
@@ -75,6 +75,11 @@
   release(): Promise<void>;
 }
 
+/**
+ * Delay after a store refused or did not acknowledge a write. While a store is
+ * down, all gateways wait to write the lease.
+ */
+const FAILED_WRITE_DELAY_MS = 1_000;
 /** Era of a store that was never restored from a copy. */
 const FIRST_ERA = 1;
 
@@ -85,6 +90,9 @@
   const {objects, ownName, ownIncarnation, clock, logger} = options;
   /** Lease with the highest token; a restored store may have an older one. */
   let lease: OrderLease | undefined;
+  let leaseLearnedAtMs = 0;
+  /** Since when another process runs under the name of the lease's holder. */
+  let endedSinceMs: number | undefined;
   /** Revision of the stored lease; undefined if there is none. */
   let storedRevision: number | undefined;
   /** Revision up to which the stored lease is known. */
@@ -97,6 +105,7 @@
   let isStopped = false;
   let listeningSinceMs = 0;
   let nextAttemptAtMs = 0;
+  let failedUntilMs = 0;
 
   const endTerm = (reason: string): void => {
     if (term === undefined) return;
@@ -128,7 +137,10 @@
       lease === undefined ||
       next.token > lease.token ||
       (next.token === lease.token && !lease.isReleased);
-    if (isNewer) lease = next;
+    if (isNewer) {
+      lease = next;
+      leaseLearnedAtMs = clock.getNowMs();
+    }
     observeToken(next.token);
   };
 
@@ -193,6 +205,9 @@
           reason: failure.reason,
           token: next.token,
         });
+        if (failure.code !== StoreFailureCode.Conflict) {
+          failedUntilMs = clock.getNowMs() + FAILED_WRITE_DELAY_MS;
+        }
         const current = failure.current;
         if (current === undefined) return false;
         const decoded = decodeOrderLease(current).toMaybe().extract();
@@ -272,20 +287,31 @@
       watcher.stop();
     },
     tick: nowMs => {
-      if (isWriting || isStopped || nowMs < nextAttemptAtMs) return;
+      if (isWriting || isStopped) return;
+      if (nowMs < Math.max(nextAttemptAtMs, failedUntilMs)) return;
       if (term !== undefined) {
         const isOutdated = getTokenEra(term.token) < objects.getEra();
         if (isOutdated && isLeaseKnown()) startWrite(renewLease());
         return;
       }
+      const {holderIncarnation, ...peers} = options.describePeers(
+        lease?.holder,
+        nowMs,
+      );
+      const hasEnded =
+        holderIncarnation !== undefined &&
+        holderIncarnation !== lease?.incarnation;
+      endedSinceMs = hasEnded ? (endedSinceMs ?? nowMs) : undefined;
       const plan = planTakeover({
         lease,
+        leaseLearnedAtMs,
+        endedSinceMs,
         isLeaseKnown: isLeaseKnown(),
         isStoreRestored: objects.getEra() > FIRST_ERA,
         ownName,
         listeningSinceMs,
         nowMs,
-        ...options.describePeers(lease?.holder, nowMs),
+        ...peers,
       });
       if (plan !== undefined) startWrite(takeOver(plan));
     },
--- a/packages/fleet/src/takeover.test.ts
+++ b/packages/fleet/src/takeover.test.ts
@@ -17,9 +17,10 @@
     ownName: 'gateway-b',
     isLeaving: false,
     candidates: ['gateway-b', 'gateway-c'],
-    holderIncarnation: 'a1',
     holderLastSeenAtMs: 9_900,
     listeningSinceMs: 0,
+    leaseLearnedAtMs: 0,
+    endedSinceMs: undefined,
     nowMs: 10_000,
     ...changes,
   };
@@ -39,7 +40,7 @@
   });
 
   it('takes over when another process has the name of the holder', () => {
-    const plan = planTakeover(makeInput({holderIncarnation: 'a2'}));
+    const plan = planTakeover(makeInput({endedSinceMs: 10_000}));
     expect(plan?.reason).toBe(TakeoverReason.Ended);
   });
 
@@ -54,6 +55,30 @@
     });
   });
 
+  // A holder without a link to this gateway would lose the lease at once, and
+  // take it back in the same way.
+  it('gives a holder that was never seen its time from the lease on', () => {
+    const input = {holderLastSeenAtMs: undefined, leaseLearnedAtMs: 9_500};
+    expect(planTakeover(makeInput(input))).toBeUndefined();
+    expect(planTakeover(makeInput({...input, nowMs: 11_600}))).toEqual({
+      reason: TakeoverReason.Unresponsive,
+      lastOrderAtMs: 9_500,
+    });
+  });
+
+  it('leaves a lease without a holder to the first candidate at first', () => {
+    const second = {candidates: ['gateway-a', 'gateway-b']};
+    const released = {...LEASE, isReleased: true};
+    for (const free of [
+      {lease: released, leaseLearnedAtMs: 9_900},
+      {endedSinceMs: 9_900},
+    ]) {
+      const input = {...second, ...free};
+      expect(planTakeover(makeInput(input))).toBeUndefined();
+      expect(planTakeover(makeInput({...input, nowMs: 10_060}))).toBeDefined();
+    }
+  });
+
   // The lease may be an old one, and its holder unknown.
   it('listens to peers first if the store was restored', () => {
     for (const lease of [undefined, {...LEASE, isReleased: true}]) {
--- a/packages/fleet/src/takeover.ts
+++ b/packages/fleet/src/takeover.ts
@@ -30,10 +30,12 @@
   isLeaving: boolean;
   /** Names of the live gateways that can take over, this one included. */
   candidates: readonly string[];
-  /** Incarnation now running under the holder's name, if known. */
-  holderIncarnation: string | undefined;
   /** When the last state of the holder arrived; undefined if none did. */
   holderLastSeenAtMs: number | undefined;
+  /** When this gateway learned of the lease, or of its release. */
+  leaseLearnedAtMs: number;
+  /** Since when another process runs under the holder's name, if known. */
+  endedSinceMs: number | undefined;
   /** When this gateway began to receive states of the others. */
   listeningSinceMs: number;
   nowMs: number;
@@ -73,17 +75,24 @@
   if (lease.holder === ownName) {
     return {reason: TakeoverReason.Ended, lastOrderAtMs: undefined};
   }
+  const {leaseLearnedAtMs, endedSinceMs} = input;
+  const hasTurnSince = (sinceMs: number): boolean =>
+    nowMs - sinceMs >= rank * RANK_DELAY_MS;
   if (lease.isReleased) {
-    return {reason: TakeoverReason.Released, lastOrderAtMs: undefined};
+    return hasTurnSince(leaseLearnedAtMs)
+      ? {reason: TakeoverReason.Released, lastOrderAtMs: undefined}
+      : undefined;
   }
-  const hasEnded =
-    input.holderIncarnation !== undefined &&
-    input.holderIncarnation !== lease.incarnation;
-  if (hasEnded) {
-    return {reason: TakeoverReason.Ended, lastOrderAtMs: undefined};
+  if (endedSinceMs !== undefined) {
+    return hasTurnSince(endedSinceMs)
+      ? {reason: TakeoverReason.Ended, lastOrderAtMs: undefined}
+      : undefined;
   }
-  const lastSeenAtMs = input.holderLastSeenAtMs ?? input.listeningSinceMs;
-  const silentMs = nowMs - lastSeenAtMs - rank * RANK_DELAY_MS;
-  if (silentMs < HOLDER_TIMEOUT_MS) return undefined;
+  // The holder of a new lease may have no link to this gateway yet.
+  const lastSeenAtMs = Math.max(
+    input.holderLastSeenAtMs ?? input.listeningSinceMs,
+    leaseLearnedAtMs,
+  );
+  if (!hasTurnSince(lastSeenAtMs + HOLDER_TIMEOUT_MS)) return undefined;
   return {reason: TakeoverReason.Unresponsive, lastOrderAtMs: lastSeenAtMs};
 }
