--- a/packages/directory/src/directory-watcher.ts
+++ b/packages/directory/src/directory-watcher.ts
@@ -209,7 +209,8 @@
       const hasSucceeded =
         revision === undefined ? await listOnce() : await watchOnce(revision);
       if (!hasSucceeded) await clock.waitMs(options.retryDelayMs);
-      else if (hasReceivedChanges) await clock.waitMs(options.getBatchDelayMs());
+      else if (hasReceivedChanges)
+        await clock.waitMs(options.getBatchDelayMs());
     }
   };
 
--- a/scripts/build-gateway.mjs
+++ b/scripts/build-gateway.mjs
@@ -13,7 +13,8 @@
 const UNDICI_PARTS = resolve('scripts/gateway/undici.cjs');
 const OMITTED = resolve('scripts/gateway/omitted.cjs');
 /** Modules that take processor time at the start and are never called. */
-const OMITTED_MODULES = /^(\.\/client-h2(\.js)?|\.\/lib\/pushgateway|fast-glob)$/;
+const OMITTED_MODULES =
+  /^(\.\/client-h2(\.js)?|\.\/lib\/pushgateway|fast-glob)$/;
 
 /** Leaves parts of libraries out of the bundle. */
 const leaveOutParts = {
--- a/scripts/gateway/loader.cjs
+++ b/scripts/gateway/loader.cjs
@@ -5,11 +5,12 @@
  */
 const {existsSync, readFileSync} = require('node:fs');
 const {createRequire, wrap} = require('node:module');
-const {join} = require('node:path');
+const {dirname, join} = require('node:path');
 const {Script} = require('node:vm');
 
-const filename = join(__dirname, 'gateway-bundle.cjs');
-const cacheFile = join(__dirname, 'gateway-bundle.cache');
+const directory = dirname(module.filename);
+const filename = join(directory, 'gateway-bundle.cjs');
+const cacheFile = join(directory, 'gateway-bundle.cache');
 const script = new Script(wrap(readFileSync(filename, 'utf8')), {
   filename,
   cachedData: existsSync(cacheFile) ? readFileSync(cacheFile) : undefined,
@@ -20,6 +21,6 @@
   createRequire(filename),
   bundle,
   filename,
-  __dirname,
+  directory,
 );
 module.exports = {script};
