Restart watches whose answer the store may have lost

Callers saw: requests went on to servers that had said that they leave, up to 4 s past the bound, and an order was lost when such a server exited. All gateways did it at once, seconds after a store outage of one second.

Cause: a watch whose answer is lost waits until its own timeout. The watch on the upstreams waits 10 s and 1 s more, and those of the gateways and the order lease do too. The list that was read once when another watch reconnected did not replace the watch, so later changes stayed hidden. There are two ways into that state: another call of the process fails (the watch on the configuration, when its answer was due in the silence), or no call fails, since the only answer that was due was that of the watch itself.

Change: all watchers of a process share one StoreHealth. At the first answer after a failed call, each watch that was sent before that answer's call is aborted and sent again, first without a wait. The watch on the upstreams is also sent again when the answer of another call shows a later revision and its own answer does not follow within 150 ms; if that shows a change, the answer was lost, and the other watches are sent again too. Each restart is logged as 6104 with its reason.

Why it works: an answer is lost only if it was due. The first answer after it, at most the wait of the watch on the configuration later, 1.5 s, shows either a failure before it or the revision of the change that the watch missed.

--- a/packages/directory/src/directory-watcher.ts
+++ b/packages/directory/src/directory-watcher.ts
@@ -4,8 +4,11 @@
   DIRECTORY_DISCONNECTED,
   DIRECTORY_RECONNECTED,
   ENTRY_MALFORMED,
+  WATCH_RESTARTED,
 } from './events';
 import {StoreFailureCode} from './types';
+import {createStoreHealth} from './store-health';
+import type {StoreHealth} from './store-health';
 import type {Directory, MalformedEntry, StoreFailure} from './types';
 
 /** Options of `createDirectoryWatcher`. */
@@ -21,6 +24,14 @@
    * milliseconds, so that one call collects several changes; 0 means no delay.
    */
   getBatchDelayMs(): number;
+  /** Shared by the watchers of one process; by default this one's own. */
+  storeHealth?: StoreHealth;
+  /**
+   * Time in which a waiting watch must answer after another call has shown a
+   * later revision, in milliseconds; then it is restarted, since its answer may
+   * be lost. Unlimited by default: each change of another kind costs a restart.
+   */
+  maxAnswerDelayMs?: number;
   clock: Clock;
   logger: Logger;
   /** Receives a complete list, which replaces all earlier entries. */
@@ -55,6 +66,24 @@
   getRevision(): number;
 }
 
+/** Why a watch call is ended and sent again. */
+enum RestartReason {
+  /** The store answered another call for the first time after a failure. */
+  Recovery = 'recovery',
+  /** Another call has shown a later revision. */
+  LaterRevision = 'later-revision',
+}
+
+/** A watch call that waits for its answer. */
+interface WaitingWatch {
+  sentAtMs: number;
+  abort: AbortController;
+  /** Whether the time for its answer is limited already. */
+  isLimited: boolean;
+}
+
+/** Changes of other kinds come in series, and each restart costs two calls. */
+const LIMIT_PERIOD_MS = 1_500;
 /** Names and reasons of malformed entries are cut to this length in logs. */
 const MAX_LOGGED_LENGTH = 300;
 /** Malformed entries that are remembered, so that each is reported once. */
@@ -65,6 +94,7 @@
   options: DirectoryWatcherOptions<T>,
 ): DirectoryWatcher {
   const {name, directory, clock, logger} = options;
+  const storeHealth = options.storeHealth ?? createStoreHealth();
   let isRunning = false;
   let hasReceivedChanges = false;
   let revision: number | undefined;
@@ -74,6 +104,11 @@
   let isConnected = true;
   let failedCalls = 0;
   let disconnectedAtMs = 0;
+  let waiting: WaitingWatch | undefined;
+  /** When the last limit ends that another call has set to a watch. */
+  let limitedAtMs = -Infinity;
+  /** Set until the call after an aborted watch is sent. */
+  let restartReason: RestartReason | undefined;
   /** Entries already reported as malformed, with the reason. */
   const reportedMalformed = new Map<string, string>();
 
@@ -93,11 +128,15 @@
   };
 
   /** Must be called before the changes of the response are passed on. */
-  const reportReconnected = (
+  const recordAnswer = (
     nextRevision: number,
     sentAtMs: number,
     nowMs: number,
   ): void => {
+    storeHealth.recordAnswer(
+      {watcher: name, sentAtMs, endedAtMs: nowMs},
+      nextRevision,
+    );
     if (isConnected) return;
     isConnected = true;
     logger.log(DIRECTORY_RECONNECTED, {
@@ -121,11 +160,16 @@
     lastRevision = revision;
   };
 
-  const handleFailure = ({code, reason}: StoreFailure): void => {
+  const handleFailure = (
+    {code, reason}: StoreFailure,
+    sentAtMs: number,
+  ): void => {
+    const nowMs = clock.getNowMs();
+    storeHealth.recordFailure({watcher: name, sentAtMs, endedAtMs: nowMs});
     failedCalls += 1;
     if (!isConnected) return;
     isConnected = false;
-    disconnectedAtMs = clock.getNowMs();
+    disconnectedAtMs = nowMs;
     logger.log(DIRECTORY_DISCONNECTED, {
       directory: name,
       code,
@@ -134,9 +178,9 @@
       confirmedAgoMs:
         confirmedAtMs === undefined
           ? undefined
-          : Math.round(clock.getNowMs() - confirmedAtMs),
+          : Math.round(nowMs - confirmedAtMs),
     });
-    options.onConnectionChange?.(false, clock.getNowMs());
+    options.onConnectionChange?.(false, nowMs);
   };
 
   /** Lists everything; false when the call failed. */
@@ -146,13 +190,13 @@
     const listed = await directory.list();
     return listed.caseOf({
       Left: failure => {
-        handleFailure(failure);
+        handleFailure(failure, sentAtMs);
         return false;
       },
       Right: list => {
         const nowMs = clock.getNowMs();
         reportMalformed(list.malformed);
-        reportReconnected(list.revision, sentAtMs, nowMs);
+        recordAnswer(list.revision, sentAtMs, nowMs);
         // A concurrent watch may already have passed on later changes.
         const isOutdated =
           lastRevision !== knownRevision && list.revision < lastRevision;
@@ -173,21 +217,33 @@
   /** Waits for changes; false when the call failed. */
   const watchOnce = async (fromRevision: number): Promise<boolean> => {
     const sentAtMs = clock.getNowMs();
-    const watched = await directory.watch(fromRevision, options.watchWaitMs);
+    const abort = new AbortController();
+    waiting = {sentAtMs, abort, isLimited: false};
+    const restartedFor = restartReason;
+    restartReason = undefined;
+    // Confirms the copy at once, which an idle watch does only after its wait.
+    const waitMs = restartedFor === undefined ? options.watchWaitMs : 0;
+    const watched = await directory.watch(fromRevision, waitMs, abort.signal);
+    waiting = undefined;
     return watched.caseOf({
       Left: failure => {
+        // The next watch starts from the same revision and so misses nothing.
+        if (abort.signal.aborted) return true;
         // List next: a list returns each entry once, while a watch repeats all
         // versions since the revision, and it shows at once whether the store
         // responds again.
         revision = undefined;
         if (failure.code === StoreFailureCode.HistoryLost) return true;
-        handleFailure(failure);
+        handleFailure(failure, sentAtMs);
         return false;
       },
       Right: ({changes, malformed, revision: nextRevision}) => {
         const nowMs = clock.getNowMs();
         reportMalformed(malformed);
-        reportReconnected(nextRevision, sentAtMs, nowMs);
+        const isLossShown =
+          restartedFor === RestartReason.LaterRevision && changes.length > 0;
+        if (isLossShown) storeHealth.recordLoss(sentAtMs);
+        recordAnswer(nextRevision, sentAtMs, nowMs);
         // A concurrent list already contained these changes.
         if (nextRevision < (revision ?? 0)) return true;
         for (const change of changes) {
@@ -203,6 +259,39 @@
     });
   };
 
+  const restartWatch = (watch: WaitingWatch, reason: RestartReason): void => {
+    logger.log(WATCH_RESTARTED, {
+      directory: name,
+      reason,
+      revision,
+      shownRevision: storeHealth.getRevision(),
+      waitedMs: Math.round(clock.getNowMs() - watch.sentAtMs),
+    });
+    restartReason = reason;
+    watch.abort.abort();
+  };
+
+  storeHealth.observeRecoveries(sentBeforeMs => {
+    if (waiting === undefined || waiting.sentAtMs >= sentBeforeMs) return;
+    restartWatch(waiting, RestartReason.Recovery);
+  });
+
+  storeHealth.observeRevisions(shownRevision => {
+    const watch = waiting;
+    if (options.maxAnswerDelayMs === undefined || watch === undefined) return;
+    if (watch.isLimited || shownRevision <= lastRevision) return;
+    watch.isLimited = true;
+    const nowMs = clock.getNowMs();
+    const delayMs = Math.max(
+      options.maxAnswerDelayMs,
+      limitedAtMs + LIMIT_PERIOD_MS - nowMs,
+    );
+    limitedAtMs = nowMs + delayMs;
+    clock.startTimer(delayMs, () => {
+      if (waiting === watch) restartWatch(watch, RestartReason.LaterRevision);
+    });
+  });
+
   const run = async (): Promise<void> => {
     while (isRunning) {
       hasReceivedChanges = false;
--- a/packages/directory/src/events.ts
+++ b/packages/directory/src/events.ts
@@ -21,3 +21,8 @@
   LogLevel.Warn,
   'store was restored from an older copy; listing everything again',
 );
+export const WATCH_RESTARTED = defineEvent(
+  6104,
+  LogLevel.Info,
+  'watch may have lost its answer; sending it again',
+);
--- a/packages/directory/src/object-directory.ts
+++ b/packages/directory/src/object-directory.ts
@@ -59,11 +59,13 @@
   async watch(
     revision: number,
     waitMs: number,
+    signal?: AbortSignal,
   ): Promise<Either<StoreFailure, DirectoryChanges<T>>> {
     const watched = await this.objects.watchObjects(
       this.kind,
       revision,
       waitMs,
+      signal,
     );
     return watched.map(({revision: asOf, changes}) => {
       const malformed: MalformedEntry[] = [];
--- /dev/null
+++ b/packages/directory/src/store-health.ts
@@ -0,0 +1,64 @@
+/** Whether the store responds, derived from the calls of all watchers. */
+
+/** A call of a watcher that ended. */
+export interface StoreCall {
+  watcher: string;
+  sentAtMs: number;
+  endedAtMs: number;
+}
+
+/** Connection state of the store, as seen by one process. */
+export interface StoreHealth {
+  /** Records an answer as of a revision. */
+  recordAnswer(call: StoreCall, revision: number): void;
+  recordFailure(call: StoreCall): void;
+  /** Records that an answer of an earlier call was lost. */
+  recordLoss(nowMs: number): void;
+  /** Whether the store is unreachable or was in the last `withinMs`. */
+  wasUnreachableWithin(withinMs: number, nowMs: number): boolean;
+  /** Highest revision of all answers; 0 before the first. */
+  getRevision(): number;
+  /** Registers a callback for each answer that raises the revision. */
+  observeRevisions(callback: (revision: number) => void): void;
+  /**
+   * Registers a callback for the first answer after a failed call or a lost
+   * answer. A call that was sent before `sentBeforeMs` may have lost its answer
+   * too, and then ends only by its timeout.
+   */
+  observeRecoveries(callback: (sentBeforeMs: number) => void): void;
+}
+
+/** Creates the health of a store that counts as reachable. */
+export function createStoreHealth(): StoreHealth {
+  const disconnected = new Set<string>();
+  const revisionCallbacks: Array<(revision: number) => void> = [];
+  const recoveryCallbacks: Array<(sentBeforeMs: number) => void> = [];
+  let reconnectedAtMs = -Infinity;
+  let revision = 0;
+  /** Time of the last failure or loss until a later call is answered. */
+  let failedAtMs: number | undefined;
+  return {
+    recordAnswer: ({watcher, sentAtMs, endedAtMs}, answeredRevision) => {
+      if (disconnected.delete(watcher)) reconnectedAtMs = endedAtMs;
+      if (failedAtMs !== undefined && sentAtMs >= failedAtMs) {
+        failedAtMs = undefined;
+        for (const callback of recoveryCallbacks) callback(sentAtMs);
+      }
+      if (answeredRevision <= revision) return;
+      revision = answeredRevision;
+      for (const callback of revisionCallbacks) callback(revision);
+    },
+    recordFailure: ({watcher, endedAtMs}) => {
+      disconnected.add(watcher);
+      failedAtMs = endedAtMs;
+    },
+    recordLoss: nowMs => {
+      failedAtMs = nowMs;
+    },
+    wasUnreachableWithin: (withinMs, nowMs) =>
+      disconnected.size > 0 || nowMs - reconnectedAtMs < withinMs,
+    getRevision: () => revision,
+    observeRevisions: callback => void revisionCallbacks.push(callback),
+    observeRecoveries: callback => void recoveryCallbacks.push(callback),
+  };
+}
--- a/packages/directory/src/types.ts
+++ b/packages/directory/src/types.ts
@@ -78,11 +78,15 @@
 
   abstract listObjects(kind: string): StoreResult<SharedObjectList>;
 
-  /** Waits up to `waitMs` for changes after `revision`. */
+  /**
+   * Waits up to `waitMs` for changes after `revision`. Fails at once when the
+   * signal aborts.
+   */
   abstract watchObjects(
     kind: string,
     revision: number,
     waitMs: number,
+    signal?: AbortSignal,
   ): StoreResult<SharedObjectChanges>;
 
   /** Fails with a conflict when the object exists. */
@@ -131,9 +135,13 @@
 export abstract class Directory<T> {
   abstract list(): StoreResult<DirectoryList<T>>;
 
-  /** Waits up to `waitMs` for changes after `revision`. */
+  /**
+   * Waits up to `waitMs` for changes after `revision`. Fails at once when the
+   * signal aborts.
+   */
   abstract watch(
     revision: number,
     waitMs: number,
+    signal?: AbortSignal,
   ): StoreResult<DirectoryChanges<T>>;
 }
--- a/packages/fleet/src/gateway-registry.ts
+++ b/packages/fleet/src/gateway-registry.ts
@@ -3,7 +3,7 @@
   createDirectoryWatcher,
   createObjectDirectory,
 } from '@siskinplank/directory';
-import type {SharedObjectStore} from '@siskinplank/directory';
+import type {SharedObjectStore, StoreHealth} from '@siskinplank/directory';
 import type {Clock, Logger} from '@siskinplank/foundation';
 import {EXPIRED_REGISTRATION_REMOVED} from './events';
 import {createMemberTable} from './member-table';
@@ -17,6 +17,7 @@
   ownRecord: GatewayRecord;
   watchWaitMs: number;
   retryDelayMs: number;
+  storeHealth?: StoreHealth;
   clock: Clock;
   logger: Logger;
   /** Called with the other registered gateways after a change. */
@@ -77,6 +78,7 @@
     watchWaitMs: options.watchWaitMs,
     retryDelayMs: options.retryDelayMs,
     getBatchDelayMs: () => 0,
+    storeHealth: options.storeHealth,
     clock,
     logger,
     onList: (items, _nowMs, revision) => {
--- a/packages/fleet/src/order-leadership.ts
+++ b/packages/fleet/src/order-leadership.ts
@@ -11,7 +11,7 @@
   createDirectoryWatcher,
   createObjectDirectory,
 } from '@siskinplank/directory';
-import type {SharedObjectStore} from '@siskinplank/directory';
+import type {SharedObjectStore, StoreHealth} from '@siskinplank/directory';
 import type {Clock, Logger} from '@siskinplank/foundation';
 import {
   ORDER_TERM_ENDED,
@@ -32,6 +32,7 @@
   ownIncarnation: string;
   watchWaitMs: number;
   retryDelayMs: number;
+  storeHealth?: StoreHealth;
   /** Time after the last order of a holder before the next may send one. */
   leaseMs: number;
   clock: Clock;
@@ -173,6 +174,7 @@
     watchWaitMs: options.watchWaitMs,
     retryDelayMs: options.retryDelayMs,
     getBatchDelayMs: () => 0,
+    storeHealth: options.storeHealth,
     clock,
     logger,
     onList: (items, _nowMs, revision) =>
--- a/packages/gateway/src/configuration-replica.test.ts
+++ b/packages/gateway/src/configuration-replica.test.ts
@@ -40,7 +40,6 @@
     getPeerVersion: () => peers.version,
     hasHeardPeers: () => peers.areHeard,
     onApply: () => undefined,
-    onConnectionChange: () => undefined,
   });
   const runFor = async (durationMs = 0): Promise<void> => {
     for (let turn = 0; turn < 30; turn += 1) await Promise.resolve();
--- a/packages/gateway/src/configuration-replica.ts
+++ b/packages/gateway/src/configuration-replica.ts
@@ -1,6 +1,6 @@
 /** The configuration that this gateway applies. */
 import {createDirectoryWatcher} from '@siskinplank/directory';
-import type {Directory} from '@siskinplank/directory';
+import type {Directory, StoreHealth} from '@siskinplank/directory';
 import type {Clock, Logger} from '@siskinplank/foundation';
 import {createRouteTable} from '@siskinplank/serving';
 import type {RouteTable, ServingConfiguration} from '@siskinplank/serving';
@@ -24,7 +24,7 @@
   /** Whether all registered gateways have sent their states. */
   hasHeardPeers(): boolean;
   onApply(table: RouteTable): void;
-  onConnectionChange(isConnected: boolean, nowMs: number): void;
+  storeHealth?: StoreHealth;
 }
 
 /** A copy that never goes back to an older version. */
@@ -127,6 +127,7 @@
     watchWaitMs: options.watchWaitMs,
     retryDelayMs: options.retryDelayMs,
     getBatchDelayMs: () => 0,
+    storeHealth: options.storeHealth,
     clock,
     logger,
     onList: items => {
@@ -136,7 +137,6 @@
     },
     onChange: apply,
     onBatchEnd: () => undefined,
-    onConnectionChange: options.onConnectionChange,
   });
 
   const getVersion = (): number => table?.configuration.version ?? 0;
--- a/packages/gateway/src/fleet-node.ts
+++ b/packages/gateway/src/fleet-node.ts
@@ -11,7 +11,7 @@
   Peer,
   PeerTable,
 } from '@siskinplank/fleet';
-import type {SharedObjectStore} from '@siskinplank/directory';
+import type {SharedObjectStore, StoreHealth} from '@siskinplank/directory';
 import {waitForPoll} from '@siskinplank/foundation';
 import type {Clock, Logger, Random, Timer} from '@siskinplank/foundation';
 import {MessageType, ProcessRole} from '@siskinplank/messages';
@@ -40,6 +40,7 @@
   ownRecord: GatewayRecord;
   watchWaitMs: number;
   retryDelayMs: number;
+  storeHealth?: StoreHealth;
   clock: Clock;
   random: Random;
   logger: Logger;
@@ -170,6 +171,7 @@
     ownRecord,
     watchWaitMs: options.watchWaitMs,
     retryDelayMs: options.retryDelayMs,
+    storeHealth: options.storeHealth,
     clock,
     logger,
     onChange: (others, nowMs) => {
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -1,6 +1,6 @@
 /** Components, listeners and life cycle of the gateway process. */
 import {createDispatchPolicy, createUpstreamTable} from '@siskinplank/dispatch';
-import {STORE_RESTORED} from '@siskinplank/directory';
+import {STORE_RESTORED, createStoreHealth} from '@siskinplank/directory';
 import {makeSecureId, waitForPoll} from '@siskinplank/foundation';
 import type {Clock, Logger, Metrics, Random} from '@siskinplank/foundation';
 import type {ConnectionPool} from '@siskinplank/http-exchange';
@@ -29,7 +29,6 @@
 import {createRequestHandler} from './request-handler';
 import {createStatusServers} from './status-servers';
 import {createSharedLimits} from './shared-limits';
-import {createStoreHealth} from './store-health';
 import {createUpstreamBackoffs} from './upstream-backoffs';
 import {createUpstreamView} from './upstream-view';
 
@@ -128,13 +127,14 @@
     limits.setAccounts(configuration.accounts ?? []);
   };
 
+  const storeHealth = createStoreHealth();
   const watchOptions = {
     watchWaitMs: settings.store.watchWaitMs,
     retryDelayMs: settings.store.retryDelayMs,
+    storeHealth,
     clock,
     logger,
   };
-  const storeHealth = createStoreHealth();
   const configuration = createConfigurationReplica({
     ...watchOptions,
     directory: ports.configurations,
@@ -151,14 +151,11 @@
           .map(({state}) => state.configurationVersion),
       ),
     onApply: applyConfiguration,
-    onConnectionChange: (isConnected, nowMs) =>
-      storeHealth.updateConnection('configuration', isConnected, nowMs),
   });
   const view = createUpstreamView({
     ...watchOptions,
     watchWaitMs: settings.store.upstreamWatchWaitMs,
     directory: ports.upstreams,
-    storeHealth,
     getEra: () => ports.sharedObjects.getEra(),
     countGateways: () => fleet.registry.listOthers().length + 1,
     onChange: usable => {
@@ -199,8 +196,8 @@
     control: ports.upstreamControl,
     ownName,
     ownIncarnation,
+    ...watchOptions,
     watchWaitMs: FLEET_WATCH_WAIT_MS,
-    retryDelayMs: settings.store.retryDelayMs,
     leaseMs: settings.orders.leaseMs,
     openPerCopy: settings.orders.openPerCopy,
     clock,
@@ -232,8 +229,8 @@
       failureDomain: settings.process.failureDomain,
       region: settings.process.region,
     },
+    ...watchOptions,
     watchWaitMs: FLEET_WATCH_WAIT_MS,
-    retryDelayMs: settings.store.retryDelayMs,
     clock,
     random,
     logger,
--- a/packages/gateway/src/odd-entries.test.ts
+++ b/packages/gateway/src/odd-entries.test.ts
@@ -2,6 +2,7 @@
 import type {Server, ServerResponse} from 'node:http';
 import {BlockList} from 'node:net';
 import type {AddressInfo} from 'node:net';
+import {createStoreHealth} from '@siskinplank/directory';
 import {createUpstreamTable} from '@siskinplank/dispatch';
 import {createSystemClock} from '@siskinplank/foundation';
 import type {Logger} from '@siskinplank/foundation';
@@ -13,7 +14,6 @@
 import type {Upstream} from '@siskinplank/serving';
 import fc from 'fast-check';
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
-import {createStoreHealth} from './store-health';
 import {createUpstreamView} from './upstream-view';
 
 const RUNS = 500;
--- a/packages/gateway/src/order-manager.ts
+++ b/packages/gateway/src/order-manager.ts
@@ -6,7 +6,7 @@
 import type {UpstreamTable} from '@siskinplank/dispatch';
 import {createOrderLeadership} from '@siskinplank/fleet';
 import type {OrderLeadership} from '@siskinplank/fleet';
-import type {SharedObjectStore} from '@siskinplank/directory';
+import type {SharedObjectStore, StoreHealth} from '@siskinplank/directory';
 import {startWaitTimer, waitForPoll} from '@siskinplank/foundation';
 import type {Clock, Logger, Timer} from '@siskinplank/foundation';
 import {MessageType} from '@siskinplank/messages';
@@ -28,6 +28,7 @@
   ownIncarnation: string;
   watchWaitMs: number;
   retryDelayMs: number;
+  storeHealth?: StoreHealth;
   leaseMs: number;
   openPerCopy: number;
   clock: Clock;
@@ -107,6 +108,7 @@
     ownIncarnation: options.ownIncarnation,
     watchWaitMs: options.watchWaitMs,
     retryDelayMs: options.retryDelayMs,
+    storeHealth: options.storeHealth,
     leaseMs: options.leaseMs,
     clock,
     logger,
--- a/packages/gateway/src/upstream-view.test.ts
+++ b/packages/gateway/src/upstream-view.test.ts
@@ -1,10 +1,10 @@
+import {createStoreHealth} from '@siskinplank/directory';
+import type {StoreCall, StoreHealth} from '@siskinplank/directory';
 import {createManualClock} from '@siskinplank/foundation';
 import type {Logger, ManualClock} from '@siskinplank/foundation';
 import {UpstreamState} from '@siskinplank/serving';
 import type {Upstream} from '@siskinplank/serving';
 import {describe, expect, it} from 'vitest';
-import {createStoreHealth} from './store-health';
-import type {StoreHealth} from './store-health';
 import {FakeDirectory} from './testing/fake-directory';
 import {createUpstreamView} from './upstream-view';
 import type {UpstreamView} from './upstream-view';
@@ -92,9 +92,14 @@
   // after its end.
   it('keeps upstreams whose entries expired during a store outage', async () => {
     const {clock, directory, health, listIds, runFor} = await startBench();
-    health.updateConnection('other', false, clock.getNowMs());
+    const makeCall = (): StoreCall => ({
+      watcher: 'other',
+      sentAtMs: clock.getNowMs(),
+      endedAtMs: clock.getNowMs(),
+    });
+    health.recordFailure(makeCall());
     await runFor(3_000);
-    health.updateConnection('other', true, clock.getNowMs());
+    health.recordAnswer(makeCall(), 0);
     directory.setEntry('u1', undefined);
     await runFor(300);
     directory.setEntry('u2', undefined);
--- a/packages/gateway/src/upstream-view.ts
+++ b/packages/gateway/src/upstream-view.ts
@@ -1,6 +1,6 @@
 /** Upstreams that may receive requests, from the store and reports of peers. */
 import {createDirectoryWatcher} from '@siskinplank/directory';
-import type {Directory} from '@siskinplank/directory';
+import type {Directory, StoreHealth} from '@siskinplank/directory';
 import type {Clock, Logger} from '@siskinplank/foundation';
 import {
   UpstreamState,
@@ -16,7 +16,6 @@
 } from './events';
 import {createLeavingMarks} from './leaving-marks';
 import type {LeavingUpstream} from './leaving-marks';
-import type {StoreHealth} from './store-health';
 import {planUpstreamBatchMs} from './upstream-batches';
 
 /** What `createUpstreamView` needs. */
@@ -71,6 +70,13 @@
  */
 const RESTORED_ENTRY_MS = 5_000;
 
+/**
+ * Time for an answer on its way. A change that the answer of another call
+ * already covers must be known well within the time in which an upstream that
+ * leaves still serves, 2 s.
+ */
+const MAX_ANSWER_DELAY_MS = 150;
+
 /** How the store showed an entry, or that there is none. */
 enum EntrySource {
   Watch = 'watch',
@@ -271,6 +277,8 @@
     watchWaitMs: options.watchWaitMs,
     retryDelayMs: options.retryDelayMs,
     getBatchDelayMs: () => planUpstreamBatchMs(options.countGateways()),
+    storeHealth,
+    maxAnswerDelayMs: MAX_ANSWER_DELAY_MS,
     clock,
     logger,
     onList: (items, nowMs, revision) => {
@@ -291,13 +299,8 @@
       isLoaded = true;
       updateUsable(nowMs);
     },
-    onConnectionChange: (isConnected, nowMs) =>
-      storeHealth.updateConnection('upstreams', isConnected, nowMs),
   });
 
-  // A watch that was waiting when the store failed may never get a reply.
-  storeHealth.onReconnected(() => void watcher.refresh());
-
   return {
     start: watcher.start,
     stop: watcher.stop,
