Remove expired upstreams though their timer fires early

Callers saw: after a store outage, requests went on to an upstream that had left, also long after the grace period of 2 s in which it may register again.

Cause: the timer at the end of the grace period compared the time with the end that was noted at its start. The upstream was then taken as not due, and nothing looked at it again until another one expired. The marks of doubted entries were settled the same way.

Change: each timer ends what it was started for, without a look at the clock, unless the entry was replaced meanwhile.

--- a/packages/gateway/src/upstream-view.test.ts
+++ b/packages/gateway/src/upstream-view.test.ts
@@ -43,7 +43,10 @@
   listIds(): string[];
 }
 
-async function startBench(): Promise<Bench> {
+/** Time by which the timers of Node.js may fire before their delay has passed. */
+const EARLY_MS = 0.5;
+
+async function startBench(earlyMs = 0): Promise<Bench> {
   const clock = createManualClock();
   const directory = new FakeDirectory<Upstream>();
   directory.items.set('u1', makeUpstream('u1'));
@@ -56,7 +59,11 @@
     storeHealth: health,
     getEra: () => directory.era,
     countGateways: () => 1,
-    clock,
+    clock: {
+      ...clock,
+      startTimer: (delayMs, callback) =>
+        clock.startTimer(delayMs - earlyMs, callback),
+    },
     logger: SILENT_LOGGER,
     onChange: () => undefined,
   });
@@ -111,6 +118,21 @@
     expect(listIds()).toEqual(['u2']);
   });
 
+  // Guards against expired upstreams that are used for good because the timer
+  // that removes them finds the grace period not quite over.
+  it('removes an expired upstream though its timer fires early', async () => {
+    const {clock, directory, health, listIds, runFor} =
+      await startBench(EARLY_MS);
+    const endedAtMs = clock.getNowMs();
+    const call = {watcher: 'other', sentAtMs: endedAtMs, endedAtMs};
+    health.recordFailure(call);
+    health.recordAnswer(call, 0);
+    directory.setEntry('u1', undefined);
+    await runFor(2_100);
+    await runFor(10_000);
+    expect(listIds()).toEqual(['u2']);
+  });
+
   it('removes an upstream that another gateway reports as draining', async () => {
     const {listIds, runFor, view} = await startBench();
     view.recordLeaving([['u1', 1, 1_005, 1, false]], 0);
--- a/packages/gateway/src/upstream-view.ts
+++ b/packages/gateway/src/upstream-view.ts
@@ -91,13 +91,13 @@
   const known = new Map<string, Upstream>();
   /** Revision at which the store last reported each entry. */
   const revisions = new Map<string, number>();
-  /** Upstreams whose entry expired, usable until the given time. */
-  const expired = new Map<string, {upstream: Upstream; untilMs: number}>();
+  /** Upstreams whose entry expired, usable until their timer fires. */
+  const expired = new Map<string, Upstream>();
   const leaving = createLeavingMarks();
   /** Era in which each incarnation is known to have written its entry. */
   const writtenEras = new Map<string, number>();
-  /** Incarnations whose entries may be those of the copy, until when. */
-  const doubted = new Map<string, {upstream: Upstream; untilMs: number}>();
+  /** Incarnations whose entries may be those of the copy. */
+  const doubted = new Map<string, Upstream>();
   /** Era of the last list. */
   let era = 0;
   let isLoaded = false;
@@ -117,10 +117,7 @@
   };
 
   const updateUsable = (nowMs: number): void => {
-    const candidates = [
-      ...known.values(),
-      ...[...expired.values()].map(({upstream}) => upstream),
-    ];
+    const candidates = [...known.values(), ...expired.values()];
     usable = candidates.filter(
       upstream =>
         upstream.state === UpstreamState.Ready &&
@@ -129,20 +126,19 @@
     options.onChange(usable, nowMs);
   };
 
-  /** Removes upstreams that have not registered again in time. */
-  const removeExpired = (): void => {
+  /** Removes an upstream that has not registered again in time. */
+  const removeExpired = (upstream: Upstream): void => {
+    const {id, service} = upstream;
+    if (expired.get(id) !== upstream) return;
+    expired.delete(id);
     const nowMs = clock.getNowMs();
-    for (const [id, {upstream, untilMs}] of [...expired]) {
-      if (nowMs < untilMs) continue;
-      expired.delete(id);
-      markLeaving(upstream, watcher.getRevision(), nowMs);
-      logger.log(UPSTREAM_CHANGED, {
-        upstream: id,
-        service: upstream.service,
-        state: 'gone',
-        former: 'lapsed',
-      });
-    }
+    markLeaving(upstream, watcher.getRevision(), nowMs);
+    logger.log(UPSTREAM_CHANGED, {
+      upstream: id,
+      service,
+      state: 'gone',
+      former: 'lapsed',
+    });
     updateUsable(nowMs);
   };
 
@@ -163,12 +159,12 @@
       markLeaving(former, revision, nowMs);
       return;
     }
-    expired.set(id, {upstream: former, untilMs: nowMs + EXPIRED_GRACE_MS});
+    expired.set(id, former);
     logger.log(UPSTREAM_ENTRY_EXPIRED, {
       upstream: id,
       keptMs: EXPIRED_GRACE_MS,
     });
-    clock.startTimer(EXPIRED_GRACE_MS, removeExpired);
+    clock.startTimer(EXPIRED_GRACE_MS, () => removeExpired(former));
   };
 
   /** Whether the entry may be that of the copy, and so older than the mark. */
@@ -180,34 +176,32 @@
     if (isFinal !== true) leaving.remove(upstream);
   };
 
-  /** Ends the marks of entries that the store has kept for long enough. */
-  const settleDoubted = (): void => {
-    const nowMs = clock.getNowMs();
-    for (const [key, {upstream, untilMs}] of [...doubted]) {
-      if (nowMs < untilMs) continue;
-      doubted.delete(key);
-      writtenEras.set(key, era);
-      endMark(upstream);
-    }
-    updateUsable(nowMs);
+  /** Ends the mark of an entry that the store has kept for long enough. */
+  const settleDoubted = (upstream: Upstream): void => {
+    const key = formatIncarnation(upstream);
+    if (doubted.get(key) !== upstream) return;
+    doubted.delete(key);
+    writtenEras.set(key, era);
+    endMark(upstream);
+    updateUsable(clock.getNowMs());
   };
 
-  const doubt = (upstream: Upstream, nowMs: number): void => {
+  const doubt = (upstream: Upstream): void => {
     const key = formatIncarnation(upstream);
     if (doubted.has(key)) return;
-    doubted.set(key, {upstream, untilMs: nowMs + RESTORED_ENTRY_MS});
-    clock.startTimer(RESTORED_ENTRY_MS, settleDoubted);
+    doubted.set(key, upstream);
+    clock.startTimer(RESTORED_ENTRY_MS, () => settleDoubted(upstream));
     logger.log(UPSTREAM_ENTRY_DOUBTED, {
       upstream: upstream.id,
       doubtedMs: RESTORED_ENTRY_MS,
     });
   };
 
-  const recordReady = (upstream: Upstream, nowMs: number): void => {
+  const recordReady = (upstream: Upstream): void => {
     const mark = leaving.get(upstream);
     if (mark === undefined) return;
     if (mayPrecede(upstream, mark)) {
-      doubt(upstream, nowMs);
+      doubt(upstream);
       return;
     }
     doubted.delete(formatIncarnation(upstream));
@@ -237,7 +231,7 @@
       } else {
         if (source === EntrySource.Watch)
           writtenEras.set(formatIncarnation(upstream), era);
-        recordReady(upstream, nowMs);
+        recordReady(upstream);
       }
     }
     const isUnchanged =
@@ -328,7 +322,7 @@
       let hasChanged = false;
       for (const report of reported) {
         const [id, startedAtMs] = report;
-        const current = known.get(id) ?? expired.get(id)?.upstream;
+        const current = known.get(id) ?? expired.get(id);
         const isKnown =
           current?.startedAtMs === startedAtMs ||
           leaving.get({id, startedAtMs}) !== undefined;
@@ -337,7 +331,7 @@
         hasChanged = true;
         const entry = known.get(id);
         if (entry?.startedAtMs === startedAtMs && mayPrecede(entry, report)) {
-          doubt(entry, nowMs);
+          doubt(entry);
         }
       }
       if (hasChanged) updateUsable(nowMs);
