End the grace of expired upstreams 2 s after the store's return

Callers saw: requests reached upstreams that had left without a notice, for 2 s and more after the store had acknowledged that. The grace of 2 s alone is as long as the time in which such an upstream still serves.

Cause: an upstream whose entry is missing after a store outage stays usable until it registers again. The grace was counted from the time at which the entry was found missing, up to 2 s after the outage. It also began when a single call had failed, such as a watch on a dead connection, whose failure comes up to 11 s after the loss, while all other calls were answered.

Change: the grace ends 2 s after the end of the outage. A failed call counts as an outage of the store only if no call that was sent later was answered in the last 1.75 s, the wait of the watch on the configuration and a margin. The log line of a failed call (6100) says how long it had waited and how long ago any call was answered; that of an expired entry (6021) names the end of the outage.

Evidence: "keeps expired upstreams no longer than 2 s after the outage" and "removes an upstream at once if only one connection had failed" failed before and pass.

--- a/packages/directory/src/directory-watcher.ts
+++ b/packages/directory/src/directory-watcher.ts
@@ -1,4 +1,5 @@
 /** Watches one directory of the store and tracks how current the copy is. */
+import {startWaitTimer} from '@siskinplank/foundation';
 import type {Clock, Logger} from '@siskinplank/foundation';
 import {
   DIRECTORY_DISCONNECTED,
@@ -165,6 +166,7 @@
     sentAtMs: number,
   ): void => {
     const nowMs = clock.getNowMs();
+    const answeredAtMs = storeHealth.getAnsweredAtMs();
     storeHealth.recordFailure({watcher: name, sentAtMs, endedAtMs: nowMs});
     failedCalls += 1;
     if (!isConnected) return;
@@ -175,6 +177,11 @@
       code,
       reason,
       revision,
+      waitedMs: Math.round(nowMs - sentAtMs),
+      answeredAgoMs:
+        answeredAtMs === undefined
+          ? undefined
+          : Math.round(nowMs - answeredAtMs),
       confirmedAgoMs:
         confirmedAtMs === undefined
           ? undefined
@@ -287,7 +294,7 @@
       limitedAtMs + LIMIT_PERIOD_MS - nowMs,
     );
     limitedAtMs = nowMs + delayMs;
-    clock.startTimer(delayMs, () => {
+    startWaitTimer(clock, delayMs, () => {
       if (waiting === watch) restartWatch(watch, RestartReason.LaterRevision);
     });
   });
--- a/packages/directory/src/store-health.ts
+++ b/packages/directory/src/store-health.ts
@@ -11,11 +11,20 @@
 export interface StoreHealth {
   /** Records an answer as of a revision. */
   recordAnswer(call: StoreCall, revision: number): void;
+  /**
+   * Records a failed call. It says nothing of the store, only of its connection,
+   * while calls that were sent later are answered all the time.
+   */
   recordFailure(call: StoreCall): void;
   /** Records that an answer of an earlier call was lost. */
   recordLoss(nowMs: number): void;
-  /** Whether the store is unreachable or was in the last `withinMs`. */
-  wasUnreachableWithin(withinMs: number, nowMs: number): boolean;
+  /**
+   * End of the last outage: `nowMs` while the store is unreachable, and
+   * -Infinity if it never was.
+   */
+  getOutageEndMs(nowMs: number): number;
+  /** When a call was last answered; undefined before the first answer. */
+  getAnsweredAtMs(): number | undefined;
   /** Highest revision of all answers; 0 before the first. */
   getRevision(): number;
   /** Registers a callback for each answer that raises the revision. */
@@ -28,17 +37,25 @@
   observeRecoveries(callback: (sentBeforeMs: number) => void): void;
 }
 
-/** Creates the health of a store that counts as reachable. */
-export function createStoreHealth(): StoreHealth {
+/**
+ * Creates the health of a store that counts as reachable.
+ *
+ * @param maxAnswerGapMs longest time between two answers while the store
+ *     responds, in milliseconds; by default each failure counts as an outage.
+ */
+export function createStoreHealth(maxAnswerGapMs = 0): StoreHealth {
   const disconnected = new Set<string>();
   const revisionCallbacks: Array<(revision: number) => void> = [];
   const recoveryCallbacks: Array<(sentBeforeMs: number) => void> = [];
   let reconnectedAtMs = -Infinity;
+  let lastAnswered: StoreCall | undefined;
   let revision = 0;
   /** Time of the last failure or loss until a later call is answered. */
   let failedAtMs: number | undefined;
   return {
-    recordAnswer: ({watcher, sentAtMs, endedAtMs}, answeredRevision) => {
+    recordAnswer: (call, answeredRevision) => {
+      const {watcher, sentAtMs, endedAtMs} = call;
+      lastAnswered = call;
       if (disconnected.delete(watcher)) reconnectedAtMs = endedAtMs;
       if (failedAtMs !== undefined && sentAtMs >= failedAtMs) {
         failedAtMs = undefined;
@@ -48,15 +65,19 @@
       revision = answeredRevision;
       for (const callback of revisionCallbacks) callback(revision);
     },
-    recordFailure: ({watcher, endedAtMs}) => {
-      disconnected.add(watcher);
+    recordFailure: ({watcher, sentAtMs, endedAtMs}) => {
       failedAtMs = endedAtMs;
+      const isStoreAnswering =
+        lastAnswered !== undefined &&
+        lastAnswered.sentAtMs > sentAtMs &&
+        endedAtMs - lastAnswered.endedAtMs < maxAnswerGapMs;
+      if (!isStoreAnswering) disconnected.add(watcher);
     },
     recordLoss: nowMs => {
       failedAtMs = nowMs;
     },
-    wasUnreachableWithin: (withinMs, nowMs) =>
-      disconnected.size > 0 || nowMs - reconnectedAtMs < withinMs,
+    getOutageEndMs: nowMs => (disconnected.size > 0 ? nowMs : reconnectedAtMs),
+    getAnsweredAtMs: () => lastAnswered?.endedAtMs,
     getRevision: () => revision,
     observeRevisions: callback => void revisionCallbacks.push(callback),
     observeRecoveries: callback => void recoveryCallbacks.push(callback),
--- a/packages/directory/src/watch-restart.test.ts
+++ b/packages/directory/src/watch-restart.test.ts
@@ -80,6 +80,7 @@
   const run = async (durationMs: number): Promise<void> => {
     for (let spentMs = 0; spentMs < durationMs; spentMs += STEP_MS) {
       clock.runFor(STEP_MS);
+      await new Promise(resolve => setImmediate(resolve));
       for (let tick = 0; tick < 20; tick += 1) await Promise.resolve();
     }
   };
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -65,6 +65,8 @@
  * arrived during the pause are read first.
  */
 const ORDER_PAUSE_MS = 500;
+/** Time for an answer of the store on its way, beyond the wait of its watch. */
+const ANSWER_MARGIN_MS = 250;
 /**
  * Registrations and the lease change rarely, and each wait costs a call. An
  * unresponsive connection is detected only at the end of a wait.
@@ -127,7 +129,9 @@
     limits.setAccounts(configuration.accounts ?? []);
   };
 
-  const storeHealth = createStoreHealth();
+  const storeHealth = createStoreHealth(
+    settings.store.watchWaitMs + ANSWER_MARGIN_MS,
+  );
   const watchOptions = {
     watchWaitMs: settings.store.watchWaitMs,
     retryDelayMs: settings.store.retryDelayMs,
--- a/packages/gateway/src/upstream-view.test.ts
+++ b/packages/gateway/src/upstream-view.test.ts
@@ -34,6 +34,8 @@
   };
 }
 
+const ANSWER_GAP_MS = 1_600;
+
 interface Bench {
   clock: ManualClock;
   directory: FakeDirectory<Upstream>;
@@ -51,7 +53,7 @@
   const directory = new FakeDirectory<Upstream>();
   directory.items.set('u1', makeUpstream('u1'));
   directory.items.set('u2', makeUpstream('u2'));
-  const health = createStoreHealth();
+  const health = createStoreHealth(ANSWER_GAP_MS);
   const view = createUpstreamView({
     directory,
     watchWaitMs: 1_000,
@@ -118,6 +120,22 @@
     expect(listIds()).toEqual(['u2']);
   });
 
+  // Guards against upstreams that leave without a notice after the outage, and
+  // would be used for a whole grace period more.
+  it('keeps expired upstreams no longer than 2 s after the outage', async () => {
+    const {clock, directory, health, listIds, runFor} = await startBench();
+    const endedAtMs = clock.getNowMs();
+    const call = {watcher: 'other', sentAtMs: endedAtMs, endedAtMs};
+    health.recordFailure(call);
+    health.recordAnswer(call, 0);
+    await runFor(1_500);
+    directory.setEntry('u1', undefined);
+    await runFor(300);
+    expect(listIds()).toEqual(['u2', 'u1']);
+    await runFor(300);
+    expect(listIds()).toEqual(['u2']);
+  });
+
   // Guards against expired upstreams that are used for good because the timer
   // that removes them finds the grace period not quite over.
   it('removes an expired upstream though its timer fires early', async () => {
@@ -133,6 +151,27 @@
     expect(listIds()).toEqual(['u2']);
   });
 
+  // Guards against upstreams that left unseen while a watch of any directory
+  // hung, and that would be used for the grace period of an outage.
+  it('removes an upstream at once if only one connection had failed', async () => {
+    const {clock, directory, health, listIds, runFor} = await startBench();
+    const hungSinceMs = clock.getNowMs();
+    for (let watch = 0; watch < 7; watch += 1) {
+      const sentAtMs = clock.getNowMs();
+      await runFor(ANSWER_GAP_MS - 100);
+      const endedAtMs = clock.getNowMs();
+      health.recordAnswer({watcher: 'other', sentAtMs, endedAtMs}, 0);
+    }
+    health.recordFailure({
+      watcher: 'hung',
+      sentAtMs: hungSinceMs,
+      endedAtMs: clock.getNowMs(),
+    });
+    directory.setEntry('u1', undefined);
+    await runFor(300);
+    expect(listIds()).toEqual(['u2']);
+  });
+
   it('removes an upstream that another gateway reports as draining', async () => {
     const {listIds, runFor, view} = await startBench();
     view.recordLeaving([['u1', 1, 1_005, 1, false]], 0);
--- a/packages/gateway/src/upstream-view.ts
+++ b/packages/gateway/src/upstream-view.ts
@@ -59,8 +59,8 @@
 
 /**
  * A running upstream whose entry expired during a store outage, or that the
- * copy lacks from which the store returned, registers again about 2 s later;
- * until then it stays usable.
+ * copy lacks from which the store returned, registers again within about 2 s of
+ * the store's return; until then it stays usable.
  */
 const EXPIRED_GRACE_MS = 2_000;
 /**
@@ -151,20 +151,23 @@
   ): void => {
     known.delete(id);
     dropEntry(former);
-    const mayRegisterAgain =
-      former.state === UpstreamState.Ready &&
-      (source === EntrySource.FirstList ||
-        storeHealth.wasUnreachableWithin(EXPIRED_GRACE_MS, nowMs));
-    if (!mayRegisterAgain) {
+    const returnedAtMs =
+      source === EntrySource.FirstList
+        ? nowMs
+        : storeHealth.getOutageEndMs(nowMs);
+    const untilMs = returnedAtMs + EXPIRED_GRACE_MS;
+    if (former.state !== UpstreamState.Ready || untilMs <= nowMs) {
       markLeaving(former, revision, nowMs);
       return;
     }
+    const keptMs = untilMs - nowMs;
     expired.set(id, former);
     logger.log(UPSTREAM_ENTRY_EXPIRED, {
       upstream: id,
-      keptMs: EXPIRED_GRACE_MS,
+      keptMs: Math.round(keptMs),
+      outageEndedAgoMs: Math.round(nowMs - returnedAtMs),
     });
-    clock.startTimer(EXPIRED_GRACE_MS, () => removeExpired(former));
+    clock.startTimer(keptMs, () => removeExpired(former));
   };
 
   /** Whether the entry may be that of the copy, and so older than the mark. */
