Report no store failure when the process itself stops

Operators saw: at each stop of a gateway, four warnings 6100 in the same millisecond, "store does not respond", with the reason "The client is destroyed". They are untrue: the stop closes the store client under the watches that wait, and the lines were taken for a store failure in a report of lost requests.

Change: a watcher that is stopped ends its waiting watch and reports no failure after that.

Evidence: "reports no failure of a watch that its own stop ends" failed before (one line) and passes.

--- a/packages/directory/src/directory-watcher.test.ts
+++ b/packages/directory/src/directory-watcher.test.ts
@@ -173,6 +173,19 @@
     watcher.stop();
   });
 
+  // Guards against lines that blame the store for the stop of the process.
+  it('reports no failure of a watch that its own stop ends', async () => {
+    const directory = new SlowDirectory();
+    const {watcher, states, lines, run} = await start(directory);
+    await run(1);
+    watcher.stop();
+    // The connections are closed under the watch, as at the end of a process.
+    directory.setDown(true);
+    await run(1);
+    expect(lines).toEqual([]);
+    expect(states).toEqual([]);
+  });
+
   // What another writer left would fill the log: long names and reasons, and
   // entries that change all the time.
   it('writes short lines about malformed entries, and each one once', async () => {
--- a/packages/directory/src/directory-watcher.ts
+++ b/packages/directory/src/directory-watcher.ts
@@ -165,6 +165,8 @@
     {code, reason}: StoreFailure,
     sentAtMs: number,
   ): void => {
+    // A stop closes the connections under the calls that wait.
+    if (!isRunning) return;
     const nowMs = clock.getNowMs();
     const answeredAtMs = storeHealth.getAnsweredAtMs();
     storeHealth.recordFailure({watcher: name, sentAtMs, endedAtMs: nowMs});
@@ -317,6 +319,7 @@
     },
     stop: () => {
       isRunning = false;
+      waiting?.abort.abort();
     },
     refresh: async () => {
       await listOnce();
