Send a watch of the platform client again after an outage

Callers would see, on the product's own interface: a change of the configuration or the keys that takes effect only when a watch whose reply was lost reaches its timeout, up to 3 s after it was sent with the defaults and later with longer waits. Same class as the watches of the gateway; found by reading, not in a report.

Change: at the first reply after a failed call, the client ends each watch that was sent before that reply's call, and sends it again without a wait.

Evidence: "sends a watch again when the platform replies after a failure" failed before (no reply within 5.2 s, then an error) and passes.

--- a/packages/platform-client/src/calls.ts
+++ b/packages/platform-client/src/calls.ts
@@ -73,6 +73,11 @@
   random: Random;
   logger: Logger;
   metrics: Metrics;
+  /**
+   * Called at the first reply after a failed call. Calls that were sent before
+   * `sentBeforeMs` may have lost their reply.
+   */
+  onRecovery(sentBeforeMs: number): void;
 }): GuardedCaller {
   const {clock, random, logger} = options;
   const budget = createCallBudget(options.callsPerSecond, clock.getNowMs());
@@ -87,8 +92,24 @@
     ['kind', 'outcome'],
   );
 
+  /** End of the last failed call until a later call gets a reply. */
+  let failedAtMs: number | undefined;
+
+  const recordSuccess = (sentAtMs: number): void => {
+    circuit.recordSuccess();
+    if (failedAtMs === undefined || sentAtMs < failedAtMs) return;
+    failedAtMs = undefined;
+    options.onRecovery(sentAtMs);
+  };
+
+  const recordFailure = (): void => {
+    failedAtMs = clock.getNowMs();
+    circuit.recordFailure(failedAtMs);
+  };
+
   const checkReply = (
     kind: CallKind,
+    sentAtMs: number,
     reply: Either<HttpFailure, HttpReply>,
   ): Either<CallFailure, HttpReply> => {
     const checked = reply
@@ -106,9 +127,7 @@
             })
           : Right(received),
       );
-    checked
-      .ifLeft(() => circuit.recordFailure(clock.getNowMs()))
-      .ifRight(() => circuit.recordSuccess());
+    checked.ifLeft(recordFailure).ifRight(() => recordSuccess(sentAtMs));
     const outcome = checked
       .mapLeft(failure => String(failure.code))
       .map(received => String(received.status))
@@ -130,7 +149,7 @@
       counter.inc({kind, outcome: PlatformErrorCode.BudgetExceeded});
       return refuse(PlatformErrorCode.BudgetExceeded);
     }
-    return checkReply(kind, await options.http.send(request));
+    return checkReply(kind, nowMs, await options.http.send(request));
   };
 
   const read: GuardedCaller['read'] = async (kind, request, use) => {
--- a/packages/platform-client/src/client.test.ts
+++ b/packages/platform-client/src/client.test.ts
@@ -235,6 +235,20 @@
     expect((await store.listVersions(KIND, '', 3)).isRight()).toBe(true);
   });
 
+  // Guards against changes that stay hidden until the timeout of a watch whose
+  // reply was lost in an outage that is over.
+  it('sends a watch again when the platform replies after a failure', async () => {
+    open();
+    faults = [Fault.Hang, Fault.CutBefore];
+    const startedAtMs = clock.getNowMs();
+    const watched = store.watchObjects([KIND], 1, 5_000);
+    await vi.waitFor(() => expect(requests).toHaveLength(1));
+    expect((await store.getObject(KIND, 'a')).isRight()).toBe(true);
+    const batch = (await watched).unsafeCoerce();
+    expect(batch.events).toHaveLength(2);
+    expect(clock.getNowMs() - startedAtMs).toBeLessThan(1_000);
+  });
+
   it('turns a malformed watch event into a delete', async () => {
     // Otherwise the replaced value would stay in use.
     const batch = (await open().watchObjects([KIND], 1, 10)).unsafeCoerce();
--- a/packages/platform-client/src/client.ts
+++ b/packages/platform-client/src/client.ts
@@ -85,6 +85,8 @@
   const {clock, logger} = options;
   const timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
   const http = createHttpCaller(options.address, clock, options.receiveBudget);
+  /** Watches that wait for a reply. */
+  const waiting = new Set<{sentAtMs: number; abort: AbortController}>();
   const calls = createGuardedCaller({
     http,
     callsPerSecond: options.callsPerSecond ?? DEFAULT_CALLS_PER_SECOND,
@@ -92,6 +94,11 @@
     random: options.random,
     logger,
     metrics: options.metrics,
+    onRecovery: sentBeforeMs => {
+      for (const {sentAtMs, abort} of waiting) {
+        if (sentAtMs < sentBeforeMs) abort.abort();
+      }
+    },
   });
   const baseHeaders = {'x-writer': options.writerId};
 
@@ -320,16 +327,23 @@
       fromRevision: number,
       waitMs: number,
     ) {
+      const sendWatch = (pollMs: number, signal?: AbortSignal) =>
+        calls.send(CallKind.Watch, {
+          method: 'GET',
+          path:
+            `/v1/watch?kinds=${kinds.join(',')}` +
+            `&from=${fromRevision}&waitMs=${Math.round(pollMs)}`,
+          headers: baseHeaders,
+          timeoutMs: pollMs + timeoutMs,
+          signal,
+        });
+      const abort = new AbortController();
+      const watch = {sentAtMs: clock.getNowMs(), abort};
+      waiting.add(watch);
       // A probe must not wait: all other calls are refused until it completes.
-      const pollMs = calls.isClosed() ? waitMs : 0;
-      const reply = await calls.send(CallKind.Watch, {
-        method: 'GET',
-        path:
-          `/v1/watch?kinds=${kinds.join(',')}` +
-          `&from=${fromRevision}&waitMs=${Math.round(pollMs)}`,
-        headers: baseHeaders,
-        timeoutMs: pollMs + timeoutMs,
-      });
+      let reply = await sendWatch(calls.isClosed() ? waitMs : 0, abort.signal);
+      waiting.delete(watch);
+      if (reply.isLeft() && abort.signal.aborted) reply = await sendWatch(0);
       return reply
         .chain(received =>
           received.status === HTTP_GONE
--- a/packages/platform-client/src/http-call.ts
+++ b/packages/platform-client/src/http-call.ts
@@ -42,6 +42,8 @@
   body?: string;
   /** Longest wait for the head of the reply and for more of its body. */
   timeoutMs: number;
+  /** Ends the request at once when it aborts. */
+  signal?: AbortSignal;
 }
 
 /** A complete reply; `body` is parsed JSON, undefined when it is malformed. */
@@ -101,6 +103,8 @@
   return {
     send: async request => {
       const controller = new AbortController();
+      const abortRequest = (): void => controller.abort();
+      request.signal?.addEventListener('abort', abortRequest);
       const startAbortTimer = (delayMs: number): Timer =>
         startWaitTimer(clock, delayMs, () => controller.abort());
       let timer = startAbortTimer(request.timeoutMs);
@@ -155,6 +159,7 @@
       } finally {
         timer.cancel();
         transferTimer?.cancel();
+        request.signal?.removeEventListener('abort', abortRequest);
       }
     },
     close: () => pool.destroy(),
