Log the attempt that a stop ends, and what it waited for

Operators could not tell from the logs why an answer was cut off around a SIGTERM: the request's line has no upstream, and no line named the attempt.

Change: an answer that the end of the grace cuts off has a line 6031 with the cause "gateway stops". All lines 6031 say for how long the upstream had sent nothing (idleMs) and whether the caller had not read what was sent (waitsForCaller).

Evidence: "logs the attempt that a stop ends, and what it waited for" failed before (no line) and passes.

--- a/packages/gateway/src/request-session.test.ts
+++ b/packages/gateway/src/request-session.test.ts
@@ -271,6 +271,26 @@
     expect(exchanges.length).toBe(2);
   });
 
+  // Without it, no line says whether the upstream or the caller held a response
+  // up that the stop of the gateway cuts off.
+  it('logs the attempt that a stop ends, and what it waited for', async () => {
+    startSession(RequestKind.Stream);
+    isCallerReading = false;
+    answer(0, makeHead(200), EVENT);
+    await clock.runFor(700);
+    session.endForStop();
+    expect(wasAborted).toBe(true);
+    expect(logLines).toHaveLength(1);
+    expect(JSON.parse(logLines[0])).toMatchObject({
+      event: 6031,
+      request: 'a',
+      upstream: 'u-1',
+      cause: 'gateway stops',
+      idleMs: 700,
+      waitsForCaller: true,
+    });
+  });
+
   // Without it, no line names the upstream of a body that did not end in time.
   it('logs the attempt that a deadline ends', async () => {
     startSession(RequestKind.Repeatable);
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -20,7 +20,7 @@
 import {createFailover} from './request-failover';
 import {isEmptySuccess, isSuccess} from './response-heads';
 import type {RequestSession, SessionOptions} from './session-types';
-import {startAttempt} from './upstream-attempt';
+import {describeAttempt, startAttempt} from './upstream-attempt';
 import type {Attempt} from './upstream-attempt';
 
 /** Fault scores of a 5xx response and a failed exchange. */
@@ -150,14 +150,10 @@
   const logAttempt = (attempt: Attempt, cause: string): void =>
     logger.log(ATTEMPT_ENDED, {
       request: request.attemptId,
-      upstream: attempt.entry.upstream.id,
       attempt: sentCount,
       cause,
-      status: attempt.getHead()?.status,
-      wasSent: attempt.wasSent(),
-      hadEvents: attempt.hasEvents(),
+      ...describeAttempt(attempt, clock.getNowMs()),
       sharedParts: sharedParts.join(' '),
-      open: attempt.entry.open.requests,
       leftMs: Math.round(deadlineAtMs - clock.getNowMs()),
     });
 
@@ -444,6 +440,7 @@
     },
     endForStop: () => {
       if (hasEnded) return;
+      if (current !== undefined) logAttempt(current, 'gateway stops');
       cancelAttempt();
       refuseUnserved(SHUTDOWN_RETRY_AFTER_MS, RefusalCode.Stopping);
     },
--- a/packages/gateway/src/upstream-attempt.ts
+++ b/packages/gateway/src/upstream-attempt.ts
@@ -62,6 +62,8 @@
   isAnswering(): boolean;
   /** Milliseconds since the last bytes, or since the request was sent. */
   getIdleMs(nowMs: number): number;
+  /** Whether the caller has not read what was passed on. */
+  isPaused(): boolean;
   /** Cancels the exchange, so that the upstream stops. */
   cancel(): void;
   pause(): void;
@@ -80,6 +82,22 @@
 /** The rest of a longer rejection is not read. */
 const MAX_REJECTION_BYTES = 65_536;
 
+/** Returns the log fields of an attempt. */
+export function describeAttempt(
+  attempt: Attempt,
+  nowMs: number,
+): Record<string, string | number | boolean | undefined> {
+  return {
+    upstream: attempt.entry.upstream.id,
+    status: attempt.getHead()?.status,
+    wasSent: attempt.wasSent(),
+    hadEvents: attempt.hasEvents(),
+    open: attempt.entry.open.requests,
+    idleMs: Math.round(attempt.getIdleMs(nowMs)),
+    waitsForCaller: attempt.isPaused(),
+  };
+}
+
 /** Sends the request. */
 export function startAttempt(options: AttemptOptions): Attempt {
   const {entry, open, pool, clock, observer} = options;
@@ -265,6 +283,7 @@
     hasEvents: () => hasEvents,
     isAnswering: () => isAnswering,
     getIdleMs: nowMs => nowMs - lastBytesAtMs,
+    isPaused: () => isPaused,
     cancel: () => {
       if (!end()) return;
       exchange.cancel();
