--- a/packages/cli/src/roles/gateway.ts
+++ b/packages/cli/src/roles/gateway.ts
@@ -51,6 +51,8 @@
 const MAX_BUFFERED_LOG_BYTES = 1_048_576;
 /** Lines are written together, to save system calls. */
 const LOG_FLUSH_DELAY_MS = 100;
+/** Time for the last lines to be written before the process ends. */
+const LOG_FLUSH_TIMEOUT_MS = 200;
 const BYTES_PER_MB = 1_000_000;
 /** Memory for incomplete messages; the heap takes up to about two thirds. */
 const RECEIVE_MEMORY_FRACTION = 1 / 8;
@@ -63,7 +65,7 @@
     stop: async () => {
       await gateway.stop();
       await storeClient.close();
-      await lineWriter.flush();
+      await lineWriter.flush(LOG_FLUSH_TIMEOUT_MS);
     },
     reload: () =>
       loadSettings(file)
--- a/packages/foundation/src/line-writer.ts
+++ b/packages/foundation/src/line-writer.ts
@@ -2,6 +2,14 @@
 import {write} from 'node:fs';
 import type {Clock} from './clock';
 
+/** Part of `fs.write` that the writer uses. */
+export type WriteBytes = (
+  fileDescriptor: number,
+  bytes: Buffer,
+  offset: number,
+  onWritten: (error: NodeJS.ErrnoException | null, written: number) => void,
+) => void;
+
 /** Options of `createLineWriter`. */
 export interface LineWriterOptions {
   /** For example 1 for standard output. */
@@ -13,37 +21,65 @@
   flushDelayMs: number;
   /** Called with the number of dropped lines when the next write starts. */
   onDropped(count: number): void;
+  /** The default is `fs.write`. */
+  writeBytes?: WriteBytes;
 }
 
 /** Buffers lines and writes them asynchronously. */
 export interface LineWriter {
   writeLine(line: string): void;
-  /** Resolves when all buffered lines are written or a write has failed. */
-  flush(): Promise<void>;
+  /**
+   * Resolves when all buffered lines are written or lost, at the latest after
+   * `timeoutMs`.
+   */
+  flush(timeoutMs: number): Promise<void>;
+}
+
+/** Delay before bytes that a full pipe did not take are written again. */
+const FULL_PIPE_DELAY_MS = 20;
+const LINE_END = 0x0a;
+
+/** Writes at the current position of the file. */
+const writeAtPosition: WriteBytes = (
+  fileDescriptor,
+  bytes,
+  offset,
+  onWritten,
+) => write(fileDescriptor, bytes, offset, undefined, null, onWritten);
+
+function countLines(bytes: Buffer): number {
+  let count = 0;
+  for (const byte of bytes) if (byte === LINE_END) count += 1;
+  return count;
 }
 
 /** Creates a line writer; the writes run on libuv's thread pool. */
 export function createLineWriter(options: LineWriterOptions): LineWriter {
-  const {clock, fileDescriptor} = options;
+  const {clock, fileDescriptor, writeBytes = writeAtPosition} = options;
   let lines: string[] = [];
   let bufferedBytes = 0;
   let droppedCount = 0;
   let isScheduled = false;
   let isWriting = false;
-  const waiters: Array<() => void> = [];
+  const waiters = new Set<() => void>();
 
   const resolveWaiters = (): void => {
-    for (const resolve of waiters.splice(0)) resolve();
+    for (const resolve of [...waiters]) resolve();
   };
 
   const writeFrom = (bytes: Buffer, offset: number): void => {
-    write(fileDescriptor, bytes, offset, undefined, null, (error, written) => {
+    writeBytes(fileDescriptor, bytes, offset, (error, written) => {
+      // A pipe is full if its reader is slow and it does not block.
+      if (error?.code === 'EAGAIN') {
+        clock.startTimer(FULL_PIPE_DELAY_MS, () => writeFrom(bytes, offset));
+        return;
+      }
       const nextOffset = offset + written;
       if (error === null && nextOffset < bytes.length) {
         writeFrom(bytes, nextOffset);
         return;
       }
-      // A failed write, such as to a closed pipe, has no place to be reported.
+      if (error !== null) droppedCount += countLines(bytes.subarray(offset));
       isWriting = false;
       if (lines.length > 0) writeBuffered();
       else resolveWaiters();
@@ -76,9 +112,15 @@
       isScheduled = true;
       clock.startTimer(options.flushDelayMs, writeBuffered);
     },
-    flush: () =>
+    flush: timeoutMs =>
       new Promise(resolve => {
-        waiters.push(resolve);
+        const end = (): void => {
+          timer.cancel();
+          waiters.delete(end);
+          resolve();
+        };
+        const timer = clock.startTimer(timeoutMs, end);
+        waiters.add(end);
         writeBuffered();
         if (!isWriting) resolveWaiters();
       }),
