Log uncaught errors and the end of a stop before the process ends

Now 5005 names the error and its stack, and the lines are written before the process ends with status 1; 5002 gives the time since the signal and is flushed. A process whose last line is neither was killed.

--- a/packages/cli/src/events.ts
+++ b/packages/cli/src/events.ts
@@ -18,3 +18,8 @@
   LogLevel.Info,
   'settings reloaded',
 );
+export const ROLE_CRASHED = defineEvent(
+  5005,
+  LogLevel.Error,
+  'role ends because of an error that nothing handled',
+);
--- a/packages/cli/src/roles/common-hooks.ts
+++ b/packages/cli/src/roles/common-hooks.ts
@@ -18,6 +18,7 @@
   /** Closes the platform client and exports pending spans. */
   close(): Promise<void>;
   reload(): HookResult;
+  flushLogs(): Promise<void>;
 }
 
 /** Creates the hooks of the common components. */
@@ -32,6 +33,8 @@
   };
   return {
     close,
+    // Standard error is written synchronously.
+    flushLogs: () => Promise.resolve(),
     start: async () => {
       const started = await network.start();
       if (started.isLeft()) {
--- a/packages/cli/src/roles/entry.ts
+++ b/packages/cli/src/roles/entry.ts
@@ -117,6 +117,7 @@
       await common.stop();
     },
     reload: common.reload,
+    flushLogs: common.flushLogs,
   };
 }
 
--- a/packages/cli/src/roles/gateway.ts
+++ b/packages/cli/src/roles/gateway.ts
@@ -65,8 +65,8 @@
     stop: async () => {
       await gateway.stop();
       await storeClient.close();
-      await lineWriter.flush(LOG_FLUSH_TIMEOUT_MS);
     },
+    flushLogs: () => lineWriter.flush(LOG_FLUSH_TIMEOUT_MS),
     reload: () =>
       loadSettings(file)
         .mapLeft(([problem]) => ({message: problem.expected}))
--- a/packages/cli/src/roles/lifecycle.ts
+++ b/packages/cli/src/roles/lifecycle.ts
@@ -1,7 +1,8 @@
 /** Start, reload and graceful shutdown of a role. */
 import type {Either} from 'purify-ts';
-import type {Logger} from '@siskinplank/foundation';
+import type {Clock, Logger} from '@siskinplank/foundation';
 import {
+  ROLE_CRASHED,
   ROLE_DRAINING,
   ROLE_FAILED,
   ROLE_RELOADED,
@@ -19,6 +20,15 @@
   stop(): Promise<void>;
   /** Reloads the settings that can change without a restart. */
   reload(): Either<{message: string}, void>;
+  /** Resolves when the log lines so far are written, within a bounded time. */
+  flushLogs(): Promise<void>;
+}
+
+/** What `runRole` needs. */
+export interface RoleOptions {
+  hooks: RoleHooks;
+  logger: Logger;
+  clock: Clock;
 }
 
 /** Resolves at the first signal to stop; later ones have no further effect. */
@@ -29,11 +39,20 @@
   });
 }
 
+/** Logs what no handler caught, and ends the process once that is written. */
+function endAfterUncaughtErrors({hooks, logger}: RoleOptions): void {
+  process.on('uncaughtException', (error, origin) => {
+    // Anything can be thrown, also by libraries.
+    const {message, stack} = error instanceof Error ? error : new Error(error);
+    logger.log(ROLE_CRASHED, {origin, reason: message, stack});
+    void hooks.flushLogs().then(() => process.exit(ExitStatus.Failed));
+  });
+}
+
 /** Runs a role until SIGTERM or SIGINT and shuts it down gracefully. */
-export async function runRole(
-  hooks: RoleHooks,
-  logger: Logger,
-): Promise<ExitStatus> {
+export async function runRole(options: RoleOptions): Promise<ExitStatus> {
+  const {hooks, logger, clock} = options;
+  endAfterUncaughtErrors(options);
   const stopSignal = waitForStopSignal();
   process.on('SIGHUP', () => {
     hooks.reload().caseOf({
@@ -49,13 +68,18 @@
       .orDefault('');
     logger.log(ROLE_FAILED, {reason});
     await hooks.stop();
+    await hooks.flushLogs();
     return ExitStatus.Failed;
   }
   logger.log(ROLE_STARTED);
   const signal = await stopSignal;
+  const signalledAtMs = clock.getNowMs();
   logger.log(ROLE_DRAINING, {signal});
   await hooks.drain();
+  const drainMs = Math.round(clock.getNowMs() - signalledAtMs);
   await hooks.stop();
-  logger.log(ROLE_STOPPED);
+  const stopMs = Math.round(clock.getNowMs() - signalledAtMs);
+  logger.log(ROLE_STOPPED, {drainMs, stopMs});
+  await hooks.flushLogs();
   return ExitStatus.Done;
 }
--- a/packages/cli/src/roles/run-container.ts
+++ b/packages/cli/src/roles/run-container.ts
@@ -1,6 +1,6 @@
 /** Runs the role that a container composes. */
 import type {Either} from 'purify-ts';
-import type {Logger} from '@siskinplank/foundation';
+import type {Clock, Logger} from '@siskinplank/foundation';
 import {formatProblem} from '@siskinplank/settings';
 import type {SettingsProblem} from '@siskinplank/settings';
 import {ExitStatus} from '../exit-status';
@@ -14,7 +14,7 @@
 
 /** Composes a role from its settings file and runs it until it is stopped. */
 export function runContainer<
-  T extends {cradle: {logger: Logger; hooks: RoleHooks}},
+  T extends {cradle: {logger: Logger; clock: Clock; hooks: RoleHooks}},
 >(
   file: string | undefined,
   createContainer: (file: string) => Either<SettingsProblem[], T>,
@@ -26,8 +26,8 @@
     Left: problems => reportUsageProblems(problems.map(formatProblem)),
     Right: container => {
       customize(container);
-      const {hooks, logger} = container.cradle;
-      return runRole(hooks, logger);
+      const {hooks, logger, clock} = container.cradle;
+      return runRole({hooks, logger, clock});
     },
   });
 }
--- a/packages/cli/src/roles/side.ts
+++ b/packages/cli/src/roles/side.ts
@@ -44,6 +44,7 @@
       await common.close();
     },
     reload: common.reload,
+    flushLogs: common.flushLogs,
   };
 }
 
