Log each request that was read, and who ended its connection

Every request that was read has one line 6030 now. If the connection ended before the response was written, the line gives closedBy, the error and the bytes that the kernel had not taken; if that comes after the line, for an answer that the gateway holds for complete, 6033 does.

Evidence: request-logs.test.ts, real process.

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -47,6 +47,11 @@
   'restored store shows an upstream that was removed; not using it until it writes its entry or the entry stays',
 );
 export const REQUEST_ENDED = defineEvent(6030, LogLevel.Info, 'request ended');
+export const RESPONSE_UNSENT = defineEvent(
+  6033,
+  LogLevel.Info,
+  'connection of the caller ended before the response was written',
+);
 export const ATTEMPT_ENDED = defineEvent(
   6031,
   LogLevel.Info,
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -27,16 +27,19 @@
 import type {AdmittedTarget} from './admission';
 import type {ArrivalTimes} from './arrival-times';
 import {receiveBody, skipBody} from './caller-body';
+import {describeClose} from './caller-close';
+import type {CallerClose} from './caller-close';
 import {createCallerConnections} from './caller-connections';
 import {createCallerResponse} from './caller-response';
 import type {ConfigurationReplica} from './configuration-replica';
 import type {DemandCounter} from './demand-counter';
 import type {Dispatcher} from './dispatcher';
-import {REQUEST_ENDED} from './events';
+import {RESPONSE_UNSENT} from './events';
 import type {GatewayMetrics} from './gateway-metrics';
 import type {PromptGuard} from './prompt-guard';
 import {REFUSAL_STATUSES, RefusalCode} from './refusals';
 import type {Refusal} from './refusals';
+import {logRequestEnd} from './request-log';
 import {createRequestSession} from './request-session';
 import type {RequestSession, SessionOutcome} from './session-types';
 import type {UpstreamBackoffs} from './upstream-backoffs';
@@ -134,6 +137,8 @@
     const configurationAgeMs = configuration.getAgeMs(readAtMs);
     let session: RequestSession | undefined;
     let isClosed = false;
+    /** How the connection ended before its response was written. */
+    let callerClose: CallerClose | undefined;
     /** Drops the body that is being received. */
     let dropBody: (() => void) | undefined;
     const response = createCallerResponse(outgoing, () =>
@@ -148,6 +153,7 @@
     let modelKey: string | undefined;
     let limit: LimitReadings | undefined;
     const attemptId = decoded.map(request => request.attemptId).orDefault('');
+    let hasLogged = false;
 
     const logEnd = (
       status: number,
@@ -155,32 +161,24 @@
       outcome: Partial<SessionOutcome>,
       admission: Partial<AdmittedTarget>,
     ): void => {
+      hasLogged = true;
       const totalMs = clock.getNowMs() - arrivedAtMs;
       const kind = admission.route?.kind ?? 'none';
       options.metrics.recordRequest(kind, status, refusal, outcome, totalMs);
-      logger.log(REQUEST_ENDED, {
-        request: attemptId,
+      logRequestEnd(logger, {
+        attemptId,
         status,
+        refusal,
+        outcome,
+        admission,
+        modelKey,
         tokens,
-        limitPerSecond: limit?.ratePerSecond,
-        ownLevel: limit && Math.round(limit.ownLevel),
-        tokenHome: limit?.home,
-        code: refusal?.code,
-        retryAfterMs: refusal?.retryAfterMs,
-        route: admission.route?.name,
-        account: admission.account?.name,
-        service: admission.service,
-        model: modelKey,
-        upstream: outcome.upstreamId,
-        attempts: outcome.attempts,
-        firstByteMs:
-          outcome.firstByteMs === undefined
-            ? undefined
-            : Math.round(outcome.firstByteMs),
-        totalMs: Math.round(totalMs),
-        unreadMs: Math.round(unreadMs),
-        configuration: configuration.getTable()?.configuration.version,
-        configurationAgeMs: Math.round(configurationAgeMs),
+        limit,
+        totalMs,
+        unreadMs,
+        configurationVersion: configuration.getTable()?.configuration.version,
+        configurationAgeMs,
+        close: callerClose,
       });
     };
 
@@ -225,9 +223,12 @@
       dropBody?.();
       connections.removeRequest(socket, onClosed);
       openRequests.delete(endForStop);
-      if (session === undefined) return;
-      sessions.delete(session);
-      session.abandon();
+      callerClose = describeClose(socket, outgoing);
+      if (hasLogged && callerClose !== undefined)
+        logger.log(RESPONSE_UNSENT, {request: attemptId, ...callerClose});
+      if (session !== undefined) sessions.delete(session);
+      session?.abandon();
+      if (!hasLogged) logEnd(0, undefined, {}, {});
     };
     connections.addRequest(socket, onClosed);
     outgoing.on('close', onClosed);
--- a/packages/soak/src/gateways.ts
+++ b/packages/soak/src/gateways.ts
@@ -1,5 +1,5 @@
 /** Gateways as separate processes, each with a proxy to the store. */
-import {mkdirSync, writeFileSync} from 'node:fs';
+import {mkdirSync, readFileSync, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 import {spawnManagedProcess} from '@siskinplank/proof';
 import type {ManagedProcess} from '@siskinplank/proof';
@@ -27,8 +27,13 @@
   send(signal: NodeJS.Signals): void;
   waitForExit(): Promise<void>;
   isRunning(): boolean;
+  /** Log lines of all its processes so far. */
+  readLog(): LogLine[];
 }
 
+/** A log line of a gateway. */
+export type LogLine = Record<string, unknown>;
+
 /** Settings that a test chooses. */
 export interface SoakGatewayOptions {
   /** Processor time that the gateway counts on, in cores. */
@@ -44,6 +49,13 @@
 /** Time until the callers' load balancer detects a stop. */
 const STOP_DETECTION_MS = 1_500;
 
+function readLogLines(file: string): LogLine[] {
+  return readFileSync(file, 'utf8')
+    .split('\n')
+    .filter(line => line.startsWith('{') && line.endsWith('}'))
+    .map(line => JSON.parse(line) as LogLine);
+}
+
 /**
  * Writes the settings of a gateway; `start` starts its process.
  *
@@ -93,6 +105,7 @@
       drain: {graceSeconds: GRACE_SECONDS, noticeMs: STOP_DETECTION_MS},
     }),
   );
+  const logFile = join(directory, `${name}.log`);
   let running: ManagedProcess | undefined;
   return {
     name,
@@ -105,7 +118,7 @@
         name,
         command: process.execPath,
         args: [...program, file],
-        logFile: join(directory, `${name}.log`),
+        logFile,
       });
     },
     getPid: () => running?.pid ?? -1,
@@ -114,5 +127,6 @@
       await running?.waitForExit();
     },
     isRunning: () => running?.isRunning() ?? false,
+    readLog: () => readLogLines(logFile),
   };
 }
