Keep a silent upstream's attempt until another one answers

What callers saw: a stream whose upstream paused for about a second and went on was broken off, and an idempotent request got 502 or 503, where the upstream that took over rejected the request, broke it off or did not resume it.

Cause: a failover cancelled the attempt at the silent upstream as soon as the request was written to the other one. With no attempt left, a failure there ended the response though the first upstream was sound.

Change: both attempts run until the other upstream answers, for 200 ms at most, half of what two upstreams may work on one stream. A failure of the other attempt ends only that one; bytes of the first attempt end the other; if the first fails, the other takes its place. A rejected failover may be made once more.

The case "replaces the attempt when the request is sent, not before" stated the fault. It is replaced by cases for the answer, for the bound on the overlap (with a new and with an open connection), for a rejection and for a failure of the first attempt.

--- /dev/null
+++ b/packages/gateway/src/request-attempt.ts
@@ -0,0 +1,67 @@
+/** Starts the attempts of a caller request. */
+import type {UpstreamEntry} from '@siskinplank/dispatch';
+import {RequestKind, ResponseClass} from '@siskinplank/serving';
+import type {SessionOptions} from './session-types';
+import {startAttempt} from './upstream-attempt';
+import type {Attempt, AttemptObserver} from './upstream-attempt';
+
+/** Options of `startRequestAttempt`. */
+export interface RequestAttemptOptions {
+  session: SessionOptions;
+  entry: UpstreamEntry;
+  /** Whether an attempt was made at this upstream before. */
+  isResent: boolean;
+  /** Last event that the caller has. */
+  lastEventId: string | undefined;
+  observer: AttemptObserver;
+}
+
+/** Sends a request with what the upstream needs to know about it. */
+export function startRequestAttempt(options: RequestAttemptOptions): Attempt {
+  const {session, entry, observer} = options;
+  const {admitted, format, clock} = session;
+  const {request, route, deadlineAtMs, account} = admitted;
+  const {upstream} = entry;
+  const sentAtMs = clock.getNowMs();
+  const headers = format.encodeUpstreamHeaders(request, {
+    upstreamId: upstream.id,
+    account: account?.name,
+    deadlineMs: deadlineAtMs - sentAtMs,
+    rank: undefined,
+    lastEventId: options.lastEventId,
+  });
+  return startAttempt({
+    entry,
+    open: session.recordOpen(entry),
+    request: {
+      method: request.method,
+      target: request.target,
+      headers,
+      body: admitted.body,
+      needsNewConnection: options.isResent,
+    },
+    model: request.model,
+    isStream: route.kind === RequestKind.Stream,
+    pool: session.pool,
+    clock,
+    resolveResponseClass: ({status, headers: answered}, isReused) =>
+      format.resolveResponseClass(
+        status,
+        answered,
+        request.attemptId,
+        isReused,
+      ),
+    observer: {
+      ...observer,
+      onHead: (head, responseClass) => {
+        session.limits.observeResponse(
+          upstream,
+          format.readUpstreamLimit(head.headers),
+          sentAtMs,
+          responseClass === ResponseClass.Answer,
+        );
+        observer.onHead(head, responseClass);
+      },
+    },
+  });
+}
--- a/packages/gateway/src/request-failover.test.ts
+++ b/packages/gateway/src/request-failover.test.ts
@@ -13,6 +13,8 @@
 import type {Attempt} from './upstream-attempt';
 
 const SILENT_MS = 5_000;
+/** Longest time for which two upstreams may work on one request. */
+const MAX_OVERLAP_MS = 400;
 
 let idleMs = SILENT_MS;
 let isStalled = true;
@@ -24,10 +26,10 @@
   } as unknown as UpstreamEntry;
 }
 
-function makeAttempt(entry: UpstreamEntry, wasSent: boolean): Attempt {
+function makeAttempt(entry: UpstreamEntry, wasSent: () => boolean): Attempt {
   return {
     entry,
-    wasSent: () => wasSent,
+    wasSent,
     hasEvents: () => true,
     getIdleMs: () => idleMs,
   } as unknown as Attempt;
@@ -35,7 +37,7 @@
 
 describe('failover of a request', () => {
   const clock = createManualClock();
-  const silent = makeAttempt(makeEntry('silent'), true);
+  const silent = makeAttempt(makeEntry('silent'), () => true);
   const other = makeEntry('other');
   let isBudgetLeft: boolean;
   let isConnected: boolean;
@@ -94,7 +96,7 @@
       triedUpstreamIds: new Set(['silent']),
       maySend: () => true,
       send: entry => {
-        const attempt = makeAttempt(entry, isConnected);
+        const attempt = makeAttempt(entry, () => isConnected);
         sentTo.push(attempt);
         return attempt;
       },
@@ -114,21 +116,55 @@
     expect(replacedBy).toEqual([]);
   });
 
-  it('replaces the attempt when the request is sent, not before', () => {
+  it('replaces the attempt when the other upstream answers, not before', () => {
     check();
     searches[0].onUpstream(other);
     expect(sentTo.length).toBe(1);
-    expect(replacedBy).toEqual([]);
     failover.handleSent(other);
+    expect(replacedBy).toEqual([]);
+    failover.handleAnswering(silent);
+    expect(replacedBy).toEqual([]);
+    failover.handleAnswering(sentTo[0]);
     expect(replacedBy).toEqual(sentTo);
     expect(reasons).toEqual([FailoverReason.Stalled]);
   });
 
-  it('replaces the attempt at once over an open connection', () => {
+  it('does not leave two upstreams at work for long', async () => {
+    check();
+    searches[0].onUpstream(other);
+    await clock.runFor(MAX_OVERLAP_MS);
+    expect(replacedBy).toEqual([]);
+    failover.handleSent(other);
+    await clock.runFor(MAX_OVERLAP_MS - 1);
+    expect(replacedBy).toEqual(sentTo);
+  });
+
+  it('does not leave two upstreams at work over an open connection', async () => {
     isConnected = true;
     check();
     searches[0].onUpstream(other);
+    await clock.runFor(MAX_OVERLAP_MS - 1);
+    expect(replacedBy).toEqual(sentTo);
+  });
+
+  it('replaces an attempt that fails when the request was sent elsewhere', () => {
+    check();
+    searches[0].onUpstream(other);
+    expect(failover.replaceFailed()).toBe(false);
+    isConnected = true;
+    failover.handleSent(other);
+    expect(failover.replaceFailed()).toBe(true);
     expect(replacedBy).toEqual(sentTo);
+    expect(failover.replaceFailed()).toBe(false);
+  });
+
+  it('keeps the attempt when the other upstream rejects the request', async () => {
+    check();
+    searches[0].onUpstream(other);
+    failover.handleSent(other);
+    expect(failover.handleFailure(sentTo[0])).toBe(true);
+    await clock.runFor(MAX_OVERLAP_MS);
+    expect(replacedBy).toEqual([]);
   });
 
   it('keeps the attempt when the other upstream refuses the connection', () => {
--- a/packages/gateway/src/request-failover.ts
+++ b/packages/gateway/src/request-failover.ts
@@ -1,10 +1,11 @@
 /**
  * Moves a request from an unresponsive upstream to another one. A sound upstream
- * may pause and go on, so the attempt there is given up only when the request
- * was sent to the other one.
+ * may pause and go on, and the other one may reject the request, so the attempt
+ * at the first one is kept until the other one answers, or for a short time.
  */
 import {planFailover} from '@siskinplank/dispatch';
 import type {FailoverReason, UpstreamEntry} from '@siskinplank/dispatch';
+import type {Timer} from '@siskinplank/foundation';
 import {RequestKind, canRepeat} from '@siskinplank/serving';
 import {REQUEST_FAILED_OVER} from './events';
 import type {SessionOptions} from './session-types';
@@ -17,7 +18,7 @@
   /** Whether the request may be sent to the upstream that was found. */
   maySend(): boolean;
   send(entry: UpstreamEntry): Attempt;
-  /** The request was sent: `successor` replaces the current attempt. */
+  /** `successor` replaces the current attempt. */
   onReplaced(successor: Attempt): void;
 }
 
@@ -27,14 +28,23 @@
   checkProgress(attempt: Attempt, nowMs: number): void;
   /** Notes that the request was sent to the upstream. */
   handleSent(entry: UpstreamEntry): void;
+  /** Notes that the upstream of an attempt answers the request. */
+  handleAnswering(attempt: Attempt): void;
   /** Notes that an attempt failed; true if it has replaced no other yet. */
   handleFailure(attempt: Attempt): boolean;
-  /** Ends it; returns the attempt that was begun and whose request not sent. */
+  /**
+   * Replaces the current attempt, which has failed; false unless the request
+   * was sent to another upstream.
+   */
+  replaceFailed(): boolean;
+  /** Ends it; returns the attempt that was begun and has replaced no other. */
   stop(): Attempt | undefined;
 }
 
 /** Fault score of an upstream that a request left for another one. */
 const STALL_FAULT = 1;
+/** Time for which two upstreams may work on one request, at most. */
+const MAX_OVERLAP_MS = 200;
 
 /** Creates a failover that has not begun. */
 export function createFailover(options: FailoverOptions): Failover {
@@ -44,9 +54,20 @@
   let reason: FailoverReason | undefined;
   let successor: Attempt | undefined;
   let stopSearch: (() => void) | undefined;
+  let overlapTimer: Timer | undefined;
 
-  const replace = (attempt: Attempt): void => {
+  /** Returns the attempt that has replaced no other, and forgets it. */
+  const takeSuccessor = (): Attempt | undefined => {
+    const attempt = successor;
     successor = undefined;
+    overlapTimer?.cancel();
+    overlapTimer = undefined;
+    return attempt;
+  };
+
+  const replace = (): void => {
+    const attempt = takeSuccessor();
+    if (attempt === undefined) return;
     if (former === undefined || reason === undefined) return;
     const {entry} = former;
     const nowMs = session.clock.getNowMs();
@@ -59,10 +80,14 @@
       upstreamSilentMs: Math.round(entry.progress.getUnansweredMs(nowMs)),
     });
     session.recordFailover(reason);
-    session.recordFault(entry, STALL_FAULT);
     options.onReplaced(attempt);
   };
 
+  const startOverlap = (): void => {
+    if (former !== undefined) session.recordFault(former.entry, STALL_FAULT);
+    overlapTimer = session.clock.startTimer(MAX_OVERLAP_MS, replace);
+  };
+
   const findReason = (
     attempt: Attempt,
     nowMs: number,
@@ -94,9 +119,8 @@
         reason = findReason(attempt, session.clock.getNowMs());
         if (reason === undefined) return;
         if (!options.maySend() || !session.trySpendRetry()) return;
-        const sent = options.send(entry);
-        if (sent.wasSent()) replace(sent);
-        else successor = sent;
+        successor = options.send(entry);
+        if (successor.wasSent()) startOverlap();
       },
       decide,
     );
@@ -112,19 +136,25 @@
       start(attempt);
     },
     handleSent: entry => {
-      if (successor?.entry === entry) replace(successor);
+      if (successor?.entry === entry) startOverlap();
+    },
+    handleAnswering: attempt => {
+      if (attempt === successor) replace();
     },
     handleFailure: attempt => {
       if (attempt !== successor) return false;
-      successor = undefined;
+      takeSuccessor();
+      return true;
+    },
+    replaceFailed: () => {
+      if (successor?.wasSent() !== true) return false;
+      replace();
       return true;
     },
     stop: () => {
       stopSearch?.();
       stopSearch = undefined;
-      const unsent = successor;
-      successor = undefined;
-      return unsent;
+      return takeSuccessor();
     },
   };
 }
--- a/packages/gateway/src/request-session.test.ts
+++ b/packages/gateway/src/request-session.test.ts
@@ -23,6 +23,12 @@
 /** Longer than the bodies that are buffered whole. */
 const LONG_BODY_BYTES = 300_000;
 const EVENT = 'id: 1\ndata: x\n\n';
+/** Status by which the upstreams of these tests reject a request. */
+const NOT_RUN_STATUS = 503;
+/** Silence after which requests fail over. */
+const SILENT_MS = 2_000;
+/** Longest time for which two upstreams may work on one request. */
+const MAX_OVERLAP_MS = 400;
 
 function makeHead(status: number, contentLength?: number): ResponseHead {
   return {
@@ -48,7 +54,7 @@
   let drain: () => void;
   let logLines: string[];
 
-  const startSession = (kind: RequestKind): void => {
+  const startSession = (kind: RequestKind, maxAttempts = 3): void => {
     const table = createUpstreamTable();
     table.setUpstreams(
       UPSTREAM_IDS.map(
@@ -67,7 +73,7 @@
     session = createRequestSession({
       admitted: {
         request: {attemptId: 'a', promptParts: []},
-        route: {kind, isResumable: true, maxAttempts: 3, targetLatencyMs: 100},
+        route: {kind, isResumable: true, maxAttempts, targetLatencyMs: 100},
         service: 's',
         arrivedAtMs: clock.getNowMs(),
         deadlineAtMs: clock.getNowMs() + DEADLINE_MS,
@@ -92,7 +98,10 @@
       },
       format: {
         encodeUpstreamHeaders: () => [],
-        resolveResponseClass: () => ResponseClass.Answer,
+        resolveResponseClass: (status: number) =>
+          status === NOT_RUN_STATUS
+            ? ResponseClass.NotRun
+            : ResponseClass.Answer,
         readUpstreamLimit: () => undefined,
       },
       pool: {
@@ -129,6 +138,9 @@
         else onUpstream(entry);
         return () => undefined;
       },
+      isUsable: () => true,
+      getLastStartAtMs: () => undefined,
+      estimateBackoffMs: () => undefined,
       recordOpen: () => ({
         markPromptProcessed: () => undefined,
         end: () => undefined,
@@ -138,7 +150,7 @@
       recordFailover: () => undefined,
       canSpendRetry: () => true,
       trySpendRetry: () => true,
-      limits: {observeResponse: () => undefined},
+      limits: {observeResponse: () => undefined, trySpend: () => true},
       guard: {
         checkPrompt: () => ({isRefused: false, isTrial: false}),
         isBlamed: () => false,
@@ -303,4 +315,112 @@
     expect(ended[0]).toContain('"upstream":"u-1"');
     expect(ended[0]).toContain('timed out');
   });
+
+  describe('with an upstream that pauses', () => {
+    const failOver = async (kind: RequestKind): Promise<void> => {
+      startSession(kind, 2);
+      if (kind === RequestKind.Stream) answer(0, makeHead(200), EVENT);
+      else exchanges[0].observer.onSend();
+      await clock.runFor(SILENT_MS);
+      session.checkProgress(clock.getNowMs());
+      expect(exchanges.length).toBe(2);
+      exchanges[1].observer.onSend();
+    };
+
+    const reject = (index: number): void => {
+      exchanges[index].observer.onHead(makeHead(NOT_RUN_STATUS, 0), false);
+      exchanges[index].observer.onEnd();
+    };
+
+    const completeFirst = (): void => {
+      exchanges[0].observer.onData(Buffer.from(EVENT));
+      exchanges[0].observer.onEnd();
+    };
+
+    it('does not lose a stream whose failover is rejected', async () => {
+      await failOver(RequestKind.Stream);
+      reject(1);
+      await clock.runFor(MAX_OVERLAP_MS);
+      expect(exchanges[0].isCancelled).toBe(false);
+      completeFirst();
+      expect(received).toBe(`200 ${EVENT}${EVENT}end`);
+    });
+
+    it('does not lose a request whose failover is rejected', async () => {
+      await failOver(RequestKind.Repeatable);
+      reject(1);
+      await clock.runFor(MAX_OVERLAP_MS);
+      expect(exchanges[0].isCancelled).toBe(false);
+      exchanges[0].observer.onHead(makeHead(200, 1), false);
+      exchanges[0].observer.onData(Buffer.from('a'));
+      exchanges[0].observer.onEnd();
+      expect(received).toBe('200 a end');
+    });
+
+    it('does not lose a stream whose failover breaks off', async () => {
+      await failOver(RequestKind.Stream);
+      breakOff(1);
+      completeFirst();
+      expect(received).toBe(`200 ${EVENT}${EVENT}end`);
+    });
+
+    it('does not lose a stream whose failover is not resumed', async () => {
+      await failOver(RequestKind.Stream);
+      exchanges[1].observer.onHead(makeHead(500, 0), false);
+      exchanges[1].observer.onEnd();
+      completeFirst();
+      expect(received).toBe(`200 ${EVENT}${EVENT}end`);
+    });
+
+    it('does not give up a stream that goes on as it fails over', async () => {
+      await failOver(RequestKind.Stream);
+      completeFirst();
+      expect(exchanges[1].isCancelled).toBe(true);
+      expect(received).toBe(`200 ${EVENT}${EVENT}end`);
+    });
+
+    it('does not lose a stream that breaks off as it fails over', async () => {
+      await failOver(RequestKind.Stream);
+      breakOff(0);
+      expect(exchanges[1].isCancelled).toBe(false);
+      answer(1, makeHead(200), EVENT);
+      exchanges[1].observer.onEnd();
+      expect(received).toBe(`200 ${EVENT}${EVENT}end`);
+    });
+
+    it('does not let two upstreams work on a stream that was resumed', async () => {
+      await failOver(RequestKind.Stream);
+      exchanges[1].observer.onHead(makeHead(200), false);
+      expect(exchanges[0].isCancelled).toBe(true);
+    });
+
+    it('does not let two upstreams work on a request for long', async () => {
+      await failOver(RequestKind.Stream);
+      await clock.runFor(MAX_OVERLAP_MS - 1);
+      expect(exchanges[0].isCancelled).toBe(true);
+      expect(exchanges[1].isCancelled).toBe(false);
+    });
+
+    it('ends both attempts when the caller leaves', async () => {
+      await failOver(RequestKind.Stream);
+      session.abandon();
+      expect(exchanges.map(({isCancelled}) => isCancelled)).toEqual([
+        true,
+        true,
+      ]);
+    });
+
+    it('sends a request once more when its failover was rejected', async () => {
+      await failOver(RequestKind.Stream);
+      reject(1);
+      session.checkProgress(clock.getNowMs());
+      expect(exchanges.length).toBe(3);
+      exchanges[2].observer.onSend();
+      reject(2);
+      session.checkProgress(clock.getNowMs());
+      expect(exchanges.length).toBe(3);
+      completeFirst();
+      expect(received).toBe(`200 ${EVENT}${EVENT}end`);
+    });
+  });
 });
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -17,10 +17,11 @@
 import {ATTEMPT_ENDED} from './events';
 import {RefusalCode} from './refusals';
 import type {Refusal} from './refusals';
+import {startRequestAttempt} from './request-attempt';
 import {createFailover} from './request-failover';
 import {isEmptySuccess, isSuccess} from './response-heads';
 import type {RequestSession, SessionOptions} from './session-types';
-import {describeAttempt, startAttempt} from './upstream-attempt';
+import {describeAttempt} from './upstream-attempt';
 import type {Attempt} from './upstream-attempt';
 
 /** Fault scores of a 5xx response and a failed exchange. */
@@ -37,7 +38,7 @@
 
 /** Creates a session that does nothing before `start`. */
 export function createRequestSession(options: SessionOptions): RequestSession {
-  const {admitted, response, format, clock, logger} = options;
+  const {admitted, response, clock, logger} = options;
   const {request, route, deadlineAtMs} = admitted;
   const isRepeatable = canRepeat(route);
   const sharedParts = listSharedParts(request.promptParts);
@@ -46,6 +47,8 @@
     fingerprint: computePromptFingerprint(request),
   };
   const triedUpstreamIds = new Set<string>();
+  /** Upstreams at which an attempt was made, those that rejected it included. */
+  const sentUpstreamIds = new Set<string>();
   let current: Attempt | undefined;
   /** Attempt whose head was sent to the caller before its body was complete. */
   let startedBy: Attempt | undefined;
@@ -87,11 +90,17 @@
 
   /** Keeps the current attempt. */
   const stopFailover = (): void => {
-    const unsent = failover.stop();
-    if (unsent === undefined) return;
-    sentCount -= 1;
-    triedUpstreamIds.delete(unsent.entry.upstream.id);
-    unsent.cancel();
+    const successor = failover.stop();
+    if (successor === undefined) return;
+    if (successor.wasSent()) {
+      logAttempt(successor, 'failover ended');
+      mayHaveRun = true;
+    } else {
+      sentCount -= 1;
+      triedUpstreamIds.delete(successor.entry.upstream.id);
+      sentUpstreamIds.delete(successor.entry.upstream.id);
+    }
+    successor.cancel();
   };
 
   /** Cancels the current attempt; the upstream may have run the request. */
@@ -202,8 +211,13 @@
   /** Leaves an upstream that did not answer a resumed stream with events. */
   const leaveUnresumed = (attempt: Attempt): void => {
     logAttempt(attempt, 'not resumed');
-    cancelAttempt();
     mayHaveRun = true;
+    if (failover.handleFailure(attempt)) {
+      attempt.cancel();
+      return;
+    }
+    if (failover.replaceFailed()) return;
+    cancelAttempt();
     tryNext();
   };
 
@@ -213,11 +227,11 @@
     chunk: Buffer,
     eventId: string | undefined,
   ): void => {
-    stopFailover();
     if (response.hasStarted() && startedBy !== attempt && !isSuccess(head)) {
       leaveUnresumed(attempt);
       return;
     }
+    stopFailover();
     recordFirstByte();
     lastEventId = eventId ?? lastEventId;
     if (!response.hasStarted()) {
@@ -246,10 +260,15 @@
     body: Buffer,
     wasStreamed: boolean,
   ): void => {
-    stopFailover();
-    current = undefined;
     const isFailure = head.status >= 500;
     if (isFailure) options.recordFault(attempt.entry, SERVER_ERROR_FAULT);
+    const isComplete = wasStreamed || isEmptySuccess(head, body);
+    if (response.hasStarted() && !isComplete) {
+      leaveUnresumed(attempt);
+      return;
+    }
+    stopFailover();
+    current = undefined;
     if (!response.hasStarted()) {
       if (!isFailure || !isRepeatable || !canTryAnother()) {
         deliver(attempt, head, body, wasStreamed);
@@ -261,9 +280,7 @@
       search(true, refuseUnserved);
       return;
     }
-    const isComplete = wasStreamed || isEmptySuccess(head, body);
-    if (isComplete) deliver(attempt, head, body, true);
-    else leaveUnresumed(attempt);
+    deliver(attempt, head, body, true);
   };
 
   /** Tries another upstream, the same one after a delay, or refuses. */
@@ -271,9 +288,16 @@
     attempt: Attempt,
     responseClass: ResponseClass,
   ): void => {
-    stopFailover();
-    current = undefined;
     logAttempt(attempt, responseClass);
+    if (failover.handleFailure(attempt)) {
+      // Its model may still have been loading, so it may be tried once more.
+      if (!hasResent) triedUpstreamIds.delete(attempt.entry.upstream.id);
+      hasResent = true;
+      return;
+    }
+    current = undefined;
+    if (failover.replaceFailed()) return;
+    stopFailover();
     const mayResend = !hasResent && options.isUsable(attempt.entry);
     if (hasAttemptsLeft() || !mayResend) {
       tryNext();
@@ -316,12 +340,9 @@
   };
 
   const onFailure = (attempt: Attempt, failure: ExchangeFailure): void => {
-    const isUnsentSuccessor = failover.handleFailure(attempt);
+    const isSuccessor = failover.handleFailure(attempt);
     logAttempt(attempt, `${failure.code}: ${failure.reason}`);
-    if (!isUnsentSuccessor) {
-      stopFailover();
-      current = undefined;
-    }
+    if (!isSuccessor) current = undefined;
     if (attempt.wasSent()) {
       mayHaveRun = true;
     } else {
@@ -332,52 +353,38 @@
     if (failure.code === ExchangeFailureCode.NotConnected) {
       options.recordUnreachable(attempt.entry);
     }
-    if (isUnsentSuccessor) return;
     const maySuspect =
       failure.code === ExchangeFailureCode.BrokenOff && !attempt.isAnswering();
-    if (maySuspect) {
-      const hasBegun = attempt.getHead() !== undefined && !attempt.hasEvents();
-      retryUnlessEnded(attempt.entry, hasBegun);
-    } else {
-      tryNext();
+    const hasBegun = attempt.getHead() !== undefined && !attempt.hasEvents();
+    if (isSuccessor || failover.replaceFailed()) {
+      // The other attempt goes on, so nothing waits for the verdict.
+      if (maySuspect && attempt.wasSent()) {
+        const broken = {...prompt, hasBegun};
+        options.guard.reportBroken(
+          attempt.entry.upstream,
+          broken,
+          () => undefined,
+        );
+      }
+      return;
     }
+    stopFailover();
+    if (maySuspect) retryUnlessEnded(attempt.entry, hasBegun);
+    else tryNext();
   };
 
   const sendTo = (entry: UpstreamEntry): Attempt => {
     const {upstream} = entry;
-    const isResent = triedUpstreamIds.has(upstream.id);
+    const isResent = sentUpstreamIds.has(upstream.id);
     triedUpstreamIds.add(upstream.id);
+    sentUpstreamIds.add(upstream.id);
     sentCount += 1;
-    const headers = format.encodeUpstreamHeaders(request, {
-      upstreamId: upstream.id,
-      account: admitted.account?.name,
-      deadlineMs: deadlineAtMs - clock.getNowMs(),
-      rank: undefined,
-      lastEventId,
-    });
     let wasStreamed = false;
-    const sentAtMs = clock.getNowMs();
-    const attempt = startAttempt({
+    const attempt = startRequestAttempt({
+      session: options,
       entry,
-      open: options.recordOpen(entry),
-      request: {
-        method: request.method,
-        target: request.target,
-        headers,
-        body: admitted.body,
-        needsNewConnection: isResent,
-      },
-      model: request.model,
-      isStream: route.kind === RequestKind.Stream,
-      pool: options.pool,
-      clock,
-      resolveResponseClass: ({status, headers: answered}, isReused) =>
-        format.resolveResponseClass(
-          status,
-          answered,
-          request.attemptId,
-          isReused,
-        ),
+      isResent,
+      lastEventId,
       observer: {
         onChunk: (head, chunk, eventId) => {
           wasStreamed = true;
@@ -387,13 +394,11 @@
         onRejection: responseClass => onRejection(attempt, responseClass),
         onFailure: failure => onFailure(attempt, failure),
         onSent: () => failover.handleSent(entry),
-        onHead: ({headers: answered}, responseClass) =>
-          options.limits.observeResponse(
-            upstream,
-            format.readUpstreamLimit(answered),
-            sentAtMs,
-            responseClass === ResponseClass.Answer,
-          ),
+        onHead: (head, responseClass) => {
+          const isUsable = !response.hasStarted() || isSuccess(head);
+          if (responseClass === ResponseClass.Answer && isUsable)
+            failover.handleAnswering(attempt);
+        },
         onAnswering: () => options.guard.recordAnswer(prompt),
       },
     });
--- a/packages/soak/src/faulty-upstreams.test.ts
+++ b/packages/soak/src/faulty-upstreams.test.ts
@@ -3,12 +3,10 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {
-  computeEvent,
   encodeConfiguration,
   isReady,
   renderCallerRequest,
   renderNotRun,
-  renderResponseHead,
   startScriptedServer,
   startStoreStandIn,
 } from '@siskinplank/platform-stand-ins';
@@ -22,6 +20,13 @@
 import {afterAll, beforeAll, beforeEach, describe, expect, it} from 'vitest';
 import {createSoakGateway} from './gateways';
 import type {SoakGateway} from './gateways';
+import {
+  decodeChunks,
+  renderAnswer,
+  renderChunk,
+  renderEvents,
+  renderHead,
+} from './testing/scripted-responses';
 import {wait} from './testing/single-gateway';
 
 const HOST_NAME = 'faulty.example';
@@ -36,45 +41,6 @@
 const PAUSE_MS = 1_500;
 const ERROR_TEXT = 'out of memory';
 
-function renderHead(
-  {attemptId}: ScriptedRequest,
-  status: number,
-  more: readonly string[] = [],
-): string {
-  return renderResponseHead(attemptId, status, more);
-}
-
-function renderAnswer(request: ScriptedRequest): string {
-  return `${renderHead(request, 200, ['Content-Length: 4'])}done`;
-}
-
-function renderEvents(
-  {attemptId}: ScriptedRequest,
-  from: number,
-  to: number,
-): string {
-  let text = '';
-  for (let id = from; id <= to; id += 1) text += computeEvent(attemptId, id);
-  return text;
-}
-
-function renderChunk(text: string): string {
-  return `${text.length.toString(16)}\r\n${text}\r\n`;
-}
-
-/** Removes the chunked coding; a missing last chunk is left out. */
-function decodeChunks(text: string): string {
-  let decoded = '';
-  let rest = text;
-  for (;;) {
-    const end = rest.indexOf('\r\n');
-    const size = parseInt(rest.slice(0, end), 16);
-    if (end < 0 || !(size > 0)) return decoded;
-    decoded += rest.slice(end + 2, end + 2 + size);
-    rest = rest.slice(end + 4 + size);
-  }
-}
-
 describe('gateway before faulty upstreams', () => {
   const directory = mkdtempSync(join(tmpdir(), 'siskinplank-'));
   let store: StoreStandIn;
@@ -378,6 +344,35 @@
     expect(pausedSocketClosed).toBe(true);
   });
 
+  const refusals: ReadonlyArray<
+    [string, (request: ScriptedRequest) => unknown]
+  > = [
+    [
+      'rejects it',
+      ({attemptId, socket}) => socket.write(renderNotRun(attemptId)),
+    ],
+    ['breaks it off', ({socket}) => socket.destroy()],
+    [
+      'does not resume it',
+      request =>
+        request.socket.write(renderHead(request, 500, ['Content-Length: 0'])),
+    ],
+  ];
+  for (const [name, refuse] of refusals) {
+    it(`keeps a stream whose upstream pauses when another one ${name}`, async () => {
+      scriptEngines(request => {
+        const head = renderHead(request, 200);
+        request.socket.write(head + renderEvents(request, 1, 2));
+        setTimeout(
+          () => request.socket.end(renderEvents(request, 3, STREAM_EVENTS)),
+          PAUSE_MS,
+        );
+      }, refuse);
+      const {head, body} = await send('/stream/x');
+      expectWholeStream(head, body);
+    });
+  }
+
   it('does not answer 200 when the head of the answer is cut off', async () => {
     const cuts = [30, 60, -2, -1];
     for (const cut of cuts) {
