--- a/packages/gateway/src/caller-drain.test.ts
+++ b/packages/gateway/src/caller-drain.test.ts
@@ -51,6 +51,36 @@
     expect(tookMs).toBeLessThan(STOP_MS + TOLERANCE_MS);
   });
 
+  // `readArrived` takes several turns of the event loop, in each of which
+  // requests are read.
+  it.each([1, 2])(
+    'ends no request that is read in round %i of the last look before the end of the grace',
+    async round => {
+      const open = new Set<string>();
+      const ended: string[] = [];
+      let rounds = 0;
+      await drainCallers({
+        callers: {
+          ...createCallers(open, []),
+          readArrived: async () => {
+            rounds += 1;
+            if (rounds !== round) return;
+            open.add('late');
+            setTimeout(() => open.delete('late'), STOP_MS / 4);
+          },
+        },
+        handler: {
+          countOpen: () => open.size,
+          endOpen: () => void ended.push(...open),
+        },
+        clock,
+        noticeMs: 0,
+        stopAtMs: clock.getNowMs() + STOP_MS,
+      });
+      expect(ended).toEqual([]);
+    },
+  );
+
   it('ends soon when no request is open', async () => {
     const open = new Set<string>();
     const startedAtMs = clock.getNowMs();
