Read closed connections until their callers close them

A gateway that closed a connection with the response closed both sides at once. Node.js does so for each response with Connection: close, the gateway did for answers begun before a stop.

A connection is now half-closed, and read until its caller closes it, too, for 5 s at most (RFC 9112, section 9.6). A stop waits for these closes within the grace; callers that close at once don't delay it. The HTTP parser is detached, since it pauses connections with unwritten responses and ends them at input that is no request. Idle connections and refused input are closed in the same way.

An answer begun before the stop no longer ends its connection from 'finish': the connection is closed once it is idle after another read.

--- a/packages/gateway/src/caller-drain.test.ts
+++ b/packages/gateway/src/caller-drain.test.ts
@@ -15,6 +15,8 @@
       for (const name of unread.splice(0)) open.add(name);
     },
     close: async (): Promise<void> => undefined,
+    endConnections: () => undefined,
+    countLingering: () => 0,
     closeAllConnections(): void {
       this.cut = [...open, ...unread];
     },
@@ -81,6 +83,37 @@
     },
   );
 
+  it.each([
+    ['when they close', STOP_MS / 4, STOP_MS / 2],
+    ['when the grace ends', Infinity, STOP_MS + TOLERANCE_MS],
+  ])(
+    'leaves callers time to receive their responses and returns %s',
+    async (_, closeMs, maxMs) => {
+      const startedAtMs = clock.getNowMs();
+      let endedAtMs = Infinity;
+      const hasClosed = (): boolean => clock.getNowMs() >= endedAtMs + closeMs;
+      let wasCut = false;
+      await drainCallers({
+        callers: {
+          ...createCallers(new Set(), []),
+          endConnections: () => {
+            endedAtMs = clock.getNowMs();
+          },
+          countLingering: () => (hasClosed() ? 0 : 1),
+          closeAllConnections: () => {
+            wasCut = !hasClosed();
+          },
+        },
+        handler: {countOpen: () => 0, endOpen: () => undefined},
+        clock,
+        noticeMs: 0,
+        stopAtMs: startedAtMs + STOP_MS,
+      });
+      expect(wasCut).toBe(closeMs === Infinity);
+      expect(clock.getNowMs() - startedAtMs).toBeLessThan(maxMs);
+    },
+  );
+
   it('ends soon when no request is open', async () => {
     const open = new Set<string>();
     const startedAtMs = clock.getNowMs();
--- a/packages/gateway/src/caller-drain.ts
+++ b/packages/gateway/src/caller-drain.ts
@@ -7,7 +7,11 @@
 export interface CallerDrainOptions {
   callers: Pick<
     CallerListener,
-    'close' | 'closeAllConnections' | 'readArrived'
+    | 'close'
+    | 'closeAllConnections'
+    | 'countLingering'
+    | 'endConnections'
+    | 'readArrived'
   >;
   handler: Pick<RequestHandler, 'countOpen' | 'endOpen'>;
   clock: Clock;
@@ -34,27 +38,34 @@
   return false;
 }
 
-/** Answers the requests that are open, or have arrived, at `stopAtMs`. */
-async function endOpen(options: CallerDrainOptions): Promise<void> {
-  const {callers, handler, clock} = options;
-  await callers.readArrived();
-  handler.endOpen();
-  const endsAtMs = clock.getNowMs() + LAST_RESPONSES_MS;
-  while (handler.countOpen() > 0 && clock.getNowMs() < endsAtMs) {
-    await clock.waitMs(LAST_RESPONSES_POLL_MS);
-  }
-}
-
 /**
  * Serves callers until no request is open, and no longer than until `stopAtMs`.
  * Each request that was read gets a response, the last ones that of `endOpen`.
+ * Returns when the callers have closed their connections, or soon after
+ * `stopAtMs`.
  */
 export async function drainCallers(options: CallerDrainOptions): Promise<void> {
-  const {callers, clock, noticeMs} = options;
+  const {callers, handler, clock, noticeMs, stopAtMs} = options;
+  const waitForNone = async (
+    count: () => number,
+    endsAtMs: number,
+  ): Promise<void> => {
+    while (count() > 0 && clock.getNowMs() < endsAtMs) {
+      await clock.waitMs(LAST_RESPONSES_POLL_MS);
+    }
+  };
   await clock.waitMs(noticeMs);
   const closed = callers.close();
-  // Requests that are read between the last look and the close would be cut.
-  if (!(await waitForOpen(options))) await endOpen(options);
+  let endsAtMs = stopAtMs;
+  if (!(await waitForOpen(options))) {
+    await callers.readArrived();
+    handler.endOpen();
+    endsAtMs = clock.getNowMs() + LAST_RESPONSES_MS;
+    await waitForNone(handler.countOpen, endsAtMs);
+  }
+  // In the turn of the last look, so that no request is read in between.
+  callers.endConnections();
+  await waitForNone(callers.countLingering, endsAtMs);
   callers.closeAllConnections();
   await closed;
 }
--- a/packages/gateway/src/caller-errors.ts
+++ b/packages/gateway/src/caller-errors.ts
@@ -18,7 +18,7 @@
   if (socket.writable) {
     socket.write(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\n\r\n`);
   }
-  socket.destroy();
+  socket.destroySoon();
 }
 
 /**
--- a/packages/gateway/src/caller-listener.ts
+++ b/packages/gateway/src/caller-listener.ts
@@ -11,6 +11,7 @@
 import type {ArrivalTimes} from './arrival-times';
 import {handleCallerErrors} from './caller-errors';
 import {createIdleConnections} from './idle-connections';
+import {installLingeringClose} from './lingering-close';
 import {startListening} from './listening';
 
 /** What `createCallerListener` needs. */
@@ -29,12 +30,20 @@
   start(
     handle: (incoming: IncomingMessage, outgoing: ServerResponse) => void,
   ): Promise<Either<{message: string}, void>>;
-  /** Closes connections without a request; new ones are still accepted. */
+  /**
+   * Closes connections without a request, and others once they are answered;
+   * new ones are still accepted.
+   */
   closeIdle(): Promise<void>;
   /** Accepts no more connections; resolves when the last one has ended. */
   close(): Promise<void>;
   /** Resolves when the requests that have arrived are read. */
   readArrived(): Promise<void>;
+  /** Closes all connections; their callers receive what was written. */
+  endConnections(): void;
+  /** Connections that are closed here, and not yet by their callers. */
+  countLingering(): number;
+  /** Ends connections at once; what their callers miss may be lost. */
   closeAllConnections(): void;
 }
 
@@ -54,6 +63,7 @@
     maxHeaderSize: caller.maxHeaderBytes,
     requestTimeout: 0,
   });
+  const lingering = installLingeringClose(server, clock);
   const idle = createIdleConnections(server);
   handleCallerErrors(server, idle);
   server.on('connection', socket =>
@@ -80,6 +90,8 @@
       return idle.close();
     },
     readArrived: idle.readArrived,
+    endConnections: lingering.closeAll,
+    countLingering: lingering.count,
     closeAllConnections: () => server.closeAllConnections(),
   };
 }
--- a/packages/gateway/src/idle-connections.test.ts
+++ b/packages/gateway/src/idle-connections.test.ts
@@ -131,6 +131,35 @@
     },
   );
 
+  it('closes a connection once its request is answered after closeIdle', async () => {
+    const started = createServer((_request, response) => {
+      setTimeout(() => response.end('ok'), BLOCKED_MS);
+    });
+    server = started;
+    const connections = createIdleConnections(started);
+    await new Promise<void>(resolve =>
+      started.listen(0, '127.0.0.1', () => resolve()),
+    );
+    const address = started.address();
+    const port = typeof address === 'object' && address ? address.port : 0;
+    const socket = connect(port, '127.0.0.1');
+    let received = '';
+    socket.on('data', data => {
+      received += String(data);
+    });
+    const closed = new Promise<string>(resolve =>
+      socket.once('close', () => resolve('closed')),
+    );
+    socket.write(REQUEST);
+    await new Promise<void>(resolve => setTimeout(resolve, BLOCKED_MS / 2));
+    await connections.closeIdle();
+    const late = new Promise<string>(resolve =>
+      setTimeout(() => resolve('open'), 2_000),
+    );
+    expect(await Promise.race([closed, late])).toBe('closed');
+    expect(received).toContain('200 OK');
+  });
+
   it('closes a connection whose body was read after its response', async () => {
     const started = createServer((request, response) => {
       response.writeHead(401, {'content-length': 0});
--- a/packages/gateway/src/idle-connections.ts
+++ b/packages/gateway/src/idle-connections.ts
@@ -14,7 +14,10 @@
    * yet; closing them would lose the requests.
    */
   readArrived(): Promise<void>;
-  /** Closes connections without a request, after reading what has arrived. */
+  /**
+   * Closes connections without a request, after reading what has arrived, and
+   * from then on each connection whose requests are answered.
+   */
   closeIdle(): Promise<void>;
   /**
    * Closes the connection when the requests that were read are answered; false
@@ -47,6 +50,22 @@
  */
 export function createIdleConnections(server: Server): IdleConnections {
   const uses = new Map<Socket, ConnectionUse>();
+  let isLeaving = false;
+
+  const closeIfIdle = (socket: Socket): void => {
+    const use = uses.get(socket);
+    const isIdle =
+      use?.openRequests.size === 0 && socket.bytesRead === use.settledBytes;
+    if (isIdle) socket.destroySoon();
+  };
+
+  /** The next request may have arrived before the response was written. */
+  const closeAfterRead = async (socket: Socket): Promise<void> => {
+    await waitForPoll();
+    await waitForPoll();
+    closeIfIdle(socket);
+  };
+
   server.on('connection', (socket: Socket) => {
     uses.set(socket, {
       openRequests: new Set(),
@@ -67,6 +86,7 @@
       use.openRequests.delete(request);
       use.settledBytes = socket.bytesRead;
       if (use.isBroken && !hasReadRequest(use)) socket.destroySoon();
+      else if (isLeaving) void closeAfterRead(socket);
     };
     request.once('end', settle);
     response.once('close', () => {
@@ -76,11 +96,7 @@
   });
 
   const closeNow = (): void => {
-    for (const [socket, {openRequests, settledBytes}] of uses) {
-      const isIdle =
-        openRequests.size === 0 && socket.bytesRead === settledBytes;
-      if (isIdle) socket.destroy();
-    }
+    for (const socket of uses.keys()) closeIfIdle(socket);
   };
   // `server.close` calls it, too.
   server.closeIdleConnections = closeNow;
@@ -104,6 +120,7 @@
   };
 
   const closeIdle = async (): Promise<void> => {
+    isLeaving = true;
     await readArrived();
     closeNow();
   };
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -212,11 +212,6 @@
     };
     openRequests.add(endForStop);
 
-    // The head of a response that began before the stop has no
-    // `Connection: close`.
-    outgoing.on('finish', () => {
-      if (connections.markClosing(socket)) socket.destroySoon();
-    });
     const onClosed = (): void => {
       if (isClosed) return;
       isClosed = true;
--- a/packages/soak/src/planned-stop.test.ts
+++ b/packages/soak/src/planned-stop.test.ts
@@ -22,6 +22,11 @@
 /** For the time that processes take to act. */
 const TOLERANCE_MS = 500;
 const WARM_UP_COUNT = 12;
+/** More than the kernel buffers of both sides hold. */
+const LONG_ANSWER_BYTES = 16_777_216;
+/** Pause of the slow caller between two reads. */
+const READ_PAUSE_MS = 10;
+const HEAD_END = '\r\n\r\n';
 
 /** Whether a gateway accepts connections. */
 function canConnect(port: number): Promise<boolean> {
@@ -192,6 +197,64 @@
     expect(text.match(/HTTP\/1.1 200/g)).toHaveLength(attemptIds.length);
   });
 
+  // A close with unread bytes of the caller resets the connection, which drops
+  // what the kernel has taken and not delivered.
+  it('drops nothing of a long answer whose caller sends while it reads', async () => {
+    await start(RESPONSE_MS / 4);
+    single.upstream.setFault({plainAnswerBytes: LONG_ANSWER_BYTES});
+    const socket = await openConnection();
+    const answered = new Promise<Buffer>(resolve => {
+      const chunks: Buffer[] = [];
+      socket.on('data', (chunk: Buffer) => {
+        if (chunks.length === 0) single.gateway.send('SIGTERM');
+        chunks.push(chunk);
+        socket.write('\r\n');
+        socket.pause();
+        setTimeout(() => socket.resume(), READ_PAUSE_MS);
+      });
+      socket.on('close', () => resolve(Buffer.concat(chunks)));
+    });
+    socket.write(encodeOrder('long'));
+    const received = await answered;
+    const headBytes = received.indexOf(HEAD_END) + HEAD_END.length;
+    expect(received.length - headBytes).toBe(LONG_ANSWER_BYTES);
+  });
+
+  it('answers or refuses orders that wait behind one whose answer is read slowly', async () => {
+    await start(RESPONSE_MS / 4);
+    single.upstream.setFault({plainAnswerBytes: LONG_ANSWER_BYTES});
+    const socket = await openConnection();
+    const attemptIds = ['first', 'second', 'third', 'unread'];
+    for (const attemptId of attemptIds) {
+      socket.write(encodeOrder(attemptId));
+      await wait(RESPONSE_MS / 2);
+    }
+    single.gateway.send('SIGTERM');
+    await wait(RESPONSE_MS / 2);
+    const text = await readAll(socket);
+    expect(text.match(/HTTP\/1.1 (200|503)/g)).toHaveLength(attemptIds.length);
+  });
+
+  it('ends in the grace though a caller does not close its connection', async () => {
+    await start(RESPONSE_MS);
+    const socket = connect({
+      port: single.gateway.port,
+      host: '127.0.0.1',
+      allowHalfOpen: true,
+    });
+    const ended = new Promise<void>(resolve => socket.once('end', resolve));
+    socket.resume();
+    socket.write(encodeOrder('first'));
+    await wait(RESPONSE_MS / 4);
+    single.gateway.send('SIGTERM');
+    const stoppedAtMs = getMonotonicMs();
+    await single.gateway.waitForExit();
+    expect(getMonotonicMs() - stoppedAtMs).toBeLessThan(KILL_MS);
+    expect(hasRun('first')).toBe(true);
+    await ended;
+    socket.destroy();
+  });
+
   it('waits for no orders whose caller left before they were answered', async () => {
     await start(RESPONSE_MS);
     const socket = await openConnection();
