Read what has arrived before an idle time-out closes a connection

A caller's request that reached a kept connection before its idle time-out was lost when the event loop was late: timers run before sockets are read, and Node.js then closes the connection unread, which resets it. The gateway now handles the time-out itself: it closes the connection after the next poll, and only if nothing was read in it.

Evidence: idle-connections.test.ts, "serves a request that arrived before the idle time-out while the event loop is late" failed before: expected 'read ECONNRESET' to contain '200 OK'. A configuration that lowers the time-out does not touch waiting connections; the test of this passed before, too.

--- a/packages/gateway/src/idle-connections.test.ts
+++ b/packages/gateway/src/idle-connections.test.ts
@@ -8,6 +8,8 @@
 
 const REQUEST = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
 const BLOCKED_MS = 60;
+/** What Node.js adds to the idle time-out. */
+const IDLE_MARGIN_MS = 1_000;
 /** More than the socket buffers of both sides hold. */
 const LONG_BODY_BYTES = 16_777_216;
 
@@ -56,8 +58,8 @@
 }
 
 /** Blocks the event loop, as a lack of processor time does. */
-function pauseLoop(): void {
-  const endsAtMs = process.uptime() * 1_000 + BLOCKED_MS;
+function pauseLoop(forMs = BLOCKED_MS): void {
+  const endsAtMs = process.uptime() * 1_000 + forMs;
   while (process.uptime() * 1_000 < endsAtMs);
 }
 
@@ -131,6 +133,39 @@
     },
   );
 
+  // Timers run before sockets are read.
+  it.each([
+    ['while the event loop is late', BLOCKED_MS],
+    ['after it is lowered', 10 * IDLE_MARGIN_MS],
+  ])(
+    'serves a request that arrived before the idle time-out %s',
+    async (_name, timeoutMs) => {
+      const port = await listen();
+      const started = server as Server;
+      started.keepAliveTimeout = timeoutMs;
+      const socket = connect(port, '127.0.0.1');
+      await new Promise<void>(resolve => socket.once('connect', resolve));
+      socket.write(REQUEST);
+      expect(await readResponse(socket)).toContain('200 OK');
+      started.keepAliveTimeout = BLOCKED_MS;
+      const answer = readResponse(socket);
+      socket.write(REQUEST);
+      pauseLoop(2 * IDLE_MARGIN_MS);
+      expect(await answer).toContain('200 OK');
+      socket.destroy();
+    },
+  );
+
+  it('closes a connection at its idle time-out', async () => {
+    const port = await listen();
+    (server as Server).keepAliveTimeout = BLOCKED_MS;
+    const socket = connect(port, '127.0.0.1');
+    await new Promise<void>(resolve => socket.once('connect', resolve));
+    socket.write(REQUEST);
+    expect(await readResponse(socket)).toContain('200 OK');
+    expect(await readResponse(socket)).toBe('closed');
+  });
+
   it('closes a connection once its request is answered after closeIdle', async () => {
     const started = createServer((_request, response) => {
       setTimeout(() => response.end('ok'), BLOCKED_MS);
--- a/packages/gateway/src/idle-connections.ts
+++ b/packages/gateway/src/idle-connections.ts
@@ -44,7 +44,8 @@
 }
 
 /**
- * Records the connections of a listener that has none yet. A connection is idle
+ * Records the connections of a listener that has none yet, and closes them after
+ * its `keepAliveTimeout`. A connection is idle
  * when its responses are written and nothing was read since. Node.js takes one
  * for idle when its response has ended, and would drop what is not written yet.
  */
@@ -95,6 +96,15 @@
     });
   });
 
+  /** Timers run before sockets are read, so a request may have arrived. */
+  const closeExpired = async (socket: Socket): Promise<void> => {
+    const {bytesRead} = socket;
+    await waitForPoll();
+    if (socket.bytesRead === bytesRead) socket.destroySoon();
+  };
+  // Node.js would close the connection unread.
+  server.on('timeout', (socket: Socket) => void closeExpired(socket));
+
   const closeNow = (): void => {
     for (const socket of uses.keys()) closeIfIdle(socket);
   };
