Name the gateway in the log when it closed a connection first

A connection that the gateway has half-closed is read until its caller closes it, so that describeClose took each such close for the caller's. A request that was read after the last answer of its connection, and is not started, had closedBy caller. The order of the two closes is now recorded when the caller's arrives.

Evidence: request-logs.test.ts, real process, "names the gateway for a request that follows the last answer of its connection" failed before: the line had closedBy caller.

--- a/packages/gateway/src/caller-close.ts
+++ b/packages/gateway/src/caller-close.ts
@@ -19,16 +19,21 @@
   unsentBytes: number;
 }
 
-/** Returns how `socket` ended; undefined if `response` was written before. */
+/**
+ * Returns how `socket` ended; undefined if `response` was written before.
+ *
+ * @param hasCallerEnded whether the caller closed it before this process did.
+ */
 export function describeClose(
   socket: Socket,
   response: ServerResponse,
+  hasCallerEnded: boolean,
 ): CallerClose | undefined {
   if (response.writableFinished) return undefined;
   const error = socket.errored as NodeJS.ErrnoException | null;
-  const hasCallerEnded = socket.readableEnded || error !== null;
   return {
-    closedBy: hasCallerEnded ? ClosedBy.Caller : ClosedBy.Gateway,
+    closedBy:
+      hasCallerEnded || error !== null ? ClosedBy.Caller : ClosedBy.Gateway,
     closeError: error?.code,
     unsentBytes: response.writableLength,
   };
--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -15,6 +15,8 @@
    * which case no further request of it may be started.
    */
   markClosing(socket: Socket): boolean;
+  /** Whether the caller closed the connection before this process did. */
+  hasCallerEnded(socket: Socket): boolean;
   /** Whether a request that is read now can't be answered any more. */
   isClosing(socket: Socket): boolean;
 }
@@ -29,12 +31,17 @@
 ): CallerConnections {
   const openRequests = new WeakMap<Socket, Set<() => void>>();
   const closing = new WeakSet<Socket>();
+  const endedByCaller = new WeakSet<Socket>();
 
   const getRequests = (socket: Socket): Set<() => void> => {
     const known = openRequests.get(socket);
     if (known !== undefined) return known;
     const requests = new Set<() => void>();
     openRequests.set(socket, requests);
+    // Node.js closes its own side when the caller has.
+    socket.prependOnceListener('end', () => {
+      if (!socket.writableEnded) endedByCaller.add(socket);
+    });
     // Node.js reports the close only to the response that is being written.
     socket.once('close', () => {
       for (const onClosed of [...requests]) onClosed();
@@ -52,6 +59,7 @@
       closing.add(socket);
       return true;
     },
+    hasCallerEnded: socket => endedByCaller.has(socket),
     isClosing: socket =>
       closing.has(socket) || socket.writableEnded || socket.destroyed,
   };
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -218,7 +218,8 @@
       dropBody?.();
       connections.removeRequest(socket, onClosed);
       openRequests.delete(endForStop);
-      callerClose = describeClose(socket, outgoing);
+      const hasCallerEnded = connections.hasCallerEnded(socket);
+      callerClose = describeClose(socket, outgoing, hasCallerEnded);
       if (hasLogged && callerClose !== undefined)
         logger.log(RESPONSE_UNSENT, {request: attemptId, ...callerClose});
       if (session !== undefined) sessions.delete(session);
--- a/packages/soak/src/request-logs.test.ts
+++ b/packages/soak/src/request-logs.test.ts
@@ -8,6 +8,8 @@
 
 const RESPONSE_MS = 600;
 const DEADLINE_MS = 12_000;
+/** More than the kernel buffers of both sides hold. */
+const LONG_ANSWER_BYTES = 16_777_216;
 /** Longer than log lines are buffered. */
 const LOG_DELAY_MS = 400;
 
@@ -67,6 +69,25 @@
     expect(findEnd('unread')).toMatchObject({status: 0, closedBy: 'caller'});
   });
 
+  it('names the gateway for a request that follows the last answer of its connection', async () => {
+    single.upstream.setFault({
+      plainResponseMs: RESPONSE_MS,
+      plainAnswerBytes: LONG_ANSWER_BYTES,
+    });
+    const socket = await send(encodeOrder('last'));
+    single.gateway.send('SIGTERM');
+    await new Promise<void>(resolve => socket.once('readable', resolve));
+    socket.write(encodeOrder('following'));
+    await wait(LOG_DELAY_MS);
+    socket.resume();
+    await new Promise<void>(resolve => socket.once('close', resolve));
+    await wait(LOG_DELAY_MS);
+    expect(findEnd('following')).toMatchObject({
+      status: 0,
+      closedBy: 'gateway',
+    });
+  });
+
   it('names no close for a request that was answered', async () => {
     const socket = await send(encodeOrder('answered'));
     await wait(RESPONSE_MS + LOG_DELAY_MS);
