--- a/packages/gateway/src/caller-drain.test.ts
+++ b/packages/gateway/src/caller-drain.test.ts
@@ -15,6 +15,8 @@
       for (const name of unread.splice(0)) open.add(name);
     },
     close: async (): Promise<void> => undefined,
+    endConnections: () => undefined,
+    countLingering: () => 0,
     closeAllConnections(): void {
       this.cut = [...open, ...unread];
     },
@@ -51,6 +53,67 @@
     expect(tookMs).toBeLessThan(STOP_MS + TOLERANCE_MS);
   });
 
+  // `readArrived` takes several turns of the event loop, in each of which
+  // requests are read.
+  it.each([1, 2])(
+    'ends no request that is read in round %i of the last look before the end of the grace',
+    async round => {
+      const open = new Set<string>();
+      const ended: string[] = [];
+      let rounds = 0;
+      await drainCallers({
+        callers: {
+          ...createCallers(open, []),
+          readArrived: async () => {
+            rounds += 1;
+            if (rounds !== round) return;
+            open.add('late');
+            setTimeout(() => open.delete('late'), STOP_MS / 4);
+          },
+        },
+        handler: {
+          countOpen: () => open.size,
+          endOpen: () => void ended.push(...open),
+        },
+        clock,
+        noticeMs: 0,
+        stopAtMs: clock.getNowMs() + STOP_MS,
+      });
+      expect(ended).toEqual([]);
+    },
+  );
+
+  it.each([
+    ['when they close', STOP_MS / 4, STOP_MS / 2],
+    ['when the grace ends', Infinity, STOP_MS + TOLERANCE_MS],
+  ])(
+    'leaves callers time to receive their responses and returns %s',
+    async (_, closeMs, maxMs) => {
+      const startedAtMs = clock.getNowMs();
+      let endedAtMs = Infinity;
+      const hasClosed = (): boolean => clock.getNowMs() >= endedAtMs + closeMs;
+      let wasCut = false;
+      await drainCallers({
+        callers: {
+          ...createCallers(new Set(), []),
+          endConnections: () => {
+            endedAtMs = clock.getNowMs();
+          },
+          countLingering: () => (hasClosed() ? 0 : 1),
+          closeAllConnections: () => {
+            wasCut = !hasClosed();
+          },
+        },
+        handler: {countOpen: () => 0, endOpen: () => undefined},
+        clock,
+        noticeMs: 0,
+        stopAtMs: startedAtMs + STOP_MS,
+      });
+      expect(wasCut).toBe(closeMs === Infinity);
+      expect(clock.getNowMs() - startedAtMs).toBeLessThan(maxMs);
+    },
+  );
+
   it('ends soon when no request is open', async () => {
     const open = new Set<string>();
     const startedAtMs = clock.getNowMs();
--- a/packages/gateway/src/caller-drain.ts
+++ b/packages/gateway/src/caller-drain.ts
@@ -7,7 +7,11 @@
 export interface CallerDrainOptions {
   callers: Pick<
     CallerListener,
-    'close' | 'closeAllConnections' | 'readArrived'
+    | 'close'
+    | 'closeAllConnections'
+    | 'countLingering'
+    | 'endConnections'
+    | 'readArrived'
   >;
   handler: Pick<RequestHandler, 'countOpen' | 'endOpen'>;
   clock: Clock;
@@ -22,26 +26,46 @@
 const LAST_RESPONSES_MS = 200;
 const LAST_RESPONSES_POLL_MS = 10;
 
+/** Resolves when no request is open; false if some are at `stopAtMs`. */
+async function waitForOpen(options: CallerDrainOptions): Promise<boolean> {
+  const {callers, handler, clock, stopAtMs} = options;
+  while (clock.getNowMs() < stopAtMs) {
+    // Requests may have arrived that were not read yet.
+    if (handler.countOpen() === 0) await callers.readArrived();
+    if (handler.countOpen() === 0) return true;
+    await clock.waitMs(DRAIN_POLL_MS);
+  }
+  return false;
+}
+
 /**
  * Serves callers until no request is open, and no longer than until `stopAtMs`.
  * Each request that was read gets a response, the last ones that of `endOpen`.
+ * Returns when the callers have closed their connections, or soon after
+ * `stopAtMs`.
  */
 export async function drainCallers(options: CallerDrainOptions): Promise<void> {
   const {callers, handler, clock, noticeMs, stopAtMs} = options;
+  const waitForNone = async (
+    count: () => number,
+    endsAtMs: number,
+  ): Promise<void> => {
+    while (count() > 0 && clock.getNowMs() < endsAtMs) {
+      await clock.waitMs(LAST_RESPONSES_POLL_MS);
+    }
+  };
   await clock.waitMs(noticeMs);
   const closed = callers.close();
-  while (clock.getNowMs() < stopAtMs) {
-    // Requests may have arrived that were not read yet.
-    if (handler.countOpen() === 0) await callers.readArrived();
-    if (handler.countOpen() === 0) break;
-    await clock.waitMs(DRAIN_POLL_MS);
-  }
-  await callers.readArrived();
-  handler.endOpen();
-  const endsAtMs = clock.getNowMs() + LAST_RESPONSES_MS;
-  while (handler.countOpen() > 0 && clock.getNowMs() < endsAtMs) {
-    await clock.waitMs(LAST_RESPONSES_POLL_MS);
+  let endsAtMs = stopAtMs;
+  if (!(await waitForOpen(options))) {
+    await callers.readArrived();
+    handler.endOpen();
+    endsAtMs = clock.getNowMs() + LAST_RESPONSES_MS;
+    await waitForNone(handler.countOpen, endsAtMs);
   }
+  // In the turn of the last look, so that no request is read in between.
+  callers.endConnections();
+  await waitForNone(callers.countLingering, endsAtMs);
   callers.closeAllConnections();
   await closed;
 }
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -212,18 +212,14 @@
     };
     openRequests.add(endForStop);
 
-    // The head of a response that began before the stop has no
-    // `Connection: close`.
-    outgoing.on('finish', () => {
-      if (connections.markClosing(socket)) socket.destroySoon();
-    });
     const onClosed = (): void => {
       if (isClosed) return;
       isClosed = true;
       dropBody?.();
       connections.removeRequest(socket, onClosed);
       openRequests.delete(endForStop);
-      callerClose = describeClose(socket, outgoing);
+      const hasCallerEnded = connections.hasCallerEnded(socket);
+      callerClose = describeClose(socket, outgoing, hasCallerEnded);
       if (hasLogged && callerClose !== undefined)
         logger.log(RESPONSE_UNSENT, {request: attemptId, ...callerClose});
       if (session !== undefined) sessions.delete(session);
