Add closely following stops and callers that keep connections to the soak

The fault soak stopped a gateway at most once in a few seconds and beside faults that excuse a missing answer. Callers sent one request at a time and read at once, so that answers lost around SIGTERM on real processes could not show.

The plan draws series of stops, also before a gateway is ready and of two gateways within a second, beside signals, silent stores, leaving upstreams and changes of the configuration. A stop is followed by SIGKILL at the end of the grace. Callers may send at once, overlap requests, pause reading or split bodies; streams may fall silent and go on.

New checks: a request that ran gets a whole answer around a planned stop (stop-answer), has a line 6030 (request-log), and a process that was not killed ends with line 5002 (last-line).

--- a/packages/soak/src/checks/bounds.ts
+++ b/packages/soak/src/checks/bounds.ts
@@ -1,5 +1,13 @@
 /** Bounds that the checks apply; the names in brackets are the users' rules. */
 
+/** Time after SIGTERM until a process gets SIGKILL (`grace_s`). */
+export const GRACE_MS = 8_000;
+/** Fraction of the grace at whose end requests may be cut (`LOST`). */
+export const LAST_GRACE_FRACTION = 1 / 6;
+/** Requests sent so long after SIGTERM may be cut there. */
+export const LATE_REQUEST_MS = 3_000;
+/** Time after the grace in which a missing answer is due to the stop. */
+export const STOP_SLACK_MS = 1_000;
 /** Time after its withdrawal from which a key must be refused (`revoke_ms`). */
 export const REVOKE_MS = 5_000;
 /** Time after which a draining upstream gets no new request (`drain_ms`). */
--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -1,6 +1,7 @@
 import {CallKind} from '@siskinplank/platform-stand-ins';
 import type {CallRecord, RunRecord} from '@siskinplank/platform-stand-ins';
 import {describe, expect, it} from 'vitest';
+import type {GatewayProcess} from '../gateways';
 import {FaultKind} from '../history';
 import type {History} from '../history';
 import {checkHistory} from './index';
@@ -43,6 +44,24 @@
     body: `b-${attemptId}`,
     deadlineMs: 1_480,
     lastEventId: 0,
+    endedAtMs: 1_090,
+    isBrokenOff: false,
+    ...changes,
+  };
+}
+
+function makeProcess(
+  requests: readonly string[],
+  changes: Partial<GatewayProcess> = {},
+): GatewayProcess {
+  const events = requests.map(request => ({event: 6030, request}));
+  const lines = [...events, {event: 5002}].map(line => JSON.stringify(line));
+  return {
+    gateway: 'gateway-1',
+    startedAtMs: 0,
+    endedAtMs: 60_000,
+    endSignal: null,
+    listLines: () => lines,
     ...changes,
   };
 }
@@ -65,6 +84,8 @@
     poisonedAttempts: new Map(),
     namedLimits: [],
     turnedAway: [],
+    stops: [],
+    processes: [makeProcess(['c1'])],
     memoryMb: 100,
     ...changes,
   };
--- a/packages/soak/src/checks/index.ts
+++ b/packages/soak/src/checks/index.ts
@@ -17,6 +17,7 @@
   checkStops,
 } from './fleet';
 
+import {checkAnswersAtStops, checkLastLines, checkRequestLogs} from './stops';
 import {
   checkBackoffs,
   checkDeclaredLeaving,
@@ -43,6 +44,9 @@
   checkNamedLimits,
   checkDeclaredLeaving,
   checkBackoffs,
+  checkAnswersAtStops,
+  checkRequestLogs,
+  checkLastLines,
 ];
 
 /** Runs all checks; returns the violations. */
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -12,6 +12,8 @@
 import {FaultKind} from './history';
 import type {FaultSpan, History, NamedLimit} from './history';
 import type {PlannedFault} from './plan';
+import {StopCompanion} from './plan-stops';
+import type {PlannedStop} from './plan-stops';
 import {createStoreRestores} from './store-restores';
 import {LeavingNotice} from './upstreams';
 import type {SoakUpstream} from './upstreams';
@@ -57,6 +59,14 @@
 const WRITE_AGAIN_MS = 2_000;
 /** Fraction of a restore's planned time by which some upstreams are later. */
 const LATE_FRACTION = 0.4;
+/** Range of the silences of streams. */
+const MIN_SILENT_MS = 800;
+const MAX_SILENT_MS = 2_000;
+/** Signals that a gateway gets while it stops. */
+const LATER_SIGNALS: ReadonlyMap<StopCompanion, NodeJS.Signals> = new Map([
+  [StopCompanion.ReloadAfter, 'SIGHUP'],
+  [StopCompanion.SecondStop, 'SIGTERM'],
+]);
 /** Time for a process to restart. */
 const RESTART_MS = 1_500;
 
@@ -80,11 +90,63 @@
     proxy.applyFault({stall: directions[Math.floor(variant * 3)]});
   };
 
+  /** Stops a gateway as a supervisor does. */
+  const stopGateway = async (gateway: SoakGateway): Promise<void> => {
+    targets.history.stops.push({
+      gateway: gateway.name,
+      atMs: targets.getNowMs(),
+    });
+    await gateway.stop();
+  };
+
+  const stopWithCompanion = async (
+    gateway: SoakGateway,
+    {companion, companionMs}: PlannedStop,
+  ): Promise<void> => {
+    if (companion === StopCompanion.ReloadBefore) {
+      gateway.send('SIGHUP');
+      await wait(companionMs);
+    }
+    const stopped = stopGateway(gateway);
+    const later = LATER_SIGNALS.get(companion);
+    const timer = setTimeout(() => {
+      if (later !== undefined) gateway.send(later);
+    }, companionMs);
+    await stopped;
+    clearTimeout(timer);
+  };
+
+  /** Stops a gateway, and again soon after each of its starts. */
+  const stopInSeries = async (
+    gateway: SoakGateway,
+    stops: readonly PlannedStop[],
+  ): Promise<void> => {
+    const target = String(gateways.indexOf(gateway));
+    const kind = FaultKind.GatewayStop;
+    for (const [index, stop] of stops.entries()) {
+      if (index > 0) await wait(stop.afterStartMs);
+      const span: FaultSpan = {
+        kind,
+        target,
+        fromMs: targets.getNowMs(),
+        toMs: Infinity,
+      };
+      targets.history.faults.push(span);
+      await stopWithCompanion(gateway, stop);
+      gateway.start();
+      span.toMs = targets.getNowMs();
+    }
+    await wait(RESTART_MS);
+  };
+
   const injectGatewayFault = async (
     gateway: SoakGateway,
-    {kind, forMs, variant}: PlannedFault,
+    {kind, forMs, variant, stops = []}: PlannedFault,
   ): Promise<void> => {
     switch (kind) {
+      case FaultKind.GatewayStopSeries:
+        await stopInSeries(gateway, stops);
+        return;
       case FaultKind.GatewayPause:
         gateway.send('SIGSTOP');
         await wait(forMs);
@@ -100,7 +162,8 @@
         gateway.storeProxy.applyFault({cut: true, stall: null});
         return;
       default:
-        gateway.send(kind === FaultKind.GatewayStop ? 'SIGTERM' : 'SIGKILL');
+        if (kind === FaultKind.GatewayStop) await stopGateway(gateway);
+        else gateway.send('SIGKILL');
         await gateway.waitForExit();
         await wait(forMs / 2);
         gateway.start();
@@ -219,6 +282,11 @@
         });
         break;
       }
+      case FaultKind.UpstreamSilent:
+        standIn.setFault({
+          silentMs: MIN_SILENT_MS + variant * (MAX_SILENT_MS - MIN_SILENT_MS),
+        });
+        break;
       case FaultKind.UpstreamFails:
         standIn.setFault({failShare: 0.2 + variant * 0.6});
         break;
@@ -250,6 +318,7 @@
         return;
       }
       case FaultKind.GatewayStop:
+      case FaultKind.GatewayStopSeries:
       case FaultKind.GatewayKill:
       case FaultKind.GatewayPause:
       case FaultKind.GatewayReload:
--- a/packages/soak/src/gateways.ts
+++ b/packages/soak/src/gateways.ts
@@ -3,13 +3,18 @@
 import {join} from 'node:path';
 import {spawnManagedProcess} from '@siskinplank/proof';
 import type {ManagedProcess} from '@siskinplank/proof';
-import {createFaultProxy, reservePort} from '@siskinplank/stand-ins';
+import {
+  createFaultProxy,
+  getMonotonicMs,
+  reservePort,
+} from '@siskinplank/stand-ins';
 import type {FaultProxy} from '@siskinplank/stand-ins';
 import {stringify} from 'yaml';
 import {
   BUDGET_RATIO,
   BUDGET_SLACK,
   BUDGET_WINDOW_MS,
+  GRACE_MS,
   QUOTA_SLACK,
   REVOKE_MS,
 } from './checks/bounds';
@@ -26,9 +31,24 @@
   getPid(): number;
   send(signal: NodeJS.Signals): void;
   waitForExit(): Promise<void>;
+  /** Sends SIGTERM, and SIGKILL at the end of the grace. */
+  stop(): Promise<void>;
   isRunning(): boolean;
   /** Log lines of all its processes so far. */
   readLog(): LogLine[];
+  /** All its processes so far, also those that ended. */
+  listProcesses(): readonly GatewayProcess[];
+}
+
+/** A process of a gateway, running or ended. */
+export interface GatewayProcess {
+  gateway: string;
+  startedAtMs: number;
+  /** Infinity while it runs. */
+  endedAtMs: number;
+  /** Signal that ended it; null if it ended by itself or runs. */
+  endSignal: NodeJS.Signals | null;
+  listLines(): readonly string[];
 }
 
 /** A log line of a gateway. */
@@ -43,9 +63,9 @@
 }
 
 const FAILURE_DOMAINS = ['a', 'b', 'c'];
+export const FAILURE_DOMAIN_COUNT = FAILURE_DOMAINS.length;
 const LEASE_MS = 3_000;
-/** Time after SIGTERM until the platform would send SIGKILL (`grace_s`). */
-const GRACE_SECONDS = 8;
+const MILLISECONDS_PER_SECOND = 1_000;
 /** Time until the callers' load balancer detects a stop. */
 const STOP_DETECTION_MS = 1_500;
 
@@ -67,6 +87,7 @@
   program: readonly string[],
   directory: string,
   options: SoakGatewayOptions = {},
+  getNowMs: () => number = getMonotonicMs,
 ): Promise<SoakGateway> {
   const name = `gateway-${index + 1}`;
   const storeProxy = await createFaultProxy({targetPort: storePort});
@@ -82,7 +103,7 @@
       role: 'gateway',
       process: {
         name,
-        failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length],
+        failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAIN_COUNT],
         ...(options.cpuShare !== undefined && {cpuShare: options.cpuShare}),
         ...(options.memoryMb !== undefined && {memoryMb: options.memoryMb}),
       },
@@ -102,11 +123,31 @@
         slack: BUDGET_SLACK,
         windowSeconds: BUDGET_WINDOW_MS / 1_000,
       },
-      drain: {graceSeconds: GRACE_SECONDS, noticeMs: STOP_DETECTION_MS},
+      drain: {
+        graceSeconds: GRACE_MS / MILLISECONDS_PER_SECOND,
+        noticeMs: STOP_DETECTION_MS,
+      },
     }),
   );
   const logFile = join(directory, `${name}.log`);
   let running: ManagedProcess | undefined;
+  const processes: GatewayProcess[] = [];
+
+  const recordProcess = (started: ManagedProcess): void => {
+    const record: GatewayProcess = {
+      gateway: name,
+      startedAtMs: getNowMs(),
+      endedAtMs: Infinity,
+      endSignal: null,
+      listLines: () => started.listLines(),
+    };
+    processes.push(record);
+    void started.waitForExit().then(({signal}) => {
+      record.endedAtMs = getNowMs();
+      record.endSignal = signal;
+    });
+  };
+
   return {
     name,
     port,
@@ -120,13 +161,25 @@
         args: [...program, file],
         logFile,
       });
+      recordProcess(running);
     },
     getPid: () => running?.pid ?? -1,
     send: signal => running?.sendSignal(signal),
     waitForExit: async () => {
       await running?.waitForExit();
     },
+    stop: async () => {
+      const stopping = running;
+      stopping?.sendSignal('SIGTERM');
+      const killTimer = setTimeout(
+        () => stopping?.sendSignal('SIGKILL'),
+        GRACE_MS,
+      );
+      await stopping?.waitForExit();
+      clearTimeout(killTimer);
+    },
     isRunning: () => running?.isRunning() ?? false,
     readLog: () => readLogLines(logFile),
+    listProcesses: () => processes,
   };
 }
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -6,6 +6,8 @@
   TurnedAwayRecord,
 } from '@siskinplank/platform-stand-ins';
 
+import type {GatewayProcess} from './gateways';
+
 /** Time span of an injected fault. */
 export interface FaultSpan {
   kind: FaultKind;
@@ -46,11 +48,18 @@
   UpstreamBacksOff = 'upstream-backs-off',
   /** An upstream sends bytes without end. */
   UpstreamEndless = 'upstream-endless',
+  /** A gateway is stopped again soon after its start. */
+  GatewayStopSeries = 'gateway-stop-series',
+  /** Streams of an upstream fall silent for a moment and go on. */
+  UpstreamSilent = 'upstream-silent',
   KeyWithdrawn = 'key-withdrawn',
   LimitChanged = 'limit-changed',
 }
 
-/** Planned operations and wishes of upstreams, during which no violation is excused. */
+/**
+ * Planned operations, wishes of upstreams and short silences, during which no
+ * violation is excused.
+ */
 export const PLANNED_KINDS: ReadonlySet<FaultKind> = new Set([
   FaultKind.GatewayStop,
   FaultKind.GatewayReload,
@@ -58,8 +67,25 @@
   FaultKind.KeyWithdrawn,
   FaultKind.LimitChanged,
   FaultKind.UpstreamBacksOff,
+  FaultKind.GatewayStopSeries,
+  FaultKind.UpstreamSilent,
+]);
+
+/** Faults of the store alone, which excuse no missing answer. */
+export const STORE_KINDS: ReadonlySet<FaultKind> = new Set([
+  FaultKind.StoreOutage,
+  FaultKind.StoreSlow,
+  FaultKind.StoreLost,
+  FaultKind.StoreCompact,
+  FaultKind.StoreRestored,
 ]);
 
+/** A SIGTERM to a gateway that ran. */
+export interface StopSignal {
+  gateway: string;
+  atMs: number;
+}
+
 /** Limit of an account, in force from `fromMs`. */
 export interface LimitSpan {
   account: string;
@@ -129,6 +155,9 @@
   poisonedAttempts: Map<string, string>;
   namedLimits: NamedLimit[];
   turnedAway: TurnedAway[];
+  stops: StopSignal[];
+  /** All processes of all gateways. */
+  processes: GatewayProcess[];
   /** Memory of an engine. */
   memoryMb: number;
 }
@@ -155,6 +184,8 @@
     poisonedAttempts: new Map(),
     namedLimits: [],
     turnedAway: [],
+    stops: [],
+    processes: [],
     memoryMb,
   };
 }
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -5,6 +5,7 @@
 import {parseArgs} from 'node:util';
 import {createRandom} from '@siskinplank/foundation';
 import {readKnownRed} from '@siskinplank/proof';
+import {SoakPlan} from './plan';
 import {runSoak} from './run';
 
 const DEFAULT_SECONDS = 40;
@@ -19,6 +20,8 @@
   options: {
     seed: {type: 'string'},
     seconds: {type: 'string'},
+    /** `stops` for planned work only; by default all faults. */
+    plan: {type: 'string'},
     /** Directory of settings and logs; by default deleted after a clean run. */
     logs: {type: 'string'},
     /** File that lists the checks with a known failure. */
@@ -38,6 +41,7 @@
 void runSoak({
   seed,
   seconds: Number(values.seconds ?? DEFAULT_SECONDS),
+  plan: values.plan === SoakPlan.Stops ? SoakPlan.Stops : SoakPlan.All,
   directory,
 }).then(({requestCount, faultCount, violations}) => {
   const isKnown = (check: string): boolean =>
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -1,6 +1,15 @@
 /** Draws the faults of a soak, which may overlap, from its seed. */
 import type {Random} from '@siskinplank/foundation';
 import {FaultKind} from './history';
+import {planStops} from './plan-stops';
+import type {PlannedStop} from './plan-stops';
+
+/** Which faults a soak injects. */
+export enum SoakPlan {
+  All = 'all',
+  /** Planned work, faults of the store and short silences only. */
+  Stops = 'stops',
+}
 
 /** One fault to inject. */
 export interface PlannedFault {
@@ -11,10 +20,13 @@
   forMs: number;
   /** Selects a variant of the kind, from 0 to below 1. */
   variant: number;
+  /** Stops of a series. */
+  stops?: readonly PlannedStop[];
 }
 
 /** Parameters of `planFaults`. */
 export interface PlanInput {
+  plan: SoakPlan;
   gatewayCount: number;
   upstreamCount: number;
   lengthMs: number;
@@ -54,11 +66,36 @@
 /** Drawn after those, for the same reason. */
 const ENDLESS_MEAN_GAP_MS = 4_000;
 
+/** Drawn last, for the same reason. */
+const SILENT_MEAN_GAP_MS = 4_000;
+const STOPS_MEAN_GAP_MS = 8_000;
+/** Time for a series of stops before the calm at the end. */
+const STOPS_LENGTH_MS = 6_000;
+const DENSE_STOPS_MEAN_GAP_MS = 5_000;
+/** Kinds that are drawn beside the stops of a plan of stops. */
+const BESIDE_STOPS_KINDS: readonly FaultKind[] = [
+  FaultKind.GatewayReload,
+  FaultKind.LimitChanged,
+  FaultKind.UpstreamDrain,
+  FaultKind.UpstreamSilent,
+  FaultKind.StoreOutage,
+  FaultKind.StoreSlow,
+  FaultKind.StoreLost,
+];
+const LAST_KINDS: readonly FaultKind[] = [
+  FaultKind.UpstreamEndless,
+  FaultKind.GatewayStopSeries,
+  FaultKind.UpstreamSilent,
+];
+
 /** Draws the faults of a soak. */
 export function planFaults(random: Random, input: PlanInput): PlannedFault[] {
-  const kinds = Object.values(FaultKind).filter(
-    kind => !LATER_KINDS.includes(kind) && kind !== FaultKind.UpstreamEndless,
-  );
+  const isAll = input.plan === SoakPlan.All;
+  const kinds = isAll
+    ? Object.values(FaultKind).filter(
+        kind => !LATER_KINDS.includes(kind) && !LAST_KINDS.includes(kind),
+      )
+    : BESIDE_STOPS_KINDS;
   const lastMs = input.lengthMs - input.calmMs;
   const faults: PlannedFault[] = [];
   const addFault = (kind: FaultKind, atMs: number): void => {
@@ -75,6 +112,20 @@
       variant: random.getNext(),
     });
   };
+  const addKind = (kind: FaultKind, meanGapMs: number): void => {
+    let kindAtMs = FIRST_FAULT_MS;
+    while (kindAtMs < lastMs) {
+      addFault(kind, kindAtMs);
+      kindAtMs += -Math.log(1 - random.getNext()) * meanGapMs;
+    }
+  };
+  const addStops = (meanGapMs: number): void => {
+    const {gatewayCount, upstreamCount} = input;
+    const fromMs = FIRST_FAULT_MS;
+    const toMs = lastMs - STOPS_LENGTH_MS;
+    const span = {fromMs, toMs, meanGapMs};
+    faults.push(...planStops(random, {gatewayCount, upstreamCount, ...span}));
+  };
   let atMs = FIRST_FAULT_MS;
   while (atMs < lastMs) {
     const kind = kinds[random.getInteger(kinds.length)];
@@ -87,15 +138,17 @@
     }
     atMs += -Math.log(1 - random.getNext()) * MEAN_GAP_MS;
   }
+  if (!isAll) {
+    addStops(DENSE_STOPS_MEAN_GAP_MS);
+    return faults;
+  }
   atMs = FIRST_FAULT_MS;
   while (atMs < lastMs) {
     addFault(LATER_KINDS[random.getInteger(LATER_KINDS.length)], atMs);
     atMs += -Math.log(1 - random.getNext()) * LATER_MEAN_GAP_MS;
   }
-  atMs = FIRST_FAULT_MS;
-  while (atMs < lastMs) {
-    addFault(FaultKind.UpstreamEndless, atMs);
-    atMs += -Math.log(1 - random.getNext()) * ENDLESS_MEAN_GAP_MS;
-  }
+  addKind(FaultKind.UpstreamEndless, ENDLESS_MEAN_GAP_MS);
+  addKind(FaultKind.UpstreamSilent, SILENT_MEAN_GAP_MS);
+  addStops(STOPS_MEAN_GAP_MS);
   return faults;
 }
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -17,7 +17,7 @@
 import type {SoakGateway} from './gateways';
 import {createHistory} from './history';
 import type {Violation} from './history';
-import {planFaults} from './plan';
+import {SoakPlan, planFaults} from './plan';
 import {startTraffic} from './traffic';
 import {
   ADAPTER_SLOTS,
@@ -31,6 +31,7 @@
 export interface SoakOptions {
   seed: number;
   seconds: number;
+  plan: SoakPlan;
   /** Directory for settings and logs. */
   directory: string;
 }
@@ -41,8 +42,17 @@
   violations: Violation[];
 }
 
-const GATEWAY_COUNT = 3;
+/** By plan; two of four gateways share a failure domain. */
+const GATEWAY_COUNTS: Readonly<Record<SoakPlan, number>> = {
+  [SoakPlan.All]: 3,
+  [SoakPlan.Stops]: 4,
+};
 const ENGINE_COUNT = 4;
+/** Time between the events of a stream, by engine: some outlast most stops. */
+const EVENT_INTERVALS_MS: Readonly<Record<SoakPlan, readonly number[]>> = {
+  [SoakPlan.All]: [],
+  [SoakPlan.Stops]: [25, 80, 160, 240],
+};
 const PLAIN_COUNT = 2;
 const HOST_NAME = 'soak.example';
 const KEYS_PER_ACCOUNT = 4;
@@ -50,6 +60,9 @@
 const CALM_MS = RECOVERY_MS + 2_500;
 /** Heap of a gateway, as in `deploy/system.toml`. */
 const MAX_HEAP_MB = 160;
+/** Period and least lateness at which a turn of this process is recorded. */
+const TURN_PERIOD_MS = 50;
+const MIN_LATE_MS = 200;
 const READY_POLL_MS = 100;
 const READY_TIMEOUT_MS = 20_000;
 
@@ -66,12 +79,36 @@
   return false;
 }
 
+/** Turn of this process that came late; upstreams and callers stood still. */
+interface LateTurn {
+  atMs: number;
+  lateMs: number;
+}
+
+/** Records late turns until the result is called. */
+function recordLateTurns(getNowMs: () => number): () => LateTurn[] {
+  const turns: LateTurn[] = [];
+  let expectedMs = getNowMs() + TURN_PERIOD_MS;
+  const timer = setInterval(() => {
+    const atMs = getNowMs();
+    const lateMs = atMs - expectedMs;
+    if (lateMs > MIN_LATE_MS) turns.push({atMs, lateMs});
+    expectedMs = atMs + TURN_PERIOD_MS;
+  }, TURN_PERIOD_MS);
+  return () => {
+    clearInterval(timer);
+    return turns;
+  };
+}
+
 /** Runs one soak; extended so that it ends CALM_MS after the last fault. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const random = createRandom(options.seed);
+  const gatewayCount = GATEWAY_COUNTS[options.plan];
   const startedAtMs = getMonotonicMs();
   const getNowMs = (): number => getMonotonicMs() - startedAtMs;
   const history = createHistory(MEMORY_MB);
+  const endLateTurns = recordLateTurns(getNowMs);
   const store = await startStoreStandIn(random.getNext);
 
   const accounts: StandInAccount[] = ['small', 'middle', 'large'].map(
@@ -128,6 +165,7 @@
       history,
       random,
       getNowMs,
+      EVENT_INTERVALS_MS[options.plan][index],
     );
     upstream.register();
     upstreams.push(upstream);
@@ -137,9 +175,16 @@
     join(WORKSPACE_ROOT, 'target/gateway.cjs'),
   ];
   const gateways: SoakGateway[] = [];
-  for (let index = 0; index < GATEWAY_COUNT; index += 1) {
+  for (let index = 0; index < gatewayCount; index += 1) {
     gateways.push(
-      await createSoakGateway(index, store.port, program, options.directory),
+      await createSoakGateway(
+        index,
+        store.port,
+        program,
+        options.directory,
+        {},
+        getNowMs,
+      ),
     );
   }
   for (const gateway of gateways) gateway.start();
@@ -193,7 +238,8 @@
   const lengthMs = options.seconds * 1_000;
   const soakStartMs = getNowMs();
   const faults = planFaults(random, {
-    gatewayCount: GATEWAY_COUNT,
+    plan: options.plan,
+    gatewayCount,
     upstreamCount: upstreams.length,
     lengthMs,
     calmMs: CALM_MS,
@@ -213,8 +259,7 @@
   await wait(Math.max(0, endsAtMs - getNowMs()));
   await traffic.stop();
   const ended = gateways.filter(gateway => !gateway.isRunning());
-  for (const gateway of gateways) gateway.send('SIGTERM');
-  await Promise.all(gateways.map(gateway => gateway.waitForExit()));
+  await Promise.all(gateways.map(gateway => gateway.stop()));
   for (const {standIn, proxy} of upstreams) {
     await proxy.close();
     await standIn.close();
@@ -222,10 +267,23 @@
   for (const {storeProxy} of gateways) await storeProxy.close();
   await store.close();
 
+  const lateTurns = endLateTurns();
+  writeFileSync(
+    join(options.directory, 'calls.json'),
+    JSON.stringify({
+      lateTurns,
+      stops: history.stops,
+      calls: history.calls,
+      runs: history.runs,
+    }),
+  );
   writeFileSync(
     join(options.directory, 'faults.json'),
     JSON.stringify(history.faults, undefined, 1),
   );
+  history.processes.push(
+    ...gateways.flatMap(gateway => gateway.listProcesses()),
+  );
   const violations = checkHistory(history);
   for (const {name} of ended) {
     violations.push({check: 'ended', detail: `${name} ended by itself`});
--- a/packages/soak/src/traffic.ts
+++ b/packages/soak/src/traffic.ts
@@ -1,7 +1,15 @@
 /** Callers of a soak, which send all kinds of requests for several accounts. */
 import type {Random} from '@siskinplank/foundation';
-import {CallKind, createCaller} from '@siskinplank/platform-stand-ins';
-import type {Caller} from '@siskinplank/platform-stand-ins';
+import {
+  CallKind,
+  createCaller,
+  createPipeliningCaller,
+} from '@siskinplank/platform-stand-ins';
+import type {
+  CallInput,
+  CallRecord,
+  Caller,
+} from '@siskinplank/platform-stand-ins';
 import type {SoakGateway} from './gateways';
 import type {History} from './history';
 import {MODELS} from './upstreams';
@@ -30,6 +38,33 @@
   stop(): Promise<void>;
 }
 
+/** How a caller uses its connection. */
+enum CallerHabit {
+  Plain,
+  /** Sends its next request the moment an answer ends. */
+  Immediate,
+  /** Stops reading for a while after each head of an answer. */
+  SlowReading,
+  /** Sends its bodies in two parts. */
+  SplitBodies,
+  /** Sends a second request before the first one is answered. */
+  Pipelining,
+}
+
+/** Habits of the callers, in turn. */
+const HABITS: readonly CallerHabit[] = [
+  CallerHabit.Plain,
+  CallerHabit.Plain,
+  CallerHabit.Plain,
+  CallerHabit.Immediate,
+  CallerHabit.SlowReading,
+  CallerHabit.SplitBodies,
+  CallerHabit.Pipelining,
+];
+const MIN_READ_PAUSE_MS = 300;
+const MAX_READ_PAUSE_MS = 1_200;
+const MAX_BODY_PART_DELAY_MS = 300;
+const MAX_PIPELINED_AFTER_MS = 400;
 const CALLER_COUNT = 24;
 const MEAN_PAUSE_MS = 350;
 /** Probability of switching gateways after a failed connection or a 503. */
@@ -46,6 +81,10 @@
   [CallKind.Status]: 1_500,
 };
 
+function wait(forMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, forMs));
+}
+
 /** Starts callers, which send requests until they are stopped. */
 export function startTraffic(options: TrafficOptions): Traffic {
   const {gateways, accounts, history, random} = options;
@@ -84,15 +123,29 @@
       setTimeout(resolve, pauseMs);
     });
 
+  const drawHabits = (
+    habit: CallerHabit,
+  ): Pick<CallInput, 'readPauseMs' | 'bodyPartDelayMs'> => {
+    const span = MAX_READ_PAUSE_MS - MIN_READ_PAUSE_MS;
+    if (habit === CallerHabit.SlowReading) {
+      return {readPauseMs: MIN_READ_PAUSE_MS + random.getNext() * span};
+    }
+    return habit === CallerHabit.SplitBodies
+      ? {bodyPartDelayMs: random.getNext() * MAX_BODY_PART_DELAY_MS}
+      : {};
+  };
+
   const run = async (index: number): Promise<void> => {
+    const habit = HABITS[index % HABITS.length];
+    let isServed = false;
     const account = accounts[index % accounts.length];
+    const create =
+      habit === CallerHabit.Pipelining ? createPipeliningCaller : createCaller;
     let gateway = gateways[index % gateways.length];
-    let caller: Caller = createCaller(options);
-    while (isRunning) {
-      await pause();
-      if (!isRunning) break;
+    let caller: Caller = create(options);
+
+    const sendCall = async (kind: CallKind): Promise<CallRecord> => {
       callCount += 1;
-      const kind = chooseKind();
       const attemptId = `c${index}-${callCount}`;
       const record = await caller.call({
         attemptId,
@@ -109,13 +162,35 @@
           kind === CallKind.Stream
             ? makePromptParts(account.name, attemptId)
             : undefined,
+        ...drawHabits(habit),
       });
       history.calls.push(record);
-      const isUnserved = record.status === 0 || record.status === 503;
+      return record;
+    };
+
+    while (isRunning) {
+      if (!isServed || habit !== CallerHabit.Immediate) await pause();
+      if (!isRunning) break;
+      const kind = chooseKind();
+      const sent = [sendCall(kind)];
+      if (habit === CallerHabit.Pipelining) {
+        await wait(random.getNext() * MAX_PIPELINED_AFTER_MS);
+        sent.push(sendCall(kind));
+      }
+      const records = await Promise.all(sent);
+      isServed = records.every(
+        ({status, isComplete}) => status === 200 && isComplete,
+      );
+      const isUnserved = records.some(
+        ({status}) => status === 0 || status === 503,
+      );
       const isSwitching = isUnserved && random.getNext() < SWITCH_PROBABILITY;
-      if (isSwitching || random.getNext() < RECONNECT_FRACTION) {
+      const isReconnecting =
+        habit !== CallerHabit.Immediate &&
+        random.getNext() < RECONNECT_FRACTION;
+      if (isSwitching || isReconnecting) {
         caller.close();
-        caller = createCaller(options);
+        caller = create(options);
         gateway = gateways[random.getInteger(gateways.length)];
       }
     }
--- a/packages/soak/src/upstreams.ts
+++ b/packages/soak/src/upstreams.ts
@@ -47,6 +47,7 @@
   history: History,
   random: Random,
   getNowMs: () => number,
+  eventIntervalMs?: number,
 ): Promise<SoakUpstream> {
   const isEngine = service === 'engines';
   const standIn = await startServerStandIn({
@@ -60,6 +61,7 @@
           loadMs: LOAD_MS,
         }
       : undefined,
+    eventIntervalMs,
     slots: isEngine ? ENGINE_SLOTS : PLAIN_SLOTS,
     random: random.getNext,
     getNowMs,
