--- a/packages/soak/src/testing/gateway-fleet.ts
+++ b/packages/soak/src/testing/gateway-fleet.ts
@@ -27,7 +27,7 @@
 import type {SoakUpstream} from '../upstreams';
 import {wait} from './single-gateway';
 
-const HOST_NAME = 'fleet.example';
+export const HOST_NAME = 'fleet.example';
 const ACCOUNT = 'small';
 /** Key of the account in the first configuration. */
 export const FLEET_KEY = 'key-of-the-fleet';
