Close link handshakes when a process stops

A gateway that stopped while the handshake of a link was open logged after its last line, role stopped (5002): the link closed (1101), or the handshake was rejected (1102). A reader that takes 5002 for the last line of a planned stop counts such a process as one that ended by itself.

The stop waited for the sockets of links only. A socket whose handshake was open became a link after the stop, or reported its end then.

Sockets count from the start of their handshake. A stop terminates those whose handshake is open, and waits for the end of all.

The test with an accepted socket failed before: a line 1102 after the stop; the one with a dialed socket passed before, and guards the other side.

--- a/packages/transport/src/network.test.ts
+++ b/packages/transport/src/network.test.ts
@@ -3,7 +3,7 @@
 import * as net from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
-import {WebSocket} from 'ws';
+import {WebSocket, WebSocketServer} from 'ws';
 import {afterEach, describe, expect, it, vi} from 'vitest';
 import {
   LogLevel,
@@ -22,6 +22,7 @@
 const KEY = {id: 'k1', secret: Buffer.from('first')};
 const NEW_KEY = {id: 'k2', secret: Buffer.from('second')};
 const WAIT_MS = 5_000;
+const AFTER_STOP_MS = 500;
 const BIND_ATTEMPTS = 5;
 const CANCEL: Message = {type: MessageType.Cancel, attemptId: 'a-1'};
 
@@ -254,6 +255,38 @@
     await vi.waitFor(() => expect(count).toBe(200));
   });
 
+  it.each([
+    ['accepted', false],
+    ['dialed', true],
+  ])(
+    'logs nothing after a stop beside a handshake of a socket it %s',
+    async (_, isDialed) => {
+      const lines: string[] = [];
+      const logger = createLogger({
+        level: LogLevel.Info,
+        getWallMs: () => 0,
+        write: line => lines.push(line),
+      });
+      const network = await startNetwork('a', {logger});
+      if (isDialed) {
+        // Accepts connections and takes no part in the handshake.
+        const server = new WebSocketServer({port: 0, host: '127.0.0.1'});
+        cleanups.push(() => server.close());
+        await new Promise(resolve => server.once('listening', resolve));
+        const connected = new Promise(resolve =>
+          server.once('connection', resolve),
+        );
+        const {port} = server.address() as net.AddressInfo;
+        network.connect({host: '127.0.0.1', port});
+        await connected;
+      } else await openRaw(network);
+      await network.stop();
+      const stoppedLines = [...lines];
+      await new Promise(resolve => setTimeout(resolve, AFTER_STOP_MS));
+      expect(lines).toEqual(stoppedLines);
+    },
+  );
+
   // A link to a restarted peer must be opened again automatically.
   it('reconnects with backoff after the peer restarts', async () => {
     const a = await startNetwork('a');
--- a/packages/transport/src/network.ts
+++ b/packages/transport/src/network.ts
@@ -78,6 +78,8 @@
   const registry = createLinkRegistry(identity);
   const dials = new Map<string, Dial>();
   const openSockets = new Set<WebSocket>();
+  /** Open sockets that are no links, since their handshake goes on or failed. */
+  const pendingSockets = new Set<WebSocket>();
   const openLinks = new Set<FrameLink>();
   const waiters = new Set<LinkWaiter>();
   const observers = new Set<LinkObserver>();
@@ -101,14 +103,23 @@
       detail: error.detail,
     });
 
+  /** Adds a socket whose handshake begins. */
+  const addSocket = (socket: WebSocket): void => {
+    openSockets.add(socket);
+    pendingSockets.add(socket);
+    socket.once('close', () => {
+      openSockets.delete(socket);
+      pendingSockets.delete(socket);
+    });
+  };
+
   const addLink = (
     socket: WebSocket,
     peer: PeerIdentity,
     dial: Dial | undefined,
   ): void => {
     const openedMs = clock.getNowMs();
-    openSockets.add(socket);
-    socket.once('close', () => openSockets.delete(socket));
+    pendingSockets.delete(socket);
     const link = createLink(`link-${++linkCount}`, peer, socket, {
       clock,
       limits,
@@ -153,6 +164,7 @@
       socket.terminate();
       return;
     }
+    addSocket(socket);
     pendingHandshakes += 1;
     const nonce = makeSecureId(NONCE_BYTES);
     const handshake = createAcceptorHandshake(identity, getKeys, nonce);
@@ -191,6 +203,7 @@
       }),
     });
     dial.socket = socket;
+    addSocket(socket);
     const nonce = makeSecureId(NONCE_BYTES);
     const handshake = createDialerHandshake(identity, getKeys, nonce);
     authenticateDialedSocket(socket, handshake, clock, limits, result => {
@@ -272,6 +285,7 @@
       for (const link of registry.list()) link.close(LinkCloseReason.Local);
       for (const dial of [...dials.values()]) disconnect(dial.address);
       for (const waiter of [...waiters]) waiter.resolve(undefined);
+      for (const socket of [...pendingSockets]) socket.terminate();
       // The closing handshake flushes sent messages; its duration is bounded.
       await Promise.all(
         [...openSockets].map(
