Let slow callers of the soak read answers that exceed buffers

A caller that stops reading holds nothing up while its whole answer fits into the buffers of the connection.

--- a/packages/soak/src/traffic.ts
+++ b/packages/soak/src/traffic.ts
@@ -2,6 +2,7 @@
 import type {Random} from '@siskinplank/foundation';
 import {
   CallKind,
+  LARGE_SUFFIX,
   createCaller,
   createPipeliningCaller,
 } from '@siskinplank/platform-stand-ins';
@@ -43,7 +44,7 @@
   Plain,
   /** Sends its next request the moment an answer ends. */
   Immediate,
-  /** Stops reading for a while after each head of an answer. */
+  /** Stops reading large answers for a while after their heads. */
   SlowReading,
   /** Sends its bodies in two parts. */
   SplitBodies,
@@ -146,7 +147,8 @@
 
     const sendCall = async (kind: CallKind): Promise<CallRecord> => {
       callCount += 1;
-      const attemptId = `c${index}-${callCount}`;
+      const suffix = habit === CallerHabit.SlowReading ? LARGE_SUFFIX : '';
+      const attemptId = `c${index}-${callCount}${suffix}`;
       const record = await caller.call({
         attemptId,
         kind,
