Date back each request that waited with its connection

An upstream was told that 1,499 ms were left of a request whose caller had given up 141 ms before. Its gateway was paused for 3 s; the request had arrived in the pause behind another one on a connection that was accepted after it.

Cause: the arrival of a connection dated only the first request that was read on it; the second one, read in the same turn, counted as new.

The arrival is kept for the turns in which waiting requests are read.

--- a/packages/gateway/src/arrival-times.test.ts
+++ b/packages/gateway/src/arrival-times.test.ts
@@ -105,6 +105,14 @@
     expect(read(1_505)).toBe(1_505);
   });
 
+  // Guards against a full deadline for a request that waited behind another one.
+  it('dates back each request that is read with the first of its connection', () => {
+    const {runTurn, acceptOnly} = createLoop();
+    runTurn(0, false);
+    const read = acceptOnly(1_500);
+    expect([read(1_505), read(1_505)]).toEqual([1_505, 1_505]);
+  });
+
   // Turns of a busy machine can each be just short of late.
   it('dates back the connections before the first measurement', () => {
     const {runTurn, starts} = createLoop();
--- a/packages/gateway/src/arrival-times.ts
+++ b/packages/gateway/src/arrival-times.ts
@@ -40,7 +40,7 @@
 }
 
 /**
- * A request that waited together with its connection is read in the turn after
+ * Requests that waited together with their connection are read in the turn after
  * the one that accepts it. Later ones were sent later.
  */
 const MAX_TURNS_TO_REQUEST = 2;
@@ -89,11 +89,13 @@
     takeArrivalMs: (socket, nowMs) => {
       turns.observe(nowMs);
       const connection = connectionArrivals.get(socket);
-      connectionArrivals.delete(socket);
       const earliestMs = turns.getEarliestArrivalMs(nowMs);
       if (connection === undefined) return earliestMs;
       const turnsSince = turns.countTurns() - connection.turn;
-      if (turnsSince > MAX_TURNS_TO_REQUEST) return earliestMs;
+      if (turnsSince > MAX_TURNS_TO_REQUEST) {
+        connectionArrivals.delete(socket);
+        return earliestMs;
+      }
       return Math.min(connection.atMs, earliestMs);
     },
   };
