Report lost log lines only after a write that succeeds

When standard output fails for good (EPIPE, ENOSPC), the report of the lost lines was itself a line that failed, was counted and reported again at once: a loop without a pause.

--- a/packages/foundation/src/line-writer.test.ts
+++ b/packages/foundation/src/line-writer.test.ts
@@ -92,4 +92,28 @@
     await flushed;
     expect(isFlushed).toBe(true);
   });
+
+  // Guards against a busy loop when the reader of standard output is gone.
+  it('does not report lost lines while writes fail', async () => {
+    let writeCount = 0;
+    const clock = createManualClock();
+    const writer = createLineWriter({
+      fileDescriptor: 1,
+      clock,
+      maxBufferedBytes: 1_000,
+      flushDelayMs: FLUSH_DELAY_MS,
+      onDropped: count => writer.writeLine(`dropped ${count}`),
+      writeBytes: (_fileDescriptor, _bytes, _offset, onWritten) => {
+        writeCount += 1;
+        setImmediate(() => onWritten(makeError('EPIPE'), 0));
+      },
+    });
+    const lines = ['first', 'second'];
+    for (const line of lines) {
+      writer.writeLine(line);
+      clock.runFor(FLUSH_DELAY_MS);
+      await new Promise(resolve => setTimeout(resolve, 50));
+    }
+    expect(writeCount).toBe(lines.length);
+  });
 });
--- a/packages/foundation/src/line-writer.ts
+++ b/packages/foundation/src/line-writer.ts
@@ -19,7 +19,7 @@
   maxBufferedBytes: number;
   /** Longest time that a line is buffered before a write, in milliseconds. */
   flushDelayMs: number;
-  /** Called with the number of dropped lines when the next write starts. */
+  /** Called with the number of dropped lines after a write that succeeds. */
   onDropped(count: number): void;
   /** The default is `fs.write`. */
   writeBytes?: WriteBytes;
@@ -67,6 +67,14 @@
     for (const resolve of [...waiters]) resolve();
   };
 
+  /** The report is a line, so it would fail as long as writes do. */
+  const reportDropped = (): void => {
+    if (droppedCount === 0) return;
+    const count = droppedCount;
+    droppedCount = 0;
+    options.onDropped(count);
+  };
+
   const writeFrom = (bytes: Buffer, offset: number): void => {
     writeBytes(fileDescriptor, bytes, offset, (error, written) => {
       // A pipe is full if its reader is slow and it does not block.
@@ -79,7 +87,8 @@
         writeFrom(bytes, nextOffset);
         return;
       }
-      if (error !== null) droppedCount += countLines(bytes.subarray(offset));
+      if (error === null) reportDropped();
+      else droppedCount += countLines(bytes.subarray(offset));
       isWriting = false;
       if (lines.length > 0) writeBuffered();
       else resolveWaiters();
@@ -94,10 +103,6 @@
     lines = [];
     bufferedBytes = 0;
     writeFrom(bytes, 0);
-    if (droppedCount === 0) return;
-    const count = droppedCount;
-    droppedCount = 0;
-    options.onDropped(count);
   };
 
   return {
