Keep the other attempt when an upstream fails as it fails over

While two attempts overlap, a 5xx response of the first upstream ended the other one, and the caller got the failure although another upstream worked on the request. Rejections and broken connections already left it to the other one. The new case failed before: the second exchange was cancelled.

--- a/packages/gateway/src/request-session.test.ts
+++ b/packages/gateway/src/request-session.test.ts
@@ -410,6 +410,20 @@
       ]);
     });
 
+    const completeWhole = (index: number, status: number): void => {
+      exchanges[index].observer.onHead(makeHead(status, 1), false);
+      exchanges[index].observer.onData(Buffer.from('a'));
+      exchanges[index].observer.onEnd();
+    };
+
+    it('does not lose a request whose upstream fails as it fails over', async () => {
+      await failOver(RequestKind.Repeatable);
+      completeWhole(0, 500);
+      expect(exchanges[1].isCancelled).toBe(false);
+      completeWhole(1, 200);
+      expect(received).toBe('200 a end');
+    });
+
     it('sends a request once more when its failover was rejected', async () => {
       await failOver(RequestKind.Stream);
       reject(1);
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -263,10 +263,20 @@
     const isFailure = head.status >= 500;
     if (isFailure) options.recordFault(attempt.entry, SERVER_ERROR_FAULT);
     const isComplete = wasStreamed || isEmptySuccess(head, body);
+    /** Keeps the failure for the case that there is no better response. */
+    const leaveFailed = (): void => {
+      logAttempt(attempt, 'failure');
+      mayHaveRun = true;
+      deliverFailure = () => deliver(attempt, head, body, wasStreamed);
+    };
     if (response.hasStarted() && !isComplete) {
       leaveUnresumed(attempt);
       return;
     }
+    if (isFailure && !response.hasStarted() && failover.replaceFailed()) {
+      leaveFailed();
+      return;
+    }
     stopFailover();
     current = undefined;
     if (!response.hasStarted()) {
@@ -274,9 +284,7 @@
         deliver(attempt, head, body, wasStreamed);
         return;
       }
-      logAttempt(attempt, 'failure');
-      mayHaveRun = true;
-      deliverFailure = () => deliver(attempt, head, body, wasStreamed);
+      leaveFailed();
       search(true, refuseUnserved);
       return;
     }
