Keep a silent upstream's attempt when the other one answers with a failure

The head of a 5xx response counted as an answer before the response to the caller had begun, so the first attempt was cancelled and the caller got the failure, though the first upstream was sound. The new case "does not lose a request whose failover fails" failed before.

--- a/packages/gateway/src/request-session.test.ts
+++ b/packages/gateway/src/request-session.test.ts
@@ -424,6 +424,21 @@
       expect(received).toBe('200 a end');
     });
 
+    it('does not lose a request whose failover fails', async () => {
+      await failOver(RequestKind.Repeatable);
+      completeWhole(1, 500);
+      expect(exchanges[0].isCancelled).toBe(false);
+      completeWhole(0, 200);
+      expect(received).toBe('200 a end');
+    });
+
+    it('answers with the failure when both upstreams fail', async () => {
+      await failOver(RequestKind.Repeatable);
+      completeWhole(1, 500);
+      completeWhole(0, 500);
+      expect(received).toBe('500 a end');
+    });
+
     it('sends a request once more when its failover was rejected', async () => {
       await failOver(RequestKind.Stream);
       reject(1);
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -231,6 +231,7 @@
       leaveUnresumed(attempt);
       return;
     }
+    failover.handleAnswering(attempt);
     stopFailover();
     recordFirstByte();
     lastEventId = eventId ?? lastEventId;
@@ -254,6 +255,10 @@
     end(head.status, undefined, attempt.entry.upstream.id);
   };
 
+  /** Whether another upstream works on the request; `attempt` has failed. */
+  const hasOtherAttempt = (attempt: Attempt): boolean =>
+    failover.handleFailure(attempt) || failover.replaceFailed();
+
   const onAnswer = (
     attempt: Attempt,
     head: ResponseHead,
@@ -273,7 +278,7 @@
       leaveUnresumed(attempt);
       return;
     }
-    if (isFailure && !response.hasStarted() && failover.replaceFailed()) {
+    if (isFailure && !response.hasStarted() && hasOtherAttempt(attempt)) {
       leaveFailed();
       return;
     }
@@ -403,7 +408,9 @@
         onFailure: failure => onFailure(attempt, failure),
         onSent: () => failover.handleSent(entry),
         onHead: (head, responseClass) => {
-          const isUsable = !response.hasStarted() || isSuccess(head);
+          const isUsable = response.hasStarted()
+            ? isSuccess(head)
+            : head.status < 500;
           if (responseClass === ResponseClass.Answer && isUsable)
             failover.handleAnswering(attempt);
         },
