Keep an attempt whose response begins while it fails over

A body is passed on when it is complete, so a silent upstream that sent the head of its response in the overlap was still replaced after 200 ms, or as soon as the other upstream sent a head. The new case failed before.

--- a/packages/gateway/src/request-session.test.ts
+++ b/packages/gateway/src/request-session.test.ts
@@ -439,6 +439,16 @@
       expect(received).toBe('500 a end');
     });
 
+    it('does not give up a response that begins as it fails over', async () => {
+      await failOver(RequestKind.Repeatable);
+      exchanges[0].observer.onHead(makeHead(200, 1), false);
+      await clock.runFor(MAX_OVERLAP_MS);
+      expect(exchanges[0].isCancelled).toBe(false);
+      exchanges[0].observer.onData(Buffer.from('a'));
+      exchanges[0].observer.onEnd();
+      expect(received).toBe('200 a end');
+    });
+
     it('sends a request once more when its failover was rejected', async () => {
       await failOver(RequestKind.Stream);
       reject(1);
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -411,8 +411,9 @@
           const isUsable = response.hasStarted()
             ? isSuccess(head)
             : head.status < 500;
-          if (responseClass === ResponseClass.Answer && isUsable)
-            failover.handleAnswering(attempt);
+          if (responseClass !== ResponseClass.Answer || !isUsable) return;
+          if (attempt === current) stopFailover();
+          else failover.handleAnswering(attempt);
         },
         onAnswering: () => options.guard.recordAnswer(prompt),
       },
