Read what has arrived before the overlap of two attempts ends

Timers run before sockets are read, so after a late turn of the event loop the first attempt was given up although its bytes had arrived. The new case of request-failover failed before. The cases that wait for the end of the overlap wait for the poll that follows, too; their bounds are the same.

--- a/packages/gateway/src/request-failover.test.ts
+++ b/packages/gateway/src/request-failover.test.ts
@@ -4,6 +4,7 @@
   LogLevel,
   createLogger,
   createManualClock,
+  waitForPoll,
 } from '@siskinplank/foundation';
 import {RequestKind} from '@siskinplank/serving';
 import {beforeEach, describe, expect, it} from 'vitest';
@@ -132,18 +133,32 @@
   it('does not leave two upstreams at work for long', async () => {
     check();
     searches[0].onUpstream(other);
-    await clock.runFor(MAX_OVERLAP_MS);
+    clock.runFor(MAX_OVERLAP_MS);
+    await waitForPoll();
     expect(replacedBy).toEqual([]);
     failover.handleSent(other);
-    await clock.runFor(MAX_OVERLAP_MS - 1);
+    clock.runFor(MAX_OVERLAP_MS - 1);
+    await waitForPoll();
     expect(replacedBy).toEqual(sentTo);
   });
 
+  // Timers run before sockets are read.
+  it('keeps an attempt whose bytes arrived before the overlap ends', async () => {
+    check();
+    searches[0].onUpstream(other);
+    failover.handleSent(other);
+    setImmediate(() => failover.stop());
+    clock.runFor(MAX_OVERLAP_MS);
+    await waitForPoll();
+    expect(replacedBy).toEqual([]);
+  });
+
   it('does not leave two upstreams at work over an open connection', async () => {
     isConnected = true;
     check();
     searches[0].onUpstream(other);
-    await clock.runFor(MAX_OVERLAP_MS - 1);
+    clock.runFor(MAX_OVERLAP_MS - 1);
+    await waitForPoll();
     expect(replacedBy).toEqual(sentTo);
   });
 
@@ -163,7 +178,8 @@
     searches[0].onUpstream(other);
     failover.handleSent(other);
     expect(failover.handleFailure(sentTo[0])).toBe(true);
-    await clock.runFor(MAX_OVERLAP_MS);
+    clock.runFor(MAX_OVERLAP_MS);
+    await waitForPoll();
     expect(replacedBy).toEqual([]);
   });
 
--- a/packages/gateway/src/request-failover.ts
+++ b/packages/gateway/src/request-failover.ts
@@ -5,6 +5,7 @@
  */
 import {planFailover} from '@siskinplank/dispatch';
 import type {FailoverReason, UpstreamEntry} from '@siskinplank/dispatch';
+import {startWaitTimer} from '@siskinplank/foundation';
 import type {Timer} from '@siskinplank/foundation';
 import {RequestKind, canRepeat} from '@siskinplank/serving';
 import {REQUEST_FAILED_OVER} from './events';
@@ -85,7 +86,7 @@
 
   const startOverlap = (): void => {
     if (former !== undefined) session.recordFault(former.entry, STALL_FAULT);
-    overlapTimer = session.clock.startTimer(MAX_OVERLAP_MS, replace);
+    overlapTimer = startWaitTimer(session.clock, MAX_OVERLAP_MS, replace);
   };
 
   const findReason = (
--- a/packages/gateway/src/request-session.test.ts
+++ b/packages/gateway/src/request-session.test.ts
@@ -4,6 +4,7 @@
   LogLevel,
   createLogger,
   createManualClock,
+  waitForPoll,
 } from '@siskinplank/foundation';
 import {ExchangeFailureCode} from '@siskinplank/http-exchange';
 import type {ExchangeObserver, ResponseHead} from '@siskinplank/http-exchange';
@@ -340,7 +341,8 @@
     it('does not lose a stream whose failover is rejected', async () => {
       await failOver(RequestKind.Stream);
       reject(1);
-      await clock.runFor(MAX_OVERLAP_MS);
+      clock.runFor(MAX_OVERLAP_MS);
+      await waitForPoll();
       expect(exchanges[0].isCancelled).toBe(false);
       completeFirst();
       expect(received).toBe(`200 ${EVENT}${EVENT}end`);
@@ -349,7 +351,8 @@
     it('does not lose a request whose failover is rejected', async () => {
       await failOver(RequestKind.Repeatable);
       reject(1);
-      await clock.runFor(MAX_OVERLAP_MS);
+      clock.runFor(MAX_OVERLAP_MS);
+      await waitForPoll();
       expect(exchanges[0].isCancelled).toBe(false);
       exchanges[0].observer.onHead(makeHead(200, 1), false);
       exchanges[0].observer.onData(Buffer.from('a'));
@@ -396,7 +399,8 @@
 
     it('does not let two upstreams work on a request for long', async () => {
       await failOver(RequestKind.Stream);
-      await clock.runFor(MAX_OVERLAP_MS - 1);
+      clock.runFor(MAX_OVERLAP_MS - 1);
+      await waitForPoll();
       expect(exchanges[0].isCancelled).toBe(true);
       expect(exchanges[1].isCancelled).toBe(false);
     });
@@ -442,7 +446,8 @@
     it('does not give up a response that begins as it fails over', async () => {
       await failOver(RequestKind.Repeatable);
       exchanges[0].observer.onHead(makeHead(200, 1), false);
-      await clock.runFor(MAX_OVERLAP_MS);
+      clock.runFor(MAX_OVERLAP_MS);
+      await waitForPoll();
       expect(exchanges[0].isCancelled).toBe(false);
       exchanges[0].observer.onData(Buffer.from('a'));
       exchanges[0].observer.onEnd();
