Leave requests unread that follow the idle close of a connection

The lingering close reads what arrives after its own side has ended, and an idle connection that timed out was closed in this way: a request that crossed the close was read and dropped without a response, a reset or a line. A caller may repeat a request that must not run twice only if it was not read. The response before was written an idle time-out earlier, so nothing is lost by the close. The new case failed before: the request was read, and nothing reset.

--- a/packages/gateway/src/idle-connections.ts
+++ b/packages/gateway/src/idle-connections.ts
@@ -100,7 +100,8 @@
   const closeExpired = async (socket: Socket): Promise<void> => {
     const {bytesRead} = socket;
     await waitForPoll();
-    if (socket.bytesRead === bytesRead) socket.destroySoon();
+    // What follows is left unread, so that callers may repeat any request.
+    if (socket.bytesRead === bytesRead) socket.destroy();
   };
   // Node.js would close the connection unread.
   server.on('timeout', (socket: Socket) => void closeExpired(socket));
--- a/packages/gateway/src/lingering-close.test.ts
+++ b/packages/gateway/src/lingering-close.test.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
 import {connect} from 'node:net';
@@ -116,3 +117,33 @@
     expect(await readSlowly(socket)).toBe(BODY_BYTES);
   });
 });
+
+describe('close at the idle time-out', () => {
+  // A caller repeats a request that must not run twice only if it was not read.
+  it('does not read a request that follows it', async () => {
+    const port = await listen();
+    const started = server as Server;
+    started.removeAllListeners('request');
+    started.on('request', (_request, response) => void response.end('ok'));
+    started.keepAliveTimeout = 1;
+    const accepted = once(started, 'connection');
+    const socket = await open(port);
+    const [connection] = (await accepted) as [Socket];
+    const reset = new Promise<string>(resolve =>
+      socket.once('error', ({code}: NodeJS.ErrnoException) =>
+        resolve(code ?? ''),
+      ),
+    );
+    socket.resume();
+    socket.write(REQUEST);
+    await once(socket, 'end');
+    const {bytesRead} = connection;
+    socket.write(REQUEST);
+    await wait(FILLED_MS);
+    // A reset after the end is reported by the next write.
+    socket.write(REQUEST);
+    const late = wait(FILLED_MS).then(() => 'none');
+    expect(await Promise.race([reset, late])).toMatch(/ECONNRESET|EPIPE/);
+    expect(connection.bytesRead).toBe(bytesRead);
+  });
+});
