--- a/packages/gateway/src/request-session.test.ts
+++ b/packages/gateway/src/request-session.test.ts
@@ -4,6 +4,7 @@
   LogLevel,
   createLogger,
   createManualClock,
+  waitForPoll,
 } from '@siskinplank/foundation';
 import {ExchangeFailureCode} from '@siskinplank/http-exchange';
 import type {ExchangeObserver, ResponseHead} from '@siskinplank/http-exchange';
@@ -340,7 +341,8 @@
     it('does not lose a stream whose failover is rejected', async () => {
       await failOver(RequestKind.Stream);
       reject(1);
-      await clock.runFor(MAX_OVERLAP_MS);
+      clock.runFor(MAX_OVERLAP_MS);
+      await waitForPoll();
       expect(exchanges[0].isCancelled).toBe(false);
       completeFirst();
       expect(received).toBe(`200 ${EVENT}${EVENT}end`);
@@ -349,7 +351,8 @@
     it('does not lose a request whose failover is rejected', async () => {
       await failOver(RequestKind.Repeatable);
       reject(1);
-      await clock.runFor(MAX_OVERLAP_MS);
+      clock.runFor(MAX_OVERLAP_MS);
+      await waitForPoll();
       expect(exchanges[0].isCancelled).toBe(false);
       exchanges[0].observer.onHead(makeHead(200, 1), false);
       exchanges[0].observer.onData(Buffer.from('a'));
@@ -396,7 +399,8 @@
 
     it('does not let two upstreams work on a request for long', async () => {
       await failOver(RequestKind.Stream);
-      await clock.runFor(MAX_OVERLAP_MS - 1);
+      clock.runFor(MAX_OVERLAP_MS - 1);
+      await waitForPoll();
       expect(exchanges[0].isCancelled).toBe(true);
       expect(exchanges[1].isCancelled).toBe(false);
     });
@@ -410,6 +414,46 @@
       ]);
     });
 
+    const completeWhole = (index: number, status: number): void => {
+      exchanges[index].observer.onHead(makeHead(status, 1), false);
+      exchanges[index].observer.onData(Buffer.from('a'));
+      exchanges[index].observer.onEnd();
+    };
+
+    it('does not lose a request whose upstream fails as it fails over', async () => {
+      await failOver(RequestKind.Repeatable);
+      completeWhole(0, 500);
+      expect(exchanges[1].isCancelled).toBe(false);
+      completeWhole(1, 200);
+      expect(received).toBe('200 a end');
+    });
+
+    it('does not lose a request whose failover fails', async () => {
+      await failOver(RequestKind.Repeatable);
+      completeWhole(1, 500);
+      expect(exchanges[0].isCancelled).toBe(false);
+      completeWhole(0, 200);
+      expect(received).toBe('200 a end');
+    });
+
+    it('answers with the failure when both upstreams fail', async () => {
+      await failOver(RequestKind.Repeatable);
+      completeWhole(1, 500);
+      completeWhole(0, 500);
+      expect(received).toBe('500 a end');
+    });
+
+    it('does not give up a response that begins as it fails over', async () => {
+      await failOver(RequestKind.Repeatable);
+      exchanges[0].observer.onHead(makeHead(200, 1), false);
+      clock.runFor(MAX_OVERLAP_MS);
+      await waitForPoll();
+      expect(exchanges[0].isCancelled).toBe(false);
+      exchanges[0].observer.onData(Buffer.from('a'));
+      exchanges[0].observer.onEnd();
+      expect(received).toBe('200 a end');
+    });
+
     it('sends a request once more when its failover was rejected', async () => {
       await failOver(RequestKind.Stream);
       reject(1);
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -231,6 +231,7 @@
       leaveUnresumed(attempt);
       return;
     }
+    failover.handleAnswering(attempt);
     stopFailover();
     recordFirstByte();
     lastEventId = eventId ?? lastEventId;
@@ -254,6 +255,10 @@
     end(head.status, undefined, attempt.entry.upstream.id);
   };
 
+  /** Whether another upstream works on the request; `attempt` has failed. */
+  const hasOtherAttempt = (attempt: Attempt): boolean =>
+    failover.handleFailure(attempt) || failover.replaceFailed();
+
   const onAnswer = (
     attempt: Attempt,
     head: ResponseHead,
@@ -263,10 +268,20 @@
     const isFailure = head.status >= 500;
     if (isFailure) options.recordFault(attempt.entry, SERVER_ERROR_FAULT);
     const isComplete = wasStreamed || isEmptySuccess(head, body);
+    /** Keeps the failure for the case that there is no better response. */
+    const leaveFailed = (): void => {
+      logAttempt(attempt, 'failure');
+      mayHaveRun = true;
+      deliverFailure = () => deliver(attempt, head, body, wasStreamed);
+    };
     if (response.hasStarted() && !isComplete) {
       leaveUnresumed(attempt);
       return;
     }
+    if (isFailure && !response.hasStarted() && hasOtherAttempt(attempt)) {
+      leaveFailed();
+      return;
+    }
     stopFailover();
     current = undefined;
     if (!response.hasStarted()) {
@@ -274,9 +289,7 @@
         deliver(attempt, head, body, wasStreamed);
         return;
       }
-      logAttempt(attempt, 'failure');
-      mayHaveRun = true;
-      deliverFailure = () => deliver(attempt, head, body, wasStreamed);
+      leaveFailed();
       search(true, refuseUnserved);
       return;
     }
@@ -395,9 +408,12 @@
         onFailure: failure => onFailure(attempt, failure),
         onSent: () => failover.handleSent(entry),
         onHead: (head, responseClass) => {
-          const isUsable = !response.hasStarted() || isSuccess(head);
-          if (responseClass === ResponseClass.Answer && isUsable)
-            failover.handleAnswering(attempt);
+          const isUsable = response.hasStarted()
+            ? isSuccess(head)
+            : head.status < 500;
+          if (responseClass !== ResponseClass.Answer || !isUsable) return;
+          if (attempt === current) stopFailover();
+          else failover.handleAnswering(attempt);
         },
         onAnswering: () => options.guard.recordAnswer(prompt),
       },
