--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -41,9 +41,8 @@
   const {admitted, response, clock, logger} = options;
   const {request, route, deadlineAtMs} = admitted;
   const isRepeatable = canRepeat(route);
-  const sharedParts = listSharedParts(request.promptParts);
   const prompt = {
-    parts: sharedParts,
+    parts: listSharedParts(request.promptParts),
     fingerprint: computePromptFingerprint(request),
   };
   const triedUpstreamIds = new Set<string>();
@@ -162,7 +161,7 @@
       attempt: sentCount,
       cause,
       ...describeAttempt(attempt, clock.getNowMs()),
-      sharedParts: sharedParts.join(' '),
+      sharedParts: prompt.parts.join(' '),
       leftMs: Math.round(deadlineAtMs - clock.getNowMs()),
     });
 
@@ -227,10 +226,8 @@
     chunk: Buffer,
     eventId: string | undefined,
   ): void => {
-    if (response.hasStarted() && startedBy !== attempt && !isSuccess(head)) {
-      leaveUnresumed(attempt);
-      return;
-    }
+    const isResumed = response.hasStarted() && startedBy !== attempt;
+    if (isResumed && !isSuccess(head)) return leaveUnresumed(attempt);
     failover.handleAnswering(attempt);
     stopFailover();
     recordFirstByte();
@@ -274,14 +271,9 @@
       mayHaveRun = true;
       deliverFailure = () => deliver(attempt, head, body, wasStreamed);
     };
-    if (response.hasStarted() && !isComplete) {
-      leaveUnresumed(attempt);
-      return;
-    }
-    if (isFailure && !response.hasStarted() && hasOtherAttempt(attempt)) {
-      leaveFailed();
-      return;
-    }
+    if (response.hasStarted() && !isComplete) return leaveUnresumed(attempt);
+    const mayLeave = isFailure && !response.hasStarted();
+    if (mayLeave && hasOtherAttempt(attempt)) return leaveFailed();
     stopFailover();
     current = undefined;
     if (!response.hasStarted()) {
@@ -312,10 +304,7 @@
     if (failover.replaceFailed()) return;
     stopFailover();
     const mayResend = !hasResent && options.isUsable(attempt.entry);
-    if (hasAttemptsLeft() || !mayResend) {
-      tryNext();
-      return;
-    }
+    if (hasAttemptsLeft() || !mayResend) return tryNext();
     // The model or adapter may still have been loading; it may be ready soon.
     hasResent = true;
     clock.startTimer(SAME_UPSTREAM_DELAY_MS, () => {
@@ -372,12 +361,9 @@
     if (isSuccessor || failover.replaceFailed()) {
       // The other attempt goes on, so nothing waits for the verdict.
       if (maySuspect && attempt.wasSent()) {
+        const {upstream} = attempt.entry;
         const broken = {...prompt, hasBegun};
-        options.guard.reportBroken(
-          attempt.entry.upstream,
-          broken,
-          () => undefined,
-        );
+        options.guard.reportBroken(upstream, broken, () => undefined);
       }
       return;
     }
