--- a/packages/gateway/src/lingering-close.test.ts
+++ b/packages/gateway/src/lingering-close.test.ts
@@ -2,8 +2,8 @@
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
 import {connect} from 'node:net';
-import type {Socket} from 'node:net';
-import {createSystemClock} from '@siskinplank/foundation';
+import type {AddressInfo, Socket} from 'node:net';
+import {createManualClock, createSystemClock} from '@siskinplank/foundation';
 import {afterEach, describe, expect, it} from 'vitest';
 import {handleCallerErrors} from './caller-errors';
 import {createIdleConnections} from './idle-connections';
@@ -19,6 +19,8 @@
 const READ_PAUSE_MS = 1;
 /** Node.js reads no more of a connection with so many unwritten responses. */
 const PAUSING_REQUESTS = 3;
+/** Longest time for which a connection is read after its close. */
+const MAX_LINGER_MS = 5_000;
 const HEAD_END = '\r\n\r\n';
 
 let server: Server | undefined;
@@ -147,3 +149,30 @@
     expect(connection.bytesRead).toBe(bytesRead);
   });
 });
+
+describe('lingering connections', () => {
+  // Guards against descriptors that callers hold for good.
+  it('end after a time though their callers do not close', async () => {
+    const clock = createManualClock();
+    const started = createServer((_request, response) => {
+      response.writeHead(200, {connection: 'close'});
+      response.end('ok');
+    });
+    server = started;
+    const lingering = installLingeringClose(started, clock);
+    await new Promise<void>(resolve =>
+      started.listen(0, '127.0.0.1', () => resolve()),
+    );
+    const socket = await open((started.address() as AddressInfo).port);
+    socket.resume();
+    socket.write(REQUEST);
+    await once(socket, 'end');
+    clock.runFor(MAX_LINGER_MS - 1);
+    await wait(FILLED_MS);
+    expect(lingering.count()).toBe(1);
+    clock.runFor(1);
+    await wait(FILLED_MS);
+    expect(lingering.count()).toBe(0);
+    socket.destroy();
+  });
+});
