--- a/packages/gateway/src/idle-connections.ts
+++ b/packages/gateway/src/idle-connections.ts
@@ -45,9 +45,9 @@
 
 /**
  * Records the connections of a listener that has none yet, and closes them after
- * its `keepAliveTimeout`. A connection is idle
- * when its responses are written and nothing was read since. Node.js takes one
- * for idle when its response has ended, and would drop what is not written yet.
+ * its `keepAliveTimeout`. A connection is idle when its responses are written
+ * and nothing was read since. Node.js takes one for idle when its response has
+ * ended, and would drop what is not written yet.
  */
 export function createIdleConnections(server: Server): IdleConnections {
   const uses = new Map<Socket, ConnectionUse>();
--- a/packages/soak/src/planned-stop.test.ts
+++ b/packages/soak/src/planned-stop.test.ts
@@ -1,6 +1,6 @@
 import {connect} from 'node:net';
 import type {Socket} from 'node:net';
-import {CallKind, renderCallerRequest} from '@siskinplank/platform-stand-ins';
+import {CallKind} from '@siskinplank/platform-stand-ins';
 import type {CallRecord} from '@siskinplank/platform-stand-ins';
 import {ProxyDirection, getMonotonicMs} from '@siskinplank/stand-ins';
 import {afterEach, describe, expect, it} from 'vitest';
@@ -79,17 +79,6 @@
   const hasRun = (attemptId: string): boolean =>
     single.runs.some(run => run.attemptId === attemptId);
 
-  const encodeOrder = (attemptId: string): string =>
-    renderCallerRequest({
-      path: `/${CallKind.Order}/x`,
-      hostName: single.hostName,
-      attemptId,
-      key: single.key,
-      deadlineMs: DEADLINE_MS,
-      model: undefined,
-      keepsConnection: true,
-    });
-
   /** Resolves to what the gateway sent until the connection closed. */
   const readAll = (socket: Socket): Promise<string> =>
     new Promise(resolve => {
@@ -171,7 +160,7 @@
     for (const [index, socket] of sockets.entries()) {
       const attemptId = `kept-${index}`;
       outcomes.push(readAll(socket).then(text => ({attemptId, text})));
-      socket.write(encodeOrder(attemptId));
+      socket.write(single.encodeOrder(attemptId));
       await wait(KILL_MS / count);
     }
     const cut = (await Promise.all(outcomes))
@@ -186,11 +175,11 @@
     await warmUp();
     const socket = await openConnection();
     const answered = readAll(socket);
-    socket.write(encodeOrder('first') + encodeOrder('second'));
+    socket.write(single.encodeOrder('first') + single.encodeOrder('second'));
     await wait(RESPONSE_MS / 4);
     single.gateway.send('SIGTERM');
     await wait(RESPONSE_MS / 4);
-    socket.write(encodeOrder('third'));
+    socket.write(single.encodeOrder('third'));
     const text = await answered;
     const attemptIds = ['first', 'second', 'third'];
     expect(attemptIds.filter(hasRun)).toEqual(attemptIds);
@@ -214,7 +203,7 @@
       });
       socket.on('close', () => resolve(Buffer.concat(chunks)));
     });
-    socket.write(encodeOrder('long'));
+    socket.write(single.encodeOrder('long'));
     const received = await answered;
     const headBytes = received.indexOf(HEAD_END) + HEAD_END.length;
     expect(received.length - headBytes).toBe(LONG_ANSWER_BYTES);
@@ -226,7 +215,7 @@
     const socket = await openConnection();
     const attemptIds = ['first', 'second', 'third', 'unread'];
     for (const attemptId of attemptIds) {
-      socket.write(encodeOrder(attemptId));
+      socket.write(single.encodeOrder(attemptId));
       await wait(RESPONSE_MS / 2);
     }
     single.gateway.send('SIGTERM');
@@ -244,7 +233,7 @@
     });
     const ended = new Promise<void>(resolve => socket.once('end', resolve));
     socket.resume();
-    socket.write(encodeOrder('first'));
+    socket.write(single.encodeOrder('first'));
     await wait(RESPONSE_MS / 4);
     single.gateway.send('SIGTERM');
     const stoppedAtMs = getMonotonicMs();
@@ -258,7 +247,7 @@
   it('waits for no orders whose caller left before they were answered', async () => {
     await start(RESPONSE_MS);
     const socket = await openConnection();
-    socket.write(encodeOrder('first') + encodeOrder('second'));
+    socket.write(single.encodeOrder('first') + single.encodeOrder('second'));
     await wait(RESPONSE_MS / 4);
     socket.destroy();
     await wait(2 * RESPONSE_MS);
--- a/packages/soak/src/request-logs.test.ts
+++ b/packages/soak/src/request-logs.test.ts
@@ -1,6 +1,5 @@
 import {connect} from 'node:net';
 import type {Socket} from 'node:net';
-import {CallKind, renderCallerRequest} from '@siskinplank/platform-stand-ins';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import type {LogLine} from './gateways';
 import {startSingleGateway, wait} from './testing/single-gateway';
@@ -35,24 +34,13 @@
     return socket;
   };
 
-  const encodeOrder = (attemptId: string): string =>
-    renderCallerRequest({
-      path: `/${CallKind.Order}/x`,
-      hostName: single.hostName,
-      attemptId,
-      key: single.key,
-      deadlineMs: DEADLINE_MS,
-      model: undefined,
-      keepsConnection: true,
-    });
-
   const findEnd = (attemptId: string): LogLine | undefined =>
     single.gateway
       .readLog()
       .find(({event, request}) => event === 6030 && request === attemptId);
 
   it('names a caller that left before its answer', async () => {
-    const socket = await send(encodeOrder('left'));
+    const socket = await send(single.encodeOrder('left'));
     socket.destroy();
     await wait(LOG_DELAY_MS);
     expect(findEnd('left')).toMatchObject({status: 0, closedBy: 'caller'});
@@ -60,7 +48,7 @@
 
   // Guards against requests that leave no line because they were not started.
   it('names a caller that left before its body was complete', async () => {
-    const order = encodeOrder('unread');
+    const order = single.encodeOrder('unread');
     const socket = await send(
       order.replace('Content-Length: 0', 'Content-Length: 9'),
     );
@@ -74,10 +62,10 @@
       plainResponseMs: RESPONSE_MS,
       plainAnswerBytes: LONG_ANSWER_BYTES,
     });
-    const socket = await send(encodeOrder('last'));
+    const socket = await send(single.encodeOrder('last'));
     single.gateway.send('SIGTERM');
     await new Promise<void>(resolve => socket.once('readable', resolve));
-    socket.write(encodeOrder('following'));
+    socket.write(single.encodeOrder('following'));
     await wait(LOG_DELAY_MS);
     socket.resume();
     await new Promise<void>(resolve => socket.once('close', resolve));
@@ -89,7 +77,7 @@
   });
 
   it('names no close for a request that was answered', async () => {
-    const socket = await send(encodeOrder('answered'));
+    const socket = await send(single.encodeOrder('answered'));
     await wait(RESPONSE_MS + LOG_DELAY_MS);
     socket.destroy();
     expect(findEnd('answered')).toMatchObject({status: 200});
--- a/packages/soak/src/testing/single-gateway.ts
+++ b/packages/soak/src/testing/single-gateway.ts
@@ -7,6 +7,7 @@
   createCaller,
   encodeConfiguration,
   isReady,
+  renderCallerRequest,
   startServerStandIn,
   startStoreStandIn,
 } from '@siskinplank/platform-stand-ins';
@@ -62,6 +63,8 @@
     kind: CallKind,
     bodyDelayMs?: number,
   ): SingleRequest;
+  /** Encodes an order on a connection that is kept. */
+  encodeOrder(attemptId: string): string;
   close(): Promise<void>;
 }
 
@@ -152,6 +155,16 @@
       });
       return {caller, sentAtMs, record};
     },
+    encodeOrder: attemptId =>
+      renderCallerRequest({
+        path: `/${CallKind.Order}/x`,
+        hostName: HOST_NAME,
+        attemptId,
+        key: KEY,
+        deadlineMs: options.deadlineMs,
+        model: undefined,
+        keepsConnection: true,
+      }),
     close: async () => {
       gateway.send('SIGCONT');
       gateway.send('SIGKILL');
