Bound the closing handshakes of links when a process stops

A stop ends callers' requests 500 ms before the kill at the latest, and then waited up to a second for the closing handshakes of links. Beside a peer that stopped running shortly before, a stop took 8,537 and 8,577 ms of a grace of 8,000 ms in two trials, so that the platform kills the process: no line 5002, and the last lines are lost. The new test failed before.

--- a/packages/transport/src/network.ts
+++ b/packages/transport/src/network.ts
@@ -66,6 +66,8 @@
 /** A link that closes sooner than this counts as a failed attempt. */
 const STABLE_LINK_MS = 1_000;
 const NONCE_BYTES = 32;
+/** Time for closing handshakes when the process stops. */
+const STOP_CLOSE_MS = 200;
 
 /** Creates the network of a process; `start` binds its listener. */
 export function createPeerNetwork(
@@ -286,12 +288,16 @@
       for (const dial of [...dials.values()]) disconnect(dial.address);
       for (const waiter of [...waiters]) waiter.resolve(undefined);
       for (const socket of [...pendingSockets]) socket.terminate();
-      // The closing handshake flushes sent messages; its duration is bounded.
+      // The closing handshake flushes sent messages; a peer may not take part.
+      const timer = clock.startTimer(STOP_CLOSE_MS, () => {
+        for (const socket of [...openSockets]) socket.terminate();
+      });
       await Promise.all(
         [...openSockets].map(
           socket => new Promise(resolve => socket.once('close', resolve)),
         ),
       );
+      timer.cancel();
       await listener?.close();
     },
     connect,
