--- a/packages/gateway/src/prompt-guard.ts
+++ b/packages/gateway/src/prompt-guard.ts
@@ -13,7 +13,7 @@
 import type {
   EndedRequest,
   PoisonReport,
-  PromptVerdict,
+  RequestVerdict,
   ReportedDeadlyPrompt,
 } from '@siskinplank/poison-prompts';
 import {formatIncarnation} from '@siskinplank/serving';
@@ -62,7 +62,7 @@
 /** Evidence about prompts and their shared parts, and decisions by it. */
 export interface PromptGuard {
   /** Decides on a request that is about to be sent. */
-  checkPrompt(prompt: GuardedPrompt): PromptVerdict;
+  checkPrompt(prompt: GuardedPrompt): RequestVerdict;
   isBlamed(prompt: GuardedPrompt): boolean;
   /** Records that an upstream answers a request with the prompt. */
   recordAnswer(prompt: GuardedPrompt): void;
--- a/packages/poison-prompts/src/index.ts
+++ b/packages/poison-prompts/src/index.ts
@@ -1,14 +1,22 @@
 /**
- * Finds prompt parts that end upstreams. Does no I/O and takes the current time
+ * Finds prompt parts and requests that end upstreams. Does no I/O and takes the current time
  * as an argument.
  */
 export {createPoisonTracker} from './poison-tracker';
-export type {
-  PoisonTracker,
-  PoisonTrackerOptions,
-  PromptVerdict,
-} from './poison-tracker';
+export type {PoisonTracker, PoisonTrackerOptions} from './poison-tracker';
 export {createDeadlyPrompts} from './deadly-prompts';
 export type {DeadlyPrompts} from './deadly-prompts';
+export {createDeadlyRequests} from './deadly-requests';
+export type {
+  DeadlyRequests,
+  DeadlyRequestsOptions,
+  UnansweredEnd,
+} from './deadly-requests';
 export {BlameEnd} from './blame-table';
-export type {EndedRequest, PoisonReport, ReportedDeadlyPrompt} from './types';
+export type {
+  EndedRequest,
+  PoisonReport,
+  ReportedDeadlyPrompt,
+  ReportedDeadlyRequest,
+  RequestVerdict,
+} from './types';
--- a/packages/poison-prompts/src/poison-tracker.ts
+++ b/packages/poison-prompts/src/poison-tracker.ts
@@ -16,16 +16,12 @@
 import {createEndingTable} from './ending-table';
 import type {Ending, Suspects} from './ending-table';
 import {createSoundParts} from './sound-parts';
-import type {EndedRequest, PoisonReport, ReportedBlame} from './types';
-
-/** Whether a prompt may be sent to an upstream. */
-export interface PromptVerdict {
-  isRefused: boolean;
-  /** Milliseconds until the next test of the blame; 0 unless refused. */
-  retryAfterMs: number;
-  /** Whether the request tests a blame. */
-  isTrial: boolean;
-}
+import type {
+  EndedRequest,
+  PoisonReport,
+  ReportedBlame,
+  RequestVerdict,
+} from './types';
 
 /** What `createPoisonTracker` needs. */
 export interface PoisonTrackerOptions {
@@ -52,7 +48,7 @@
   /** Whether a request with all of the parts is refused, without a test. */
   isBlamed(parts: readonly string[]): boolean;
   /** Decides on a request that is about to be sent. */
-  checkPrompt(parts: readonly string[], nowMs: number): PromptVerdict;
+  checkPrompt(parts: readonly string[], nowMs: number): RequestVerdict;
   updatePeer(report: PoisonReport, nowMs: number): void;
   describe(nowMs: number): PoisonReport;
   countBlames(): number;
@@ -71,7 +67,7 @@
 const MAX_REPORTED_ENDINGS = 8;
 const MAX_REPORTED_SOUND = 64;
 
-const NOT_REFUSED: PromptVerdict = {
+const NOT_REFUSED: RequestVerdict = {
   isRefused: false,
   retryAfterMs: 0,
   isTrial: false,
--- a/packages/poison-prompts/src/types.ts
+++ b/packages/poison-prompts/src/types.ts
@@ -34,6 +34,29 @@
 /** Fingerprint of a prompt that is refused, and for how long it has been. */
 export type ReportedDeadlyPrompt = [fingerprint: string, ageMs: number];
 
+/**
+ * Fingerprint of a request; the upstreams that ended before they answered it,
+ * how long ago, whether they had just begun to answer, and whether the request
+ * was sent there since another one ended; the age of the last answer that the
+ * sender saw, or -1.
+ */
+export type ReportedDeadlyRequest = [
+  fingerprint: string,
+  ends: Array<
+    [upstream: string, ageMs: number, hasBegun: boolean, isRepeated: boolean]
+  >,
+  answeredAgeMs: number,
+];
+
+/** Whether a request may be sent to an upstream. */
+export interface RequestVerdict {
+  isRefused: boolean;
+  /** Milliseconds until the next test; 0 unless refused. */
+  retryAfterMs: number;
+  /** Whether the request tests whether it ends upstreams. */
+  isTrial: boolean;
+}
+
 /** What one gateway has observed; bounded in size. */
 export interface PoisonReport {
   endings: ReportedEnding[];
