Check whether a plain upstream still runs, by its health path

A plain service has no report, so that an upstream that had ended could not be told from one whose connection broke. Any response of the same instance, or none in time over a connection that it accepted, means that it runs. The pool says whether a connection to an upstream is still open, which is a sign of life without a call. The tests are of new code.

--- a/packages/http-exchange/src/connection-pool.ts
+++ b/packages/http-exchange/src/connection-pool.ts
@@ -39,6 +39,8 @@
    * response, also to an earlier request, before the exchange's observer.
    */
   observeHeads(callback: (key: string, head: ResponseHead) => void): void;
+  /** Whether any connection to a target is established and read from. */
+  hasOpen(key: string): boolean;
   /** Closes the idle connections to a target. */
   closeIdle(key: string): void;
   /** Closes idle connections whose idle timeout has passed. */
@@ -130,6 +132,10 @@
     },
     observeReads: callback => void readObservers.push(callback),
     observeHeads: callback => void headObservers.push(callback),
+    hasOpen: key =>
+      [...open].some(
+        connection => connection.target.key === key && connection.isOpen(),
+      ),
     closeIdle,
     closeExpired: nowMs => {
       for (const connections of [...idle.values()]) {
--- a/packages/http-exchange/src/connection.ts
+++ b/packages/http-exchange/src/connection.ts
@@ -43,6 +43,11 @@
   send(request: ExchangeRequest, observer: ExchangeObserver): Exchange;
   /** Whether the connection is idle and within its idle timeout at `nowMs`. */
   isUsable(nowMs: number): boolean;
+  /**
+   * Whether the connection is established and read from, so that its end would
+   * have been seen.
+   */
+  isOpen(): boolean;
   close(): void;
 }
 
@@ -314,6 +319,7 @@
       isConnected &&
       inFlight === undefined &&
       nowMs - idleSinceMs < idleMs,
+    isOpen: () => isConnected && !isClosed && !isWaiting && !isPaused,
     close,
   };
   return connection;
--- a/packages/model-orders/src/placement-controller.test.ts
+++ b/packages/model-orders/src/placement-controller.test.ts
@@ -1,6 +1,7 @@
 import {createManualClock} from '@siskinplank/foundation';
 import type {Logger, ManualClock} from '@siskinplank/foundation';
 import {
+  LifeSign,
   OrderOperation,
   OrderOutcome,
   UpstreamControl,
@@ -8,6 +9,7 @@
 } from '@siskinplank/serving';
 import type {
   EngineSpec,
+  LifeCheck,
   Upstream,
   UpstreamOrder,
   UpstreamReport,
@@ -68,6 +70,10 @@
     return Promise.resolve(this.executeOrder(order));
   }
 
+  checkLife(): Promise<LifeCheck> {
+    return Promise.resolve({sign: LifeSign.Alive, reason: ''});
+  }
+
   readReport(): Promise<Either<string, UpstreamReport>> {
     this.recordReport();
     const latestMs = this.clock.getNowMs() - REPORT_LAG_MS;
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -98,6 +98,25 @@
   NoAnswer = 'no-answer',
 }
 
+/** Result of a health check that asks whether an upstream still runs. */
+export enum LifeSign {
+  /** It holds a connection or responded, whatever it said of its health. */
+  Alive = 'alive',
+  /** It accepts no connection, or another one has its address. */
+  Ended = 'ended',
+  /**
+   * The connection was made and then lost: the upstream has too many, or
+   * something else accepts connections in its place.
+   */
+  Unclear = 'unclear',
+}
+
+/** A sign of life and what it was inferred from. */
+export interface LifeCheck {
+  sign: LifeSign;
+  reason: string;
+}
+
 /** Sends orders to upstreams and reads their reports. */
 export abstract class UpstreamControl {
   abstract sendOrder(
@@ -109,6 +128,12 @@
   abstract readReport(
     upstream: Upstream,
   ): Promise<Either<string, UpstreamReport>>;
+
+  /** Checks whether an upstream still runs, over a connection of its own. */
+  abstract checkLife(
+    upstream: Upstream,
+    healthPath: string,
+  ): Promise<LifeCheck>;
 }
 
 /** All interfaces between a gateway and its platform. */
