Know requests without prompt parts that end upstreams, at all gateways

A request without prompt parts had no fingerprint, so that nothing knew it again when its caller sent it again, and a connection that broke off counted as an end without a check. Each request is known by its prompt, or by its method, host, path, account and body, and the ends that several gateways saw count together (decision 0023). The record of whole prompts is replaced.

deadly-requests: a third end of plain requests failed before. The tests of the record of whole prompts are replaced by those of deadly-requests, which are stricter: two ends, one that had just begun, peers, answers, bounds; a refusal ends by a test after a time and not for all requests at once. The mock of the guard in request-session.test is a file of its own. The sound request beside a deadly one guards new behaviour.

--- a/packages/gateway/src/demand-counter.test.ts
+++ b/packages/gateway/src/demand-counter.test.ts
@@ -20,7 +20,7 @@
     poolCapacity: 0,
     faults: {},
     leaving: [],
-    poison: {endings: [], sound: [], blames: [], deadlyPrompts: []},
+    poison: {endings: [], sound: [], blames: [], deadlyRequests: []},
     limits: {},
     unitNeeds: {},
   });
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -92,15 +92,20 @@
   LogLevel.Warn,
   'prompt parts are not blamed any more',
 );
-export const PROMPT_TESTED = defineEvent(
+export const REQUEST_TESTED = defineEvent(
   6053,
   LogLevel.Info,
-  'request with blamed prompt parts is sent to test the blame',
+  'refused request, or one with blamed prompt parts, is sent as a test',
 );
-export const PROMPT_REFUSED = defineEvent(
+export const REQUEST_REFUSED = defineEvent(
   6054,
   LogLevel.Warn,
-  'upstreams ended under a prompt; refusing it for a while',
+  'upstreams ended under a request; refusing it for a while',
+);
+export const REQUEST_CLEARED = defineEvent(
+  6055,
+  LogLevel.Warn,
+  'upstream answered a request that was refused; sending it again',
 );
 export const LINK_KEY_FAILED = defineEvent(
   6040,
--- a/packages/gateway/src/fleet-node.test.ts
+++ b/packages/gateway/src/fleet-node.test.ts
@@ -56,7 +56,7 @@
           leaving: [],
           limits: {},
           unitNeeds: {},
-          poison: {endings: [], sound: [], blames: [], deadlyPrompts: []},
+          poison: {endings: [], sound: [], blames: [], deadlyRequests: []},
         }),
         onPeerStates: () => undefined,
         onReceive: () => undefined,
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -38,7 +38,7 @@
     totalMs: number,
   ): void;
   recordFailover(reason: string): void;
-  /** Records that prompt parts were blamed, or why a blame was lifted. */
+  /** Records that parts or a request were blamed, or why that was lifted. */
   recordBlame(outcome: string): void;
   /** Records by how much a turn of the event loop was late. */
   recordLateness(lateMs: number): void;
@@ -75,7 +75,7 @@
   );
   const blames = metrics.createCounter(
     'gateway_prompt_blames_total',
-    'Blames of prompt parts, and lifted ones by reason',
+    'Blames of prompt parts and requests, and lifted ones by reason',
     ['outcome'],
   );
   const firstBytes = metrics.createHistogram(
@@ -138,7 +138,7 @@
   );
   createGauge(
     'gateway_blamed_prompts',
-    'Sets of prompt parts that are refused',
+    'Requests and sets of prompt parts that are refused',
     r => r.blamedPrompts,
   );
   createGauge(
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -25,7 +25,7 @@
 import {createGatewayMetrics} from './gateway-metrics';
 import {createOrderManager} from './order-manager';
 import {createProcessWatch} from './process-watch';
-import {createPromptGuard} from './prompt-guard';
+import {createRequestGuard} from './request-guard';
 import {createRequestHandler} from './request-handler';
 import {createStatusServers} from './status-servers';
 import {createSharedLimits} from './shared-limits';
@@ -307,13 +307,13 @@
     };
   });
 
-  const guard = createPromptGuard({
+  const guard = createRequestGuard({
     upstreams,
     control: ports.upstreamControl,
     pool,
-    clock,
-    logger,
+    ...watchOptions,
     metrics: gatewayMetrics,
+    getRoutes: configuration.getTable,
     isTrialOwner: isOwner,
     onBlame: () => handler.refuseBlamed(),
     onNews: () => fleet.scheduleState(),
--- a/packages/gateway/src/link-keys.test.ts
+++ b/packages/gateway/src/link-keys.test.ts
@@ -76,7 +76,7 @@
         leaving: [],
         limits: {},
         unitNeeds: {},
-        poison: {endings: [], sound: [], blames: [], deadlyPrompts: []},
+        poison: {endings: [], sound: [], blames: [], deadlyRequests: []},
       }),
       onPeerStates: () => undefined,
       onReceive: () => undefined,
--- a/packages/gateway/src/odd-entries.test.ts
+++ b/packages/gateway/src/odd-entries.test.ts
@@ -168,7 +168,7 @@
     expect(entry?.open.requests).toBe(0);
     expect(entry?.getFaultWeight(0)).toBe(0);
   }
-  const poison = {endings: [], sound: [], blames: [], deadlyPrompts: []};
+  const poison = {endings: [], sound: [], blames: [], deadlyRequests: []};
   return encodeMessage({
     type: MessageType.GatewayState,
     sequence: 1,
--- a/packages/gateway/src/refusals.ts
+++ b/packages/gateway/src/refusals.ts
@@ -27,6 +27,8 @@
   UpstreamBackoff = 'upstream-backoff',
   /** Parts of its prompt are blamed for the end of upstreams. */
   PoisonedPrompt = 'poisoned-prompt',
+  /** Upstreams ended under this request. */
+  DeadlyRequest = 'deadly-request',
   /** Every upstream tried stated that it has not run the request. */
   Rejected = 'rejected',
   /** The request may have run and its response is lost. */
@@ -61,6 +63,7 @@
   [RefusalCode.UpstreamLimit]: 503,
   [RefusalCode.UpstreamBackoff]: 503,
   [RefusalCode.PoisonedPrompt]: 503,
+  [RefusalCode.DeadlyRequest]: 503,
   [RefusalCode.Rejected]: 503,
   [RefusalCode.OutcomeUnknown]: 502,
   [RefusalCode.TimedOut]: 504,
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -36,7 +36,7 @@
 import type {Dispatcher} from './dispatcher';
 import {RESPONSE_UNSENT} from './events';
 import type {GatewayMetrics} from './gateway-metrics';
-import type {PromptGuard} from './prompt-guard';
+import type {RequestGuard} from './request-guard';
 import {REFUSAL_STATUSES, RefusalCode} from './refusals';
 import type {Refusal} from './refusals';
 import {logRequestEnd} from './request-log';
@@ -55,7 +55,7 @@
   pool: ConnectionPool;
   format: ExchangeFormat;
   retryBudget: RetryBudgetOptions;
-  guard: PromptGuard;
+  guard: RequestGuard;
   limits: UpstreamLimits;
   backoffs: UpstreamBackoffs;
   /** Fraction of the retry budget of all gateways that this one may use. */
@@ -82,7 +82,7 @@
   countOpen(): number;
   /** Ends the requests without a final response, since the process stops. */
   endOpen(): void;
-  /** Stops requests whose prompts were blamed before they were answered. */
+  /** Stops requests that were blamed before they were answered. */
   refuseBlamed(): void;
   /** Fails requests over from unresponsive upstreams. */
   checkProgress(): void;
--- a/packages/gateway/src/request-session.test.ts
+++ b/packages/gateway/src/request-session.test.ts
@@ -18,6 +18,7 @@
   SessionOptions,
   SessionOutcome,
 } from './session-types';
+import {createPassiveGuard} from './testing/passive-guard';
 import {makeHead} from './testing/response-head';
 
 const UPSTREAM_IDS = ['u-1', 'u-2', 'u-3'];
@@ -142,19 +143,7 @@
       canSpendRetry: () => true,
       trySpendRetry: () => true,
       limits: {observeResponse: () => undefined, trySpend: () => true},
-      guard: {
-        checkPrompt: () => ({isRefused: false, isTrial: false}),
-        isBlamed: () => false,
-        recordAnswer: () => undefined,
-        reportBroken: (
-          _upstream: unknown,
-          _ended: unknown,
-          onDecided: (mayRetry: boolean) => void,
-        ) => {
-          onDecided(true);
-          return () => undefined;
-        },
-      },
+      guard: createPassiveGuard(),
       sendRefusal: ({code}: {code: RefusalCode}) => (received += code),
       onEnd: (ended: SessionOutcome) => (outcome = ended),
     } as unknown as SessionOptions);
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -7,14 +7,10 @@
 import type {UpstreamEntry} from '@siskinplank/dispatch';
 import {ExchangeFailureCode} from '@siskinplank/http-exchange';
 import type {ExchangeFailure, ResponseHead} from '@siskinplank/http-exchange';
-import {
-  RequestKind,
-  ResponseClass,
-  canRepeat,
-  computePromptFingerprint,
-  listSharedParts,
-} from '@siskinplank/serving';
+import {RequestKind, ResponseClass, canRepeat} from '@siskinplank/serving';
 import {ATTEMPT_ENDED} from './events';
+import {createGuardedRequest} from './guarded-request';
+import type {BrokenRequest} from './request-guard';
 import {RefusalCode} from './refusals';
 import type {Refusal} from './refusals';
 import {startRequestAttempt} from './request-attempt';
@@ -41,10 +37,7 @@
   const {admitted, response, clock, logger} = options;
   const {request, route, deadlineAtMs} = admitted;
   const isRepeatable = canRepeat(route);
-  const prompt = {
-    parts: listSharedParts(request.promptParts),
-    fingerprint: computePromptFingerprint(request),
-  };
+  const guarded = createGuardedRequest(admitted);
   const triedUpstreamIds = new Set<string>();
   /** Upstreams at which an attempt was made, those that rejected it included. */
   const sentUpstreamIds = new Set<string>();
@@ -65,7 +58,9 @@
   let hasResent = false;
   let stopSearch: (() => void) | undefined;
   let firstByteMs: number | undefined;
-  /** Whether this request tests a blame of its prompt. */
+  /** Attempts whose connection was lost before the upstream answered. */
+  let brokenCount = 0;
+  /** Whether this request tests whether it ends upstreams. */
   let isTrial = false;
 
   const end = (
@@ -136,15 +131,19 @@
     }
   };
 
-  /** Refuses the request if its prompt ends upstreams; true if it may be sent. */
-  const checkPrompt = (): boolean => {
+  /** Refuses the request if it ends upstreams; true if it may be sent. */
+  const checkRequest = (): boolean => {
     if (isTrial) return true;
-    const verdict = options.guard.checkPrompt(prompt);
+    const verdict = options.guard.checkRequest(guarded);
     isTrial = verdict.isTrial;
     if (!verdict.isRefused) return true;
     const {retryAfterMs} = verdict;
+    const guardCode =
+      request.promptParts.length === 0
+        ? RefusalCode.DeadlyRequest
+        : RefusalCode.PoisonedPrompt;
     if (mayHaveRun) refuseUnserved();
-    else refuse({code: RefusalCode.PoisonedPrompt, retryAfterMs}, 503);
+    else refuse({code: guardCode, retryAfterMs}, 503);
     return false;
   };
 
@@ -161,7 +160,7 @@
       attempt: sentCount,
       cause,
       ...describeAttempt(attempt, clock.getNowMs()),
-      sharedParts: prompt.parts.join(' '),
+      sharedParts: guarded.parts.join(' '),
       leftMs: Math.round(deadlineAtMs - clock.getNowMs()),
     });
 
@@ -174,7 +173,7 @@
       triedUpstreamIds,
       entry => {
         stopSearch = undefined;
-        if (hasEnded || !checkPrompt()) return;
+        if (hasEnded || !checkRequest()) return;
         if (!isRepeat || options.trySpendRetry()) startAttemptAt(entry);
         else onNone();
       },
@@ -198,7 +197,7 @@
 
   /** Starts another attempt, or refuses the request. */
   const tryNext = (): void => {
-    if (hasEnded || !checkPrompt()) return;
+    if (hasEnded || !checkRequest()) return;
     if (canTryAnother()) search(sentCount > 0, refuseUnserved);
     else refuseUnserved();
   };
@@ -263,6 +262,7 @@
     wasStreamed: boolean,
   ): void => {
     const isFailure = head.status >= 500;
+    if (!isFailure) options.guard.recordResponse(guarded);
     if (isFailure) options.recordFault(attempt.entry, SERVER_ERROR_FAULT);
     const isComplete = wasStreamed || isEmptySuccess(head, body);
     /** Keeps the failure for the case that there is no better response. */
@@ -314,7 +314,7 @@
         clock.getNowMs() <= lastStartAtMs && options.isUsable(attempt.entry);
       const maySend =
         isPossible &&
-        checkPrompt() &&
+        checkRequest() &&
         options.trySpendRetry() &&
         options.limits.trySpend(attempt.entry.upstream);
       if (maySend) startAttemptAt(attempt.entry);
@@ -325,19 +325,15 @@
   /** Tries another upstream unless this one ended under the request. */
   const retryUnlessEnded = (
     {upstream}: UpstreamEntry,
-    hasBegun: boolean,
+    broken: BrokenRequest,
   ): void => {
     let isDecided = false;
-    const stop = options.guard.reportBroken(
-      upstream,
-      {...prompt, hasBegun},
-      mayRetry => {
-        isDecided = true;
-        stopSearch = undefined;
-        if (mayRetry) tryNext();
-        else refuseUnserved();
-      },
-    );
+    const stop = options.guard.reportBroken(upstream, broken, mayRetry => {
+      isDecided = true;
+      stopSearch = undefined;
+      if (mayRetry) tryNext();
+      else refuseUnserved();
+    });
     if (!isDecided) stopSearch = stop;
   };
 
@@ -357,18 +353,23 @@
     }
     const maySuspect =
       failure.code === ExchangeFailureCode.BrokenOff && !attempt.isAnswering();
-    const hasBegun = attempt.getHead() !== undefined && !attempt.hasEvents();
+    // Only streams have a head long before the rest of their response.
+    const hasBegun =
+      route.kind === RequestKind.Stream &&
+      attempt.getHead() !== undefined &&
+      !attempt.hasEvents();
+    const broken = {...guarded, hasBegun, isRepeated: brokenCount > 0};
+    if (maySuspect) brokenCount += 1;
     if (isSuccessor || failover.replaceFailed()) {
       // The other attempt goes on, so nothing waits for the verdict.
       if (maySuspect && attempt.wasSent()) {
         const {upstream} = attempt.entry;
-        const broken = {...prompt, hasBegun};
         options.guard.reportBroken(upstream, broken, () => undefined);
       }
       return;
     }
     stopFailover();
-    if (maySuspect) retryUnlessEnded(attempt.entry, hasBegun);
+    if (maySuspect) retryUnlessEnded(attempt.entry, broken);
     else tryNext();
   };
 
@@ -401,7 +402,7 @@
           if (attempt === current) stopFailover();
           else failover.handleAnswering(attempt);
         },
-        onAnswering: () => options.guard.recordAnswer(prompt),
+        onAnswering: () => options.guard.recordAnswer(guarded),
       },
     });
     return attempt;
@@ -415,7 +416,7 @@
     session: options,
     triedUpstreamIds,
     maySend: () =>
-      !hasEnded && canTryAnother() && !options.guard.isBlamed(prompt),
+      !hasEnded && canTryAnother() && !options.guard.isBlamed(guarded),
     send: sendTo,
     onReplaced: successor => {
       cancelAttempt();
@@ -441,7 +442,7 @@
     refuseBlamed: () => {
       const isExempt = isTrial || current === undefined;
       if (hasEnded || isExempt || current?.isAnswering()) return;
-      if (!options.guard.isBlamed(prompt)) return;
+      if (!options.guard.isBlamed(guarded)) return;
       cancelAttempt();
       refuseUnserved();
     },
--- a/packages/gateway/src/session-types.ts
+++ b/packages/gateway/src/session-types.ts
@@ -13,7 +13,7 @@
   Route,
 } from '@siskinplank/serving';
 import type {CallerResponse} from './caller-response';
-import type {PromptGuard} from './prompt-guard';
+import type {RequestGuard} from './request-guard';
 import type {UpstreamLimits} from './upstream-limits';
 import type {Refusal, RefusalCode} from './refusals';
 
@@ -84,8 +84,8 @@
    */
   estimateBackoffMs(): number | undefined;
   limits: UpstreamLimits;
-  /** Evidence about the shared parts of prompts. */
-  guard: PromptGuard;
+  /** Evidence about requests that end upstreams. */
+  guard: RequestGuard;
   sendRefusal(refusal: Refusal): void;
   onEnd(outcome: SessionOutcome): void;
 }
@@ -97,7 +97,7 @@
   abandon(): void;
   /** Ends the request with a final response, since the process stops. */
   endForStop(): void;
-  /** Stops the request if its prompt was blamed before it was answered. */
+  /** Stops the request if it was blamed before it was answered. */
   refuseBlamed(): void;
   /** Fails over from an unresponsive upstream if a retry is allowed. */
   checkProgress(nowMs: number): void;
--- a/packages/messages/src/gateway.ts
+++ b/packages/messages/src/gateway.ts
@@ -7,7 +7,7 @@
 const amountSchema = z.number().min(0);
 const partsSchema = listOf(z.string(), 8);
 
-/** Evidence about prompt parts that end upstreams. */
+/** Evidence about prompt parts and requests that end upstreams. */
 const poisonReportSchema = z.strictObject({
   /**
    * Upstreams that ended, how long ago, and the unproven prompt parts of each
@@ -28,8 +28,19 @@
   blames: listOf(
     z.tuple([partsSchema, countSchema, z.boolean(), amountSchema]),
   ),
-  /** Fingerprints of whole prompts that are refused, and since when. */
-  deadlyPrompts: listOf(z.tuple([z.string().max(64), amountSchema]), 32),
+  /**
+   * By fingerprint of a request: upstreams that ended before they answered it,
+   * how long ago, whether they had just begun to answer, and whether it was
+   * sent there since another one ended; the age of its last answer, or -1.
+   */
+  deadlyRequests: listOf(
+    z.tuple([
+      z.string().max(64),
+      listOf(z.tuple([z.string(), amountSchema, z.boolean(), z.boolean()]), 8),
+      z.number().min(-1),
+    ]),
+    32,
+  ),
 });
 
 /**
--- a/packages/poison-prompts/src/index.ts
+++ b/packages/poison-prompts/src/index.ts
@@ -4,8 +4,6 @@
  */
 export {createPoisonTracker} from './poison-tracker';
 export type {PoisonTracker, PoisonTrackerOptions} from './poison-tracker';
-export {createDeadlyPrompts} from './deadly-prompts';
-export type {DeadlyPrompts} from './deadly-prompts';
 export {createDeadlyRequests} from './deadly-requests';
 export type {
   DeadlyRequests,
@@ -16,7 +14,6 @@
 export type {
   EndedRequest,
   PoisonReport,
-  ReportedDeadlyPrompt,
   ReportedDeadlyRequest,
   RequestVerdict,
 } from './types';
--- a/packages/poison-prompts/src/types.ts
+++ b/packages/poison-prompts/src/types.ts
@@ -31,9 +31,6 @@
   trialInMs: number,
 ];
 
-/** Fingerprint of a prompt that is refused, and for how long it has been. */
-export type ReportedDeadlyPrompt = [fingerprint: string, ageMs: number];
-
 /**
  * Fingerprint of a request; the upstreams that ended before they answered it,
  * how long ago, whether they had just begun to answer, and whether the request
--- a/packages/serving/src/requests.ts
+++ b/packages/serving/src/requests.ts
@@ -40,6 +40,32 @@
     .slice(0, FINGERPRINT_LENGTH);
 }
 
+/** What a request is known by when its caller sends it again. */
+export interface RequestIdentity {
+  request: CallerRequest;
+  /** Name of the client account; undefined on public routes. */
+  account: string | undefined;
+  body: Buffer | undefined;
+}
+
+/**
+ * Identifies a request, also when its caller sends it again: by its prompt, or
+ * by its caller, path and body if it names no prompt parts.
+ */
+export function computeRequestFingerprint(identity: RequestIdentity): string {
+  const {request, account, body} = identity;
+  const prompt = computePromptFingerprint(request);
+  if (prompt !== undefined) return prompt;
+  const {method, hostName, target, key} = request;
+  // A caller may change its key, so the account tells more where it is known.
+  const caller = account === undefined ? ['key', key] : ['account', account];
+  return createHash('sha256')
+    .update(JSON.stringify([method, hostName, target, caller]))
+    .update(body ?? '')
+    .digest('base64url')
+    .slice(0, FINGERPRINT_LENGTH);
+}
+
 /** Decoded head of a caller's request. */
 export interface CallerRequest {
   /** Identifies this attempt of the caller. */
--- a/packages/soak/src/testing/gateway-fleet.ts
+++ b/packages/soak/src/testing/gateway-fleet.ts
@@ -28,9 +28,15 @@
 import {wait} from './single-gateway';
 
 export const HOST_NAME = 'fleet.example';
-const ACCOUNT = 'small';
-/** Key of the account in the first configuration. */
+/** Client accounts in the configuration. */
+export enum FleetAccount {
+  Small = 'small',
+  Other = 'other',
+}
+
+/** Key of the account `small` in the first configuration. */
 export const FLEET_KEY = 'key-of-the-fleet';
+const OTHER_KEY = 'key-of-another-account';
 const READY_TIMEOUT_MS = 40_000;
 const READY_POLL_MS = 50;
 /** Longer than two heartbeats and the first loads of models. */
@@ -48,6 +54,8 @@
 export interface GatewayFleetOptions {
   gatewayCount: number;
   engineCount: number;
+  /** Plain upstreams; none by default. */
+  deskCount?: number;
   /** Arguments of node that start a gateway; its sources by default. */
   program?: readonly string[];
 }
@@ -62,6 +70,16 @@
   key?: string;
 }
 
+/** One request to a plain upstream. */
+export interface PlainInput {
+  attemptId: string;
+  gateway: SoakGateway;
+  kind: CallKind.Order | CallKind.Status;
+  account: FleetAccount;
+  pathEnd?: string;
+  body?: string;
+}
+
 /** The running fleet. */
 export interface GatewayFleet {
   gateways: readonly SoakGateway[];
@@ -74,6 +92,8 @@
   putKeys(version: number, keys: readonly string[]): void;
   /** Sends a stream on a connection of its own. */
   sendStream(input: StreamInput): Promise<CallRecord>;
+  /** Sends a plain request on a connection of its own. */
+  sendPlain(input: PlainInput): Promise<CallRecord>;
   close(): Promise<void>;
 }
 
@@ -90,7 +110,10 @@
       encodeConfiguration({
         version,
         hostName: HOST_NAME,
-        accounts: [{name: ACCOUNT, keys, ratePerSecond: 1e6, burst: 1e6}],
+        accounts: [
+          {name: FleetAccount.Small, keys},
+          {name: FleetAccount.Other, keys: [OTHER_KEY]},
+        ].map(account => ({...account, ratePerSecond: 1e6, burst: 1e6})),
         models: MODELS.map(name => ({
           name,
           weightsMb: MODEL_MB,
@@ -103,9 +126,10 @@
     );
   putKeys(1, [FLEET_KEY]);
   const upstreams: SoakUpstream[] = [];
-  for (let index = 0; index < options.engineCount; index += 1) {
+  const {engineCount, deskCount = 0} = options;
+  for (let index = 0; index < engineCount + deskCount; index += 1) {
     const upstream = await createSoakUpstream(
-      'engines',
+      index < engineCount ? 'engines' : 'desk',
       index,
       store,
       history,
@@ -154,7 +178,7 @@
       const record = await caller.call({
         attemptId,
         kind: CallKind.Stream,
-        account: ACCOUNT,
+        account: FleetAccount.Small,
         key,
         model,
         promptTokens: PROMPT_TOKENS,
@@ -167,6 +191,25 @@
       caller.close();
       return record;
     },
+    sendPlain: async ({gateway, account, ...input}) => {
+      const caller = createCaller({
+        hostName: HOST_NAME,
+        getNowMs: getMonotonicMs,
+      });
+      const record = await caller.call({
+        ...input,
+        account,
+        key: account === FleetAccount.Small ? FLEET_KEY : OTHER_KEY,
+        model: '',
+        promptTokens: 0,
+        outputTokens: 0,
+        deadlineMs: DEADLINE_MS,
+        gateway: gateway.name,
+        port: gateway.port,
+      });
+      caller.close();
+      return record;
+    },
     close: async () => {
       for (const gateway of gateways) {
         gateway.send('SIGCONT');
