Start no stream late in a shutdown that may outlast the gateway

Callers that sent a stream more than 3 s after SIGTERM to a gateway, on a connection that was open or with a body that ended late, got the head and some events of a 200 response and then a closed connection at 7.5 s.

Cause: a stopping gateway starts a request if a smoothed mean and deviation of all requests of its route leave time for it. The models of a route run at different paces, and a model that the process has not served yet was judged by the others. With one maximum of tokens in all requests, the estimate says nothing about the length. A process that ran for 3 s has seen only the ends of short streams.

Once the notice has passed, the balancer sends a refused caller elsewhere, so a refusal costs 50 ms, and a cut costs the whole response. Therefore a request whose response can't be taken back is started then only if the longest answered and open requests of its model, with their range as a margin, leave time for it. Without ten answered requests of the model it is refused. In the notice, the expected duration decides as before.

--- a/packages/gateway/src/caller-bodies.test.ts
+++ b/packages/gateway/src/caller-bodies.test.ts
@@ -81,7 +81,7 @@
       logger: {log: () => undefined},
       metrics: {recordRequest: () => undefined},
       isLeaving: () => false,
-      getStopAtMs: () => undefined,
+      getShutdown: () => undefined,
       onArrival: () => undefined,
     } as unknown as RequestHandlerOptions);
     const started = createServer(handler.handle);
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -26,6 +26,7 @@
 import {createOrderManager} from './order-manager';
 import {createProcessWatch} from './process-watch';
 import {createPromptGuard} from './prompt-guard';
+import type {ShutdownTimes} from './request-durations';
 import {createRequestHandler} from './request-handler';
 import {createStatusServers} from './status-servers';
 import {createSharedLimits} from './shared-limits';
@@ -81,7 +82,7 @@
   const graceMs =
     settings.drain.graceSeconds * MILLISECONDS_PER_SECOND - KILL_MARGIN_MS;
   let isLeaving = false;
-  let stopAtMs: number | undefined;
+  let shutdown: ShutdownTimes | undefined;
   const upstreams = createUpstreamTable();
   const limits = createSharedLimits({
     ownName,
@@ -357,7 +358,7 @@
     logger,
     metrics: gatewayMetrics,
     isLeaving: () => isLeaving,
-    getStopAtMs: () => stopAtMs,
+    getShutdown: () => shutdown,
     onArrival: checkPause,
   });
 
@@ -409,20 +410,15 @@
     drain: async () => {
       isLeaving = true;
       logger.log(GATEWAY_DRAIN_STARTED, {open: handler.countOpen()});
-      const endsAtMs = clock.getNowMs() + graceMs;
-      stopAtMs = endsAtMs;
       const {noticeMs} = settings.drain;
+      const nowMs = clock.getNowMs();
+      const stopAtMs = nowMs + graceMs;
+      shutdown = {noticeEndsAtMs: nowMs + noticeMs, stopAtMs};
       await callers.closeIdle();
       // The store may not answer, and callers are drained all the same.
       const released = orders.releaseLease().then(fleet.scheduleState);
       fleet.scheduleState();
-      await drainCallers({
-        callers,
-        handler,
-        clock,
-        noticeMs,
-        stopAtMs: endsAtMs,
-      });
+      await drainCallers({callers, handler, clock, noticeMs, stopAtMs});
       await released;
     },
     stop: async () => {
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -3,13 +3,10 @@
 import {
   LATE_START_RETRY_MS,
   SHUTDOWN_RETRY_AFTER_MS,
-  computeLastStartAtMs,
-  createDurationEstimator,
   createRetryBudget,
   shouldRefuseLateStart,
 } from '@siskinplank/dispatch';
 import type {
-  DurationEstimator,
   RetryBudget,
   RetryBudgetOptions,
   UpstreamTable,
@@ -19,8 +16,7 @@
 import type {ConnectionPool} from '@siskinplank/http-exchange';
 import {BufferFault} from '@siskinplank/receive-buffers';
 import type {LimitReadings} from '@siskinplank/token-shares';
-import {RequestKind, canRepeat} from '@siskinplank/serving';
-import type {CallerRequest, ExchangeFormat, Route} from '@siskinplank/serving';
+import type {CallerRequest, ExchangeFormat} from '@siskinplank/serving';
 import {countTokens} from './account-limiter';
 import type {AccountLimiter} from './account-limiter';
 import {createAdmission} from './admission';
@@ -39,6 +35,8 @@
 import type {PromptGuard} from './prompt-guard';
 import {REFUSAL_STATUSES, RefusalCode} from './refusals';
 import type {Refusal} from './refusals';
+import {createRequestDurations} from './request-durations';
+import type {ShutdownTimes} from './request-durations';
 import {logRequestEnd} from './request-log';
 import {createRequestSession} from './request-session';
 import type {RequestSession, SessionOutcome} from './session-types';
@@ -69,8 +67,8 @@
   metrics: GatewayMetrics;
   /** Whether the process stops, so that connections are to be closed. */
   isLeaving(): boolean;
-  /** When open requests are ended; undefined unless the process stops. */
-  getStopAtMs(): number | undefined;
+  /** Undefined unless the process stops. */
+  getShutdown(): ShutdownTimes | undefined;
   /** Called before a request is admitted. */
   onArrival(): void;
 }
@@ -100,7 +98,7 @@
   const {configuration, upstreams, arrivals, clock, logger, format} = options;
   const requestAdmission = createAdmission(options);
   const budgets = new Map<string, RetryBudget>();
-  const durations = new Map<string, DurationEstimator>();
+  const durations = createRequestDurations();
   const sessions = new Set<RequestSession>();
   const connections = createCallerConnections(options.isLeaving);
   const openRequests = new Set<() => void>();
@@ -117,14 +115,6 @@
     return budget;
   };
 
-  const getDurations = (route: Route): DurationEstimator => {
-    const known = durations.get(route.name);
-    if (known !== undefined) return known;
-    const estimator = createDurationEstimator();
-    durations.set(route.name, estimator);
-    return estimator;
-  };
-
   const handle = (
     incoming: IncomingMessage,
     outgoing: ServerResponse,
@@ -247,31 +237,20 @@
       const budget = getBudget(service);
       budget.recordRequest(clock.getNowMs());
       if (model !== undefined) options.demand.recordRequest(model);
-      const {maxOutputTokens} = request;
-      const routeDurations = getDurations(route);
-      let firstAttemptAtMs: number | undefined;
-      const recordServed = ({
+      const duration = durations.measure({request, route, deadlineAtMs});
+      const recordDuration = ({
         status,
         firstByteMs = 0,
       }: SessionOutcome): void => {
         const isSuccess = status >= 200 && status < 300;
-        if (!isSuccess || firstAttemptAtMs === undefined) return;
-        routeDurations.record({
-          firstByteMs: arrivedAtMs + firstByteMs - firstAttemptAtMs,
-          totalMs: clock.getNowMs() - firstAttemptAtMs,
-          maxOutputTokens,
-        });
+        const firstByteAtMs = isSuccess ? arrivedAtMs + firstByteMs : undefined;
+        duration.end(firstByteAtMs, clock.getNowMs());
       };
       const getLastStartAtMs = (): number | undefined => {
-        const stopAtMs = options.getStopAtMs();
+        const shutdown = options.getShutdown();
         // A response that has begun can't be refused any more.
-        if (stopAtMs === undefined || response.hasStarted()) return undefined;
-        const expectedMs = routeDurations.estimateMs({
-          maxOutputTokens,
-          needsCertainty:
-            route.kind === RequestKind.Stream || !canRepeat(route),
-        });
-        return computeLastStartAtMs({stopAtMs, deadlineAtMs, expectedMs});
+        if (shutdown === undefined || response.hasStarted()) return undefined;
+        return duration.getLastStartAtMs(shutdown, clock.getNowMs());
       };
       session = createRequestSession({
         admitted: {request, ...admission, body, arrivedAtMs, deadlineAtMs},
@@ -296,7 +275,7 @@
             onRefused,
           }),
         recordOpen: entry => {
-          firstAttemptAtMs ??= clock.getNowMs();
+          duration.startAttempt(clock.getNowMs());
           return upstreams.open(
             entry.upstream.id,
             key ?? '',
@@ -322,7 +301,7 @@
         trySpendRetry: () => budget.trySpend(clock.getNowMs()),
         sendRefusal,
         onEnd: outcome => {
-          recordServed(outcome);
+          recordDuration(outcome);
           const hasNotRun =
             outcome.refusal !== undefined && !outcome.mayHaveRun;
           if (hasNotRun && account !== undefined) {
