Add a soak plan of a whole deployment

The check of answers around stops describes each lost call by its stop, its runs, its log lines and the end of its process. It is stricter in one point: a kill of another gateway excuses nothing. Calls that did not run and ended later than they can cross a close are checked in the new plan only. The new plan leaves out `checkStops`, which excuses no cut at the end of the grace.

--- a/packages/soak/src/checks/bounds.ts
+++ b/packages/soak/src/checks/bounds.ts
@@ -8,6 +8,8 @@
 export const LATE_REQUEST_MS = 3_000;
 /** Time after the grace in which a missing answer is due to the stop. */
 export const STOP_SLACK_MS = 1_000;
+/** Time in which a request that did not run may cross a close (`loss_slack_ms`). */
+export const LOSS_SLACK_MS = 200;
 /** Time after its withdrawal from which a key must be refused (`revoke_ms`). */
 export const REVOKE_MS = 5_000;
 /** Time after which a draining upstream gets no new request (`drain_ms`). */
--- a/packages/soak/src/checks/index.ts
+++ b/packages/soak/src/checks/index.ts
@@ -17,7 +17,12 @@
   checkStops,
 } from './fleet';
 
-import {checkAnswersAtStops, checkLastLines, checkRequestLogs} from './stops';
+import {
+  checkAnswersAtStops,
+  checkLastLines,
+  checkReadAtStops,
+  checkRequestLogs,
+} from './stops';
 import {
   checkBackoffs,
   checkDeclaredLeaving,
@@ -49,6 +54,18 @@
   checkLastLines,
 ];
 
+/**
+ * Runs the checks of a soak of a whole deployment, all but `checkStops`,
+ * which excuses no cut at the end of the grace; `checkAnswersAtStops` judges
+ * these. Requests that were read and not passed on are checked besides.
+ */
+export function checkDeployment(history: History): Violation[] {
+  return [
+    ...CHECKS.filter(check => check !== checkStops),
+    checkReadAtStops,
+  ].flatMap(check => check(history));
+}
+
 /** Runs all checks; returns the violations. */
 export function checkHistory(history: History): Violation[] {
   return CHECKS.flatMap(check => check(history));
--- a/packages/soak/src/checks/stops.test.ts
+++ b/packages/soak/src/checks/stops.test.ts
@@ -4,7 +4,14 @@
 import type {GatewayProcess} from '../gateways';
 import {FaultKind, createHistory} from '../history';
 import type {History} from '../history';
-import {checkAnswersAtStops, checkLastLines, checkRequestLogs} from './stops';
+import {
+  StopVerdict,
+  checkAnswersAtStops,
+  checkCalls,
+  checkLastLines,
+  checkReadAtStops,
+  checkRequestLogs,
+} from './stops';
 
 const STOP = {gateway: 'gateway-1', atMs: 10_000};
 const RUN_ENDED = '{"event":6030,"request":"c1"}';
@@ -101,6 +108,27 @@
         runs: [makeRun({endedAtMs: 16_600})],
       },
     ],
+    [
+      'cut by the next stop, and not by that in whose grace it was sent',
+      {
+        stops: [STOP, {...STOP, atMs: 15_000}],
+        calls: [makeCall({sentAtMs: 18_100, endedAtMs: 22_400})],
+        runs: [makeRun({endedAtMs: 22_400})],
+      },
+    ],
+    [
+      'beside a kill of another gateway',
+      {
+        faults: [
+          {
+            kind: FaultKind.GatewayKill,
+            target: '1',
+            fromMs: 10_500,
+            toMs: 11_500,
+          },
+        ],
+      },
+    ],
   ])('reports a request that ran: %s', (_, changes) => {
     expect(countMissing(changes)).toBe(1);
   });
@@ -120,11 +148,69 @@
         runs: [makeRun({endedAtMs: 17_500})],
       },
     ],
+    [
+      'beside a kill of its gateway',
+      {
+        faults: [
+          {
+            kind: FaultKind.GatewayKill,
+            target: '0',
+            fromMs: 10_500,
+            toMs: 11_500,
+          },
+        ],
+      },
+    ],
   ])('reports nothing: %s', (_, changes) => {
     expect(countMissing(changes)).toBe(0);
   });
 });
 
+describe('verdicts on calls around a stop', () => {
+  it('tell a cut that is excused from one that is not around a stop', () => {
+    const getVerdict = (changes: Partial<History>): StopVerdict =>
+      checkCalls(makeHistory(changes))[0].verdict;
+    const cut = {sentAtMs: 12_900, endedAtMs: 17_500};
+    expect(
+      getVerdict({
+        calls: [makeCall(cut)],
+        runs: [makeRun({endedAtMs: 17_500})],
+      }),
+    ).toBe(StopVerdict.LastPart);
+    expect(
+      getVerdict({
+        stops: [{...STOP, atMs: 4_000}, STOP],
+        calls: [makeCall(cut)],
+        runs: [makeRun({endedAtMs: 17_500})],
+      }),
+    ).toBe(StopVerdict.EarlierStop);
+    expect(getVerdict({stops: []})).toBe(StopVerdict.NoStop);
+    expect(getVerdict({runs: [makeRun({isBrokenOff: true})]})).toBe(
+      StopVerdict.BrokenOff,
+    );
+    expect(getVerdict({})).toBe(StopVerdict.Lost);
+  });
+
+  it('report a request that did not run and ended later than it crosses a close', () => {
+    const countNotRun = (lastByteAtMs?: number): number => {
+      const call = makeCall({status: 0, lastByteAtMs, endedAtMs: 10_100});
+      const history = makeHistory({calls: [call], runs: []});
+      return checkReadAtStops(history).length;
+    };
+    expect(countNotRun(9_500)).toBe(1);
+    expect(countNotRun(9_950)).toBe(0);
+    expect(countNotRun()).toBe(0);
+  });
+
+  it('describe a lost call by its stop, its run, its process and its lines', () => {
+    const [{detail}] = checkAnswersAtStops(makeHistory());
+    expect(detail).toContain('sent -500 ms and ended 1000 ms after SIGTERM');
+    expect(detail).toContain('engines-1 from -480 to 1000 ms, not finished');
+    expect(detail).toContain('5002 seen');
+    expect(detail).toContain(RUN_ENDED);
+  });
+});
+
 describe('checks of the logs of gateways', () => {
   it('report a request that ran and that no gateway logged', () => {
     const processes = [makeProcess([ROLE_STOPPED])];
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -131,8 +131,14 @@
         fromMs: targets.getNowMs(),
         toMs: Infinity,
       };
+      if (stop.isKill === true) span.kind = FaultKind.GatewayKill;
       targets.history.faults.push(span);
-      await stopWithCompanion(gateway, stop);
+      if (stop.isKill === true) {
+        gateway.send('SIGKILL');
+        await gateway.waitForExit();
+      } else await stopWithCompanion(gateway, stop);
+      if (stop.isMove === true) await gateway.relocate();
+      if (stop.restartAfterMs !== undefined) await wait(stop.restartAfterMs);
       gateway.start();
       span.toMs = targets.getNowMs();
     }
@@ -211,7 +217,7 @@
 
   const injectUpstreamFault = async (
     upstream: SoakUpstream,
-    {kind, forMs, variant}: PlannedFault,
+    {kind, forMs, variant, awayMs = 0}: PlannedFault,
   ): Promise<void> => {
     const {standIn, proxy} = upstream;
     switch (kind) {
@@ -229,6 +235,7 @@
         await wait(DRAINING_MS + forMs);
         upstream.removeEntry();
         standIn.crash();
+        if (awayMs > 0) await wait(awayMs);
         standIn.restart();
         upstream.register();
         return;
--- a/packages/soak/src/gateways.ts
+++ b/packages/soak/src/gateways.ts
@@ -33,6 +33,8 @@
   waitForExit(): Promise<void>;
   /** Sends SIGTERM, and SIGKILL at the end of the grace. */
   stop(): Promise<void>;
+  /** Gives its next processes other addresses. */
+  relocate(): Promise<void>;
   isRunning(): boolean;
   /** Log lines of all its processes so far. */
   readLog(): LogLine[];
@@ -48,6 +50,8 @@
   endedAtMs: number;
   /** Signal that ended it; null if it ended by itself or runs. */
   endSignal: NodeJS.Signals | null;
+  /** Exit status; null if a signal ended it or it runs. */
+  endStatus?: number | null;
   listLines(): readonly string[];
 }
 
@@ -60,6 +64,10 @@
   cpuShare?: number;
   /** Memory that the gateway counts on, in MB. */
   memoryMb?: number;
+  /** By default one of three, by the index. */
+  failureDomain?: string;
+  /** Time until callers stop opening connections; 1.5 s by default. */
+  noticeMs?: number;
 }
 
 const FAILURE_DOMAINS = ['a', 'b', 'c'];
@@ -91,44 +99,52 @@
 ): Promise<SoakGateway> {
   const name = `gateway-${index + 1}`;
   const storeProxy = await createFaultProxy({targetPort: storePort});
-  const port = await reservePort();
-  const readinessPort = await reservePort();
-  const metricsPort = await reservePort();
+  let port = 0;
+  let readinessPort = 0;
+  let metricsPort = 0;
   const file = join(directory, `${name}.yaml`);
   const address = (addressPort: number): string => `127.0.0.1:${addressPort}`;
   mkdirSync(directory, {recursive: true});
-  writeFileSync(
-    file,
-    stringify({
-      role: 'gateway',
-      process: {
-        name,
-        failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAIN_COUNT],
-        ...(options.cpuShare !== undefined && {cpuShare: options.cpuShare}),
-        ...(options.memoryMb !== undefined && {memoryMb: options.memoryMb}),
-      },
-      caller: {address: address(port)},
-      readiness: {address: address(readinessPort)},
-      metrics: {address: address(metricsPort)},
-      link: {address: address(await reservePort())},
-      store: {
-        address: address(storeProxy.port),
-        maxAgeMs: REVOKE_MS,
-        readyAgeMs: 3_500,
-      },
-      limits: {slackTokens: QUOTA_SLACK},
-      orders: {leaseMs: LEASE_MS},
-      retries: {
-        ratio: BUDGET_RATIO,
-        slack: BUDGET_SLACK,
-        windowSeconds: BUDGET_WINDOW_MS / 1_000,
-      },
-      drain: {
-        graceSeconds: GRACE_MS / MILLISECONDS_PER_SECOND,
-        noticeMs: STOP_DETECTION_MS,
-      },
-    }),
-  );
+  const relocate = async (): Promise<void> => {
+    port = await reservePort();
+    readinessPort = await reservePort();
+    metricsPort = await reservePort();
+    writeFileSync(
+      file,
+      stringify({
+        role: 'gateway',
+        process: {
+          name,
+          failureDomain:
+            options.failureDomain ??
+            FAILURE_DOMAINS[index % FAILURE_DOMAIN_COUNT],
+          ...(options.cpuShare !== undefined && {cpuShare: options.cpuShare}),
+          ...(options.memoryMb !== undefined && {memoryMb: options.memoryMb}),
+        },
+        caller: {address: address(port)},
+        readiness: {address: address(readinessPort)},
+        metrics: {address: address(metricsPort)},
+        link: {address: address(await reservePort())},
+        store: {
+          address: address(storeProxy.port),
+          maxAgeMs: REVOKE_MS,
+          readyAgeMs: 3_500,
+        },
+        limits: {slackTokens: QUOTA_SLACK},
+        orders: {leaseMs: LEASE_MS},
+        retries: {
+          ratio: BUDGET_RATIO,
+          slack: BUDGET_SLACK,
+          windowSeconds: BUDGET_WINDOW_MS / 1_000,
+        },
+        drain: {
+          graceSeconds: GRACE_MS / MILLISECONDS_PER_SECOND,
+          noticeMs: options.noticeMs ?? STOP_DETECTION_MS,
+        },
+      }),
+    );
+  };
+  await relocate();
   const logFile = join(directory, `${name}.log`);
   let running: ManagedProcess | undefined;
   const processes: GatewayProcess[] = [];
@@ -139,21 +155,30 @@
       startedAtMs: getNowMs(),
       endedAtMs: Infinity,
       endSignal: null,
+      endStatus: null,
       listLines: () => started.listLines(),
     };
     processes.push(record);
-    void started.waitForExit().then(({signal}) => {
+    void started.waitForExit().then(({code, signal}) => {
       record.endedAtMs = getNowMs();
       record.endSignal = signal;
+      record.endStatus = code;
     });
   };
 
   return {
     name,
-    port,
-    readinessPort,
-    metricsPort,
+    get port() {
+      return port;
+    },
+    get readinessPort() {
+      return readinessPort;
+    },
+    get metricsPort() {
+      return metricsPort;
+    },
     storeProxy,
+    relocate,
     start: () => {
       running = spawnManagedProcess({
         name,
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -20,7 +20,10 @@
   options: {
     seed: {type: 'string'},
     seconds: {type: 'string'},
-    /** `stops` for planned work only; by default all faults. */
+    /**
+     * `stops` for planned work only, `deployment` for planned work on a whole
+     * deployment; by default all faults.
+     */
     plan: {type: 'string'},
     /** Directory of settings and logs; by default deleted after a clean run. */
     logs: {type: 'string'},
@@ -41,9 +44,11 @@
 void runSoak({
   seed,
   seconds: Number(values.seconds ?? DEFAULT_SECONDS),
-  plan: values.plan === SoakPlan.Stops ? SoakPlan.Stops : SoakPlan.All,
+  plan:
+    Object.values(SoakPlan).find(plan => plan === values.plan) ?? SoakPlan.All,
   directory,
-}).then(({requestCount, faultCount, violations}) => {
+}).then(({requestCount, faultCount, violations, summary}) => {
+  summary.forEach(print);
   const isKnown = (check: string): boolean =>
     knownRed.has(`${KNOWN_RED_PREFIX}${check}`);
   for (const {check, detail} of violations) {
--- a/packages/soak/src/plan-stops.ts
+++ b/packages/soak/src/plan-stops.ts
@@ -19,6 +19,12 @@
   companion: StopCompanion;
   /** Time between both signals. */
   companionMs: number;
+  /** Time from its exit to its next start; none by default. */
+  restartAfterMs?: number;
+  /** Whether it gets SIGKILL in place of SIGTERM. */
+  isKill?: boolean;
+  /** Whether it comes back at other addresses. */
+  isMove?: boolean;
 }
 
 /** Parameters of `planStops`. */
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -9,6 +9,8 @@
   All = 'all',
   /** Planned work, faults of the store and short silences only. */
   Stops = 'stops',
+  /** Planned work on a whole deployment, all gateways stopped in series. */
+  Deployment = 'deployment',
 }
 
 /** One fault to inject. */
@@ -22,6 +24,8 @@
   variant: number;
   /** Stops of a series. */
   stops?: readonly PlannedStop[];
+  /** Time for which a drained upstream is away; none by default. */
+  awayMs?: number;
 }
 
 /** Parameters of `planFaults`. */
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -2,30 +2,22 @@
 import {writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 import {createRandom} from '@siskinplank/foundation';
-import {
-  encodeConfiguration,
-  isReady,
-  startStoreStandIn,
-} from '@siskinplank/platform-stand-ins';
+import {isReady, startStoreStandIn} from '@siskinplank/platform-stand-ins';
 import type {StandInAccount} from '@siskinplank/platform-stand-ins';
 import {WORKSPACE_ROOT} from '@siskinplank/proof';
 import {getMonotonicMs} from '@siskinplank/stand-ins';
-import {checkHistory} from './checks';
+import {checkDeployment, checkHistory} from './checks';
 import {RECOVERY_MS} from './checks/bounds';
+import {StopVerdict, describeCut, checkCalls} from './checks/stops';
 import {createFaultInjector} from './faults';
 import {createSoakGateway} from './gateways';
 import type {SoakGateway} from './gateways';
 import {createHistory} from './history';
-import type {Violation} from './history';
-import {SoakPlan, planFaults} from './plan';
-import {startTraffic} from './traffic';
-import {
-  ADAPTER_SLOTS,
-  MODELS,
-  MODEL_MB,
-  MEMORY_MB,
-  createSoakUpstream,
-} from './upstreams';
+import type {History, Violation} from './history';
+import {SoakPlan} from './plan';
+import {createSetup} from './setups';
+import {startProcessorQuota} from './testing/processor-quota';
+import {createSoakUpstream} from './upstreams';
 import type {SoakUpstream} from './upstreams';
 
 export interface SoakOptions {
@@ -40,22 +32,10 @@
   requestCount: number;
   faultCount: number;
   violations: Violation[];
+  /** Further figures of the plan. */
+  summary: readonly string[];
 }
 
-/** By plan; two of four gateways share a failure domain. */
-const GATEWAY_COUNTS: Readonly<Record<SoakPlan, number>> = {
-  [SoakPlan.All]: 3,
-  [SoakPlan.Stops]: 4,
-};
-const ENGINE_COUNT = 4;
-/** Time between the events of a stream, by engine: some outlast most stops. */
-const EVENT_INTERVALS_MS: Readonly<Record<SoakPlan, readonly number[]>> = {
-  [SoakPlan.All]: [],
-  [SoakPlan.Stops]: [25, 80, 160, 240],
-};
-const PLAIN_COUNT = 2;
-const HOST_NAME = 'soak.example';
-const KEYS_PER_ACCOUNT = 4;
 /** Time after the last fault: the recovery, and requests that test it. */
 const CALM_MS = RECOVERY_MS + 2_500;
 /** Heap of a gateway, as in `deploy/system.toml`. */
@@ -64,6 +44,15 @@
 const TURN_PERIOD_MS = 50;
 const MIN_LATE_MS = 200;
 const READY_POLL_MS = 100;
+/** Longer bodies are cut off in the files of a soak. */
+const MAX_WRITTEN_LENGTH = 200;
+/** Cuts of one verdict that are described. */
+const MAX_DESCRIBED = 30;
+const DESCRIBED_VERDICTS: readonly StopVerdict[] = [
+  StopVerdict.LastPart,
+  StopVerdict.Excused,
+  StopVerdict.NoStop,
+];
 const READY_TIMEOUT_MS = 20_000;
 
 function wait(forMs: number): Promise<void> {
@@ -101,27 +90,41 @@
   };
 }
 
+/** Counts the verdicts on the calls, and describes each cut around a stop. */
+function summarizeCuts(
+  history: History,
+  lateTurns: readonly LateTurn[],
+): string[] {
+  const judged = checkCalls(history);
+  const counts = new Map<StopVerdict, number>();
+  for (const {verdict} of judged) {
+    counts.set(verdict, (counts.get(verdict) ?? 0) + 1);
+  }
+  const stopped = history.processes.filter(({endSignal}) => endSignal === null);
+  return [
+    `${history.stops.length} stops, ${history.runs.length} runs, ${history.processes.length} processes, ${stopped.length} ended by themselves`,
+    `${lateTurns.length} late turns of the soak, the longest ${Math.round(Math.max(0, ...lateTurns.map(({lateMs}) => lateMs)))} ms`,
+    [...counts].map(([verdict, count]) => `${verdict}: ${count}`).join(', '),
+    ...DESCRIBED_VERDICTS.flatMap(verdict =>
+      judged
+        .filter(item => item.verdict === verdict)
+        .slice(0, MAX_DESCRIBED)
+        .map(item => describeCut(history, item)),
+    ),
+  ];
+}
+
 /** Runs one soak; extended so that it ends CALM_MS after the last fault. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const random = createRandom(options.seed);
-  const gatewayCount = GATEWAY_COUNTS[options.plan];
+  const setup = createSetup(options.plan, options.seed);
   const startedAtMs = getMonotonicMs();
   const getNowMs = (): number => getMonotonicMs() - startedAtMs;
-  const history = createHistory(MEMORY_MB);
+  const history = createHistory(setup.memoryMb);
   const endLateTurns = recordLateTurns(getNowMs);
   const store = await startStoreStandIn(random.getNext);
 
-  const accounts: StandInAccount[] = ['small', 'middle', 'large'].map(
-    (name, index) => ({
-      name,
-      keys: Array.from(
-        {length: KEYS_PER_ACCOUNT},
-        (_, key) => `${name}-key-${key}-of-this-soak`,
-      ),
-      ratePerSecond: 2_000 * 3 ** index,
-      burst: 4_000,
-    }),
-  );
+  const accounts = setup.makeAccounts();
   const callerAccounts = accounts.map(({name, keys}) => ({
     name,
     keys: [...keys],
@@ -129,21 +132,7 @@
   let version = 1;
   const putConfiguration = (): void => {
     version += 1 + random.getInteger(3);
-    store.putConfiguration(
-      encodeConfiguration({
-        version,
-        hostName: HOST_NAME,
-        accounts,
-        models: MODELS.map(name => ({
-          name,
-          weightsMb: MODEL_MB,
-          adapterCount: 6,
-        })),
-        serverMemoryMb: MEMORY_MB,
-        adapterSlots: ADAPTER_SLOTS,
-        plainTimeoutMs: 1_500,
-      }),
-    );
+    store.putConfiguration(setup.encode(version, accounts));
   };
   const recordLimit = ({name, ratePerSecond, burst}: StandInAccount): void =>
     void history.limits.push({
@@ -156,16 +145,15 @@
   accounts.forEach(recordLimit);
 
   const upstreams: SoakUpstream[] = [];
-  for (let index = 0; index < ENGINE_COUNT + PLAIN_COUNT; index += 1) {
-    const service = index < ENGINE_COUNT ? 'engines' : 'desk';
+  for (const [index, upstreamOptions] of setup.upstreams.entries()) {
     const upstream = await createSoakUpstream(
-      service,
+      upstreamOptions.service,
       index,
       store,
       history,
       random,
       getNowMs,
-      EVENT_INTERVALS_MS[options.plan][index],
+      upstreamOptions,
     );
     upstream.register();
     upstreams.push(upstream);
@@ -175,14 +163,14 @@
     join(WORKSPACE_ROOT, 'target/gateway.cjs'),
   ];
   const gateways: SoakGateway[] = [];
-  for (let index = 0; index < gatewayCount; index += 1) {
+  for (const [index, gatewayOptions] of setup.gateways.entries()) {
     gateways.push(
       await createSoakGateway(
         index,
         store.port,
         program,
         options.directory,
-        {},
+        gatewayOptions,
         getNowMs,
       ),
     );
@@ -190,6 +178,14 @@
   for (const gateway of gateways) gateway.start();
   const areReady = await Promise.all(gateways.map(waitUntilReady));
 
+  const {processorFraction} = setup;
+  const quotas =
+    processorFraction === undefined
+      ? []
+      : gateways.map(gateway =>
+          startProcessorQuota(gateway, processorFraction),
+        );
+
   const poisonedParts = new Set<string>();
   let poisonCount = 0;
   const faultInjector = createFaultInjector({
@@ -227,19 +223,19 @@
     },
   });
 
-  const traffic = startTraffic({
+  const traffic = setup.startTraffic({
     gateways,
     accounts: callerAccounts,
     history,
     random,
-    hostName: HOST_NAME,
+    hostName: setup.hostName,
     getNowMs,
   });
   const lengthMs = options.seconds * 1_000;
   const soakStartMs = getNowMs();
-  const faults = planFaults(random, {
+  const faults = setup.planFaults(random, {
     plan: options.plan,
-    gatewayCount,
+    gatewayCount: gateways.length,
     upstreamCount: upstreams.length,
     lengthMs,
     calmMs: CALM_MS,
@@ -260,6 +256,7 @@
   await traffic.stop();
   const ended = gateways.filter(gateway => !gateway.isRunning());
   await Promise.all(gateways.map(gateway => gateway.stop()));
+  await Promise.all(quotas.map(quota => quota.end()));
   for (const {standIn, proxy} of upstreams) {
     await proxy.close();
     await standIn.close();
@@ -270,12 +267,16 @@
   const lateTurns = endLateTurns();
   writeFileSync(
     join(options.directory, 'calls.json'),
-    JSON.stringify({
-      lateTurns,
-      stops: history.stops,
-      calls: history.calls,
-      runs: history.runs,
-    }),
+    JSON.stringify(
+      {
+        lateTurns,
+        stops: history.stops,
+        calls: history.calls,
+        runs: history.runs,
+      },
+      (_key, value: unknown) =>
+        typeof value === 'string' ? value.slice(0, MAX_WRITTEN_LENGTH) : value,
+    ),
   );
   writeFileSync(
     join(options.directory, 'faults.json'),
@@ -284,7 +285,9 @@
   history.processes.push(
     ...gateways.flatMap(gateway => gateway.listProcesses()),
   );
-  const violations = checkHistory(history);
+  const isDeployment = options.plan === SoakPlan.Deployment;
+  const check = isDeployment ? checkDeployment : checkHistory;
+  const violations = check(history);
   for (const {name} of ended) {
     violations.push({check: 'ended', detail: `${name} ended by itself`});
   }
@@ -295,5 +298,8 @@
     requestCount: history.calls.length,
     faultCount: history.faults.length,
     violations,
+    summary: isDeployment
+      ? [setup.description, ...summarizeCuts(history, lateTurns)]
+      : [],
   };
 }
--- a/packages/soak/src/testing/processor-quota.ts
+++ b/packages/soak/src/testing/processor-quota.ts
@@ -1,5 +1,5 @@
 /** Gives a process a fraction of a processor, as the quota of a small host does. */
-import {readFileSync} from 'node:fs';
+import {existsSync, readFileSync} from 'node:fs';
 import {getMonotonicMs} from '@siskinplank/stand-ins';
 import {wait} from './single-gateway';
 
@@ -20,9 +20,14 @@
 const POLL_MS = 2;
 const NANOSECONDS_PER_MILLISECOND = 1e6;
 
-/** Processor time that a process has used, from the scheduler of Linux. */
+/**
+ * Processor time that a process has used, from the scheduler of Linux; 0 for a
+ * process that has ended, since the next one starts there.
+ */
 function readUsedMs(pid: number): number {
-  const [usedNs] = readFileSync(`/proc/${pid}/schedstat`, 'utf8').split(' ');
+  const file = `/proc/${pid}/schedstat`;
+  if (!existsSync(file)) return 0;
+  const [usedNs] = readFileSync(file, 'utf8').split(' ');
   return Number(usedNs) / NANOSECONDS_PER_MILLISECOND;
 }
 
--- a/packages/soak/src/upstreams.ts
+++ b/packages/soak/src/upstreams.ts
@@ -3,6 +3,7 @@
 import {startServerStandIn} from '@siskinplank/platform-stand-ins';
 import type {
   ServerStandIn,
+  ServerStandInOptions,
   StoreStandIn,
 } from '@siskinplank/platform-stand-ins';
 import {createFaultProxy} from '@siskinplank/stand-ins';
@@ -39,6 +40,16 @@
 const ENGINE_SLOTS = 32;
 const PLAIN_SLOTS = 6;
 
+/** Settings that a plan chooses; by default those of the other plans. */
+export interface SoakUpstreamOptions {
+  eventIntervalMs?: number;
+  failureDomain?: string;
+  slots?: number;
+  /** Whether gateways reach it without its proxy, which costs less time. */
+  isDirect?: boolean;
+  engine?: ServerStandInOptions['engine'];
+}
+
 /** Starts an upstream without registering it. */
 export async function createSoakUpstream(
   service: 'engines' | 'desk',
@@ -47,22 +58,22 @@
   history: History,
   random: Random,
   getNowMs: () => number,
-  eventIntervalMs?: number,
+  options: SoakUpstreamOptions = {},
 ): Promise<SoakUpstream> {
   const isEngine = service === 'engines';
   const standIn = await startServerStandIn({
     service,
-    failureDomain: ['a', 'b', 'c'][index % 3],
+    failureDomain: options.failureDomain ?? ['a', 'b', 'c'][index % 3],
     engine: isEngine
-      ? {
+      ? (options.engine ?? {
           memoryMb: MEMORY_MB,
           modelSizesMb: new Map(MODELS.map(name => [name, MODEL_MB])),
           initialModels: [MODELS[index % MODELS.length]],
           loadMs: LOAD_MS,
-        }
+        })
       : undefined,
-    eventIntervalMs,
-    slots: isEngine ? ENGINE_SLOTS : PLAIN_SLOTS,
+    eventIntervalMs: options.eventIntervalMs,
+    slots: options.slots ?? (isEngine ? ENGINE_SLOTS : PLAIN_SLOTS),
     random: random.getNext,
     getNowMs,
     onRun: run => history.runs.push(run),
@@ -83,7 +94,8 @@
     },
   });
   const proxy = await createFaultProxy({targetPort: standIn.port});
-  const address = `127.0.0.1:${proxy.port}`;
+  const port = options.isDirect === true ? standIn.port : proxy.port;
+  const address = `127.0.0.1:${port}`;
   const put = (state: string): void =>
     store.putServer(standIn.getId(), standIn.describe(address, state));
   return {
