Tell lost links from links that a peer closes

A gateway that was killed and one that stopped looked alike in the logs of its peers: event 1101 had the reason 'remote' for both. Seen in runs of three gateway processes, with SIGKILL at 0, 30 and 5,000 ms after SIGTERM and with a stop that ran to its end.

Cause: a link reported the same reason whether its connection ended with a closing handshake of the peer or without one.

The reason is 'lost' now if no close frame of the peer arrived. A process that stops sends one on each link, and one that the kernel ends can't.

The test of the reason 'lost' failed before: it was 'remote'.

--- a/packages/transport/src/link.ts
+++ b/packages/transport/src/link.ts
@@ -28,6 +28,7 @@
 const CLOSE_CODES: Record<LinkCloseReason, number> = {
   [LinkCloseReason.Local]: 1000,
   [LinkCloseReason.Remote]: 1000,
+  [LinkCloseReason.Lost]: 1000,
   [LinkCloseReason.Malformed]: 4001,
   [LinkCloseReason.Unauthenticated]: 4002,
   [LinkCloseReason.VersionMismatch]: 4003,
@@ -35,6 +36,8 @@
   [LinkCloseReason.Overflow]: 4005,
 };
 
+/** Code of a socket that closed without a close frame of the peer. */
+const NO_CLOSE_FRAME_CODE = 1006;
 /** Longest wait for the closing handshake of the peer. */
 const CLOSE_GRACE_MS = 1_000;
 
@@ -134,6 +137,12 @@
     context.onMalformed(link, error.message);
     close(LinkCloseReason.Malformed);
   });
-  socket.on('close', () => close(LinkCloseReason.Remote));
+  socket.on('close', code =>
+    close(
+      code === NO_CLOSE_FRAME_CODE
+        ? LinkCloseReason.Lost
+        : LinkCloseReason.Remote,
+    ),
+  );
   return link;
 }
--- a/packages/transport/src/types.ts
+++ b/packages/transport/src/types.ts
@@ -32,6 +32,8 @@
 export enum LinkCloseReason {
   Local = 'local',
   Remote = 'remote',
+  /** The connection ended without a closing handshake of the peer. */
+  Lost = 'lost',
   Malformed = 'malformed',
   Unauthenticated = 'unauthenticated',
   VersionMismatch = 'version-mismatch',
