Log when a gateway says that it stops

The logs of the peers of a gateway did not show when it began to stop. If its own lines were lost, a SIGKILL in the drain and one without a SIGTERM could not be told apart. Seen in a run with SIGKILL 30 ms after SIGTERM: no line of either gateway shows the SIGTERM.

Event 6204 is logged by each peer at the first state with which a process says that it leaves. States are sent soon after SIGTERM, so that the time of the line is about that of the signal.

--- a/packages/fleet/src/events.ts
+++ b/packages/fleet/src/events.ts
@@ -21,6 +21,11 @@
   LogLevel.Info,
   'received the first state of a gateway process',
 );
+export const PEER_LEAVING = defineEvent(
+  6204,
+  LogLevel.Info,
+  'gateway says that it stops',
+);
 export const ORDER_TERM_STARTED = defineEvent(
   6210,
   LogLevel.Info,
--- a/packages/fleet/src/peer-table.ts
+++ b/packages/fleet/src/peer-table.ts
@@ -1,7 +1,7 @@
 /** Last states received from the other gateways. */
 import type {Logger} from '@siskinplank/foundation';
 import type {MessageOf, MessageType} from '@siskinplank/messages';
-import {PEER_SEEN, PEER_UNRESPONSIVE} from './events';
+import {PEER_LEAVING, PEER_SEEN, PEER_UNRESPONSIVE} from './events';
 
 export type GatewayState = MessageOf<MessageType.GatewayState>;
 
@@ -51,8 +51,10 @@
         known.incarnation === incarnation &&
         known.state.sequence >= state.sequence;
       if (isStale) return false;
-      if (known === undefined || known.incarnation !== incarnation) {
-        logger.log(PEER_SEEN, {peer: name, incarnation});
+      const isNew = known === undefined || known.incarnation !== incarnation;
+      if (isNew) logger.log(PEER_SEEN, {peer: name, incarnation});
+      if (state.isLeaving && (isNew || !known.state.isLeaving)) {
+        logger.log(PEER_LEAVING, {peer: name, incarnation});
       }
       peers.set(name, {name, incarnation, state, lastSeenAtMs: nowMs});
       lastSeenAt.set(name, nowMs);
