Write the lines of SIGTERM and of the drain without delay

Lines are written together every 100 ms, so that a process that is killed sooner after SIGTERM leaves no line of it. In a run with SIGKILL sent 30 ms after SIGTERM, 5001 and 6001 were missing. In the same way, a kill in the stop can take the lines of the streams that the end of the grace cuts.

The lines are now written when the drain has begun, and when it has ended, before links and connections are closed.

Two tests failed before: a role that was killed in its drain, or in its stop, left no line.

--- a/packages/cli/src/last-lines.test.ts
+++ b/packages/cli/src/last-lines.test.ts
@@ -42,6 +42,15 @@
     expect(status).toBe(1);
   });
 
+  // Guards against a kill that takes the lines of the signal and of the drain with it.
+  it.each([
+    ['drain', 5001],
+    ['stop', 1],
+  ])('are written before a kill in the %s', async (phase, event) => {
+    const {lines} = await runUntilEnd(`kill-in-${phase}`);
+    expect(lines.at(-1)).toMatchObject({event});
+  });
+
   // Guards against stops that look like crashes in the logs.
   it('say that a stop ran to its end', async () => {
     const {status, lines} = await runUntilEnd('none');
--- a/packages/cli/src/roles/lifecycle.ts
+++ b/packages/cli/src/roles/lifecycle.ts
@@ -75,7 +75,11 @@
   const signal = await stopSignal;
   const signalledAtMs = clock.getNowMs();
   logger.log(ROLE_DRAINING, {signal});
-  await hooks.drain();
+  const drained = hooks.drain();
+  // A kill in the drain or in the stop would take buffered lines with it.
+  void hooks.flushLogs();
+  await drained;
+  void hooks.flushLogs();
   const drainMs = Math.round(clock.getNowMs() - signalledAtMs);
   await hooks.stop();
   const stopMs = Math.round(clock.getNowMs() - signalledAtMs);
--- a/packages/cli/src/testing/crashing-role-main.ts
+++ b/packages/cli/src/testing/crashing-role-main.ts
@@ -1,9 +1,10 @@
-/** A role with the gateway's logs, in which something fails unhandled. */
+/** A role with the gateway's logs that fails or is killed. */
 import {
   LogLevel,
   createLineWriter,
   createLogger,
   createSystemClock,
+  defineEvent,
   failInvariant,
 } from '@siskinplank/foundation';
 import {Right} from 'purify-ts';
@@ -14,6 +15,9 @@
 /** Longer than the test waits, so that only a flush writes lines. */
 const FLUSH_DELAY_MS = 60_000;
 const MAX_BUFFERED_BYTES = 100_000;
+/** Time for lines that are written at once. */
+const KILL_DELAY_MS = 200;
+const DRAINED = defineEvent(1, LogLevel.Info, 'drained');
 
 const [, , failure] = process.argv;
 const clock = createSystemClock();
@@ -32,22 +36,34 @@
     setTimeout(() => failInvariant('state is inconsistent'), 0);
 }
 
+const logger = createLogger({
+  level: LogLevel.Info,
+  write: writer.writeLine,
+  getWallMs: clock.getWallMs,
+});
+
+/** Hangs until it is killed, if that is the failure asked for. */
+async function waitForKill(killedIn: string): Promise<void> {
+  if (failure !== killedIn) return;
+  setTimeout(() => process.kill(process.pid, 'SIGKILL'), KILL_DELAY_MS);
+  await new Promise(() => undefined);
+}
+
 void runRole({
   hooks: {
     start: () => {
       failLater();
       return Promise.resolve(Right(undefined));
     },
-    drain: () => Promise.resolve(),
-    stop: () => Promise.resolve(),
+    drain: async () => {
+      await waitForKill('kill-in-drain');
+      logger.log(DRAINED);
+    },
+    stop: () => waitForKill('kill-in-stop'),
     reload: () => Right(undefined),
     flushLogs: () => writer.flush(FLUSH_TIMEOUT_MS),
   },
-  logger: createLogger({
-    level: LogLevel.Info,
-    write: writer.writeLine,
-    getWallMs: clock.getWallMs,
-  }),
+  logger,
   clock,
 }).then(status => process.exit(status));
 // Stops unless it fails first.
