Count the grace from the arrival of SIGTERM

A gateway whose event loop is late when SIGTERM comes counted its grace from the time at which it handled the signal. With SIGTERM 400 ms into a pause of 1.9 s it ended its open request 9.2 s after the signal, of a grace of 8 s. The platform kills it at 8 s: its callers get a cut connection at the kill, and neither the requests nor the stop leave a line. It also starts requests that the kill cuts.

The grace is counted from the earliest time at which the signal may have come, as the deadlines of requests are. Event 6001 has the lateness as lateMs. The notice for the balancer ends with the grace.

--- a/packages/gateway/src/caller-drain.ts
+++ b/packages/gateway/src/caller-drain.ts
@@ -1,5 +1,5 @@
 /** Ends the service of callers before the process stops. */
-import type {Clock} from '@siskinplank/foundation';
+import type {Clock, TurnMonitor} from '@siskinplank/foundation';
 import type {CallerListener} from './caller-listener';
 import type {RequestHandler} from './request-handler';
 
@@ -26,6 +26,31 @@
 const LAST_RESPONSES_MS = 200;
 const LAST_RESPONSES_POLL_MS = 10;
 
+/** When the stop that a signal asks for has to end. */
+export interface StopPlan {
+  /** Time from the signal until it was handled, at most. */
+  lateMs: number;
+  /** Time at which requests that are still open are ended. */
+  endsAtMs: number;
+}
+
+/**
+ * Plans a stop whose signal is handled at `nowMs`. The grace counts from the
+ * signal, which may have come any time in a late turn of the event loop.
+ */
+export function planStop(
+  turns: TurnMonitor,
+  graceMs: number,
+  nowMs: number,
+): StopPlan {
+  turns.observe(nowMs);
+  const signalledAtMs = turns.getEarliestArrivalMs(nowMs);
+  return {
+    lateMs: Math.round(nowMs - signalledAtMs),
+    endsAtMs: signalledAtMs + graceMs,
+  };
+}
+
 /** Resolves when no request is open; false if some are at `stopAtMs`. */
 async function waitForOpen(options: CallerDrainOptions): Promise<boolean> {
   const {callers, handler, clock, stopAtMs} = options;
@@ -54,7 +79,8 @@
       await clock.waitMs(LAST_RESPONSES_POLL_MS);
     }
   };
-  await clock.waitMs(noticeMs);
+  const leftMs = Math.max(0, stopAtMs - clock.getNowMs());
+  await clock.waitMs(Math.min(noticeMs, leftMs));
   const closed = callers.close();
   let endsAtMs = stopAtMs;
   if (!(await waitForOpen(options))) {
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -9,7 +9,7 @@
 import type {GatewaySettings} from '@siskinplank/settings';
 import {Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import {drainCallers} from './caller-drain';
+import {drainCallers, planStop} from './caller-drain';
 import {createCallerListener} from './caller-listener';
 import {createConfigurationReplica} from './configuration-replica';
 import {createDemandCounter} from './demand-counter';
@@ -408,8 +408,8 @@
     },
     drain: async () => {
       isLeaving = true;
-      logger.log(GATEWAY_DRAIN_STARTED, {open: handler.countOpen()});
-      const endsAtMs = clock.getNowMs() + graceMs;
+      const {lateMs, endsAtMs} = planStop(turns, graceMs, clock.getNowMs());
+      logger.log(GATEWAY_DRAIN_STARTED, {open: handler.countOpen(), lateMs});
       stopAtMs = endsAtMs;
       const {noticeMs} = settings.drain;
       await callers.closeIdle();
