--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -9,7 +9,7 @@
 import type {GatewaySettings} from '@siskinplank/settings';
 import {Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
-import {drainCallers} from './caller-drain';
+import {drainCallers, planStop} from './caller-drain';
 import {createCallerListener} from './caller-listener';
 import {createConfigurationReplica} from './configuration-replica';
 import {createDemandCounter} from './demand-counter';
@@ -409,10 +409,10 @@
     },
     drain: async () => {
       isLeaving = true;
-      logger.log(GATEWAY_DRAIN_STARTED, {open: handler.countOpen()});
-      const {noticeMs} = settings.drain;
       const nowMs = clock.getNowMs();
-      const stopAtMs = nowMs + graceMs;
+      const {lateMs, endsAtMs: stopAtMs} = planStop(turns, graceMs, nowMs);
+      logger.log(GATEWAY_DRAIN_STARTED, {open: handler.countOpen(), lateMs});
+      const {noticeMs} = settings.drain;
       shutdown = {noticeEndsAtMs: nowMs + noticeMs, stopAtMs};
       await callers.closeIdle();
       // The store may not answer, and callers are drained all the same.
