Let the peers hear of a refused request before its caller sends it again

The answer waits for 150 ms. Bodies of requests under which an upstream ended are released once the end is recorded.

--- a/packages/gateway/src/request-guard.ts
+++ b/packages/gateway/src/request-guard.ts
@@ -89,6 +89,11 @@
 const COLLECT_MS = 20;
 /** Time for the peers to report that they saw the parts answered. */
 const PROOF_WAIT_MS = 400;
+/**
+ * Time for the peers to hear of a refusal, since callers send a request that
+ * failed to another gateway at once.
+ */
+const NEWS_WAIT_MS = 150;
 /** Time for which further requests are added to the same end. */
 const ENDED_MEMORY_MS = 10_000;
 
@@ -184,7 +189,10 @@
   const hold = (request: HeldRequest): void => {
     const {parts} = request.ended;
     if (isRefused(request.ended)) {
-      request.onDecided(false);
+      const timer = clock.startTimer(NEWS_WAIT_MS, () =>
+        decide(request, false),
+      );
+      held.set(request, timer);
       return;
     }
     if (isProven(parts)) {
@@ -199,6 +207,7 @@
 
   const releaseProven = (): void => {
     for (const request of [...held.keys()]) {
+      if (isRefused(request.ended)) continue;
       if (isProven(request.ended.parts)) decide(request, true);
     }
   };
@@ -220,11 +229,11 @@
     upstream: Upstream,
     key: string,
   ): Promise<string | undefined> => {
-    // A report over a connection that was lost as well would prove nothing.
     const healthPath = options
       .getRoutes()
       ?.configuration.services.get(upstream.service)?.healthPath;
     if (upstream.models !== undefined || healthPath === undefined) {
+      // A report over a connection that was lost as well would prove nothing.
       pool.closeIdle(key);
       const report = await options.control.readReport(upstream);
       return report.isRight() ? undefined : String(report.extract());
@@ -271,6 +280,8 @@
       if (group.answered.has(ended.getFingerprint())) continue;
       recordEnd(key, ended, group.startedAtMs);
     }
+    // Their bodies are not needed any more.
+    group.requests = [];
     for (const request of waiting) hold(request);
   };
 
