Refuse requests that end each upstream at all entry processes

Callers saw: a request that ends each upstream which begins to run it, sent again to several entry processes, ended up to retries.maxAttempts (3) upstreams each time. Sound requests lost their upstreams with it.

Cause: an idempotent request of which nothing was delivered was sent to the next upstream after the first had ended, and no process knew the request again. A non-idempotent one ended one upstream each time its caller repeated it.

Why it works: the side process is beside the upstream. When a connection breaks after a request was handed over, it connects again. An engine may also show a new generation in its status. Then the side process sends the keys of the requests that the upstream had not answered for 100 ms to all linked entry processes, before it refuses them. A lost link, a stopped side process or a lost answer produces no such message. Entry processes compute the same key from account tag, method, path and body, keep the ends in the record of poison-prompts, and refuse after two separate ends. One test, whose owner is chosen by rendezvous hashing, is let through later; the wait grows with each test that ends an upstream. An answer clears the request everywhere.

Bounds: 64 keys in a message, one message for each end, 32 forwarded answers a second, 1,024 requests in the record. Bodies are hashed only while an end is recorded.

--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -36,6 +36,11 @@
   LogLevel.Info,
   'request is retried',
 );
+export const REQUEST_POISONED = defineEvent(
+  3013,
+  LogLevel.Warn,
+  'upstreams ended under a request; it is refused',
+);
 export const REQUEST_REVOKED = defineEvent(
   3020,
   LogLevel.Warn,
--- a/packages/entry/src/process.ts
+++ b/packages/entry/src/process.ts
@@ -10,6 +10,7 @@
 import {createRequestPreparer} from './caller/prepare';
 import {createRouteTable} from './caller/route-table';
 import {createCallerServer} from './caller/server';
+import {createPoisonGuard} from './deadly-requests/poison-guard';
 import {createDrain} from './drain/drain';
 import {createOpenRequests} from './drain/open-requests';
 import type {OpenRequest} from './drain/open-requests';
@@ -38,8 +39,15 @@
     finish: () => deps.claims.stop(),
   });
   const sideLinks = createSideLinks({...deps, loads});
+  const poisonGuard = createPoisonGuard({
+    processName: settings.process.name,
+    logger,
+    listMembers: () => deps.membership.listMembers(clock.getNowMs()),
+    hashKey: deps.hashKey,
+  });
   const dispatcher = createDispatcher({
     ...deps,
+    poisonGuard,
     metrics,
     loads,
     sideLinks,
@@ -92,6 +100,12 @@
         sideLinks.requestReport(link, nowMs);
       }
     }),
+    network.subscribe([MessageType.UpstreamEnded], (_link, message) =>
+      poisonGuard.recordEnd(message, clock.getNowMs()),
+    ),
+    network.subscribe([MessageType.RequestAnswered], (_link, message) =>
+      poisonGuard.recordAnswer(message.requestKey, clock.getNowMs()),
+    ),
     configuration.subscribe(changes => {
       if (changes.some(change => change.kind === ResourceKind.Upstream)) {
         sideLinks.reconcile();
--- a/packages/entry/src/refusals.ts
+++ b/packages/entry/src/refusals.ts
@@ -50,6 +50,7 @@
   [RefusalCode.ClaimInProgress]: 409,
   [RefusalCode.ClaimMismatch]: 422,
   [RefusalCode.ClaimUnresolved]: 409,
+  [RefusalCode.PoisonedRequest]: 503,
   /** Not in the HTTP standard; a disconnected caller doesn't receive it. */
   [RefusalCode.Cancelled]: 499,
 };
--- a/packages/entry/src/requests/dispatch.ts
+++ b/packages/entry/src/requests/dispatch.ts
@@ -5,10 +5,12 @@
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import type {Logger} from '@siskinplank/foundation';
+import {MessageType} from '@siskinplank/messages';
 import type {Usage} from '@siskinplank/messages';
 import {RunState} from '@siskinplank/resources';
 import type {EntrySettings} from '@siskinplank/settings';
 import type {Delivery} from '../caller/delivery';
+import type {PoisonGuard} from '../deadly-requests/poison-guard';
 import {REQUEST_RETRIED} from '../events';
 import type {EntryMetrics} from '../metrics';
 import type {Refusal} from '../refusals';
@@ -34,6 +36,7 @@
   settings: EntrySettings;
   logger: Logger;
   metrics: EntryMetrics;
+  poisonGuard: Pick<PoisonGuard, 'guardRequest'>;
 }
 
 /** A complete response, delivered or buffered by the delivery. */
@@ -70,6 +73,7 @@
   return {
     dispatchRequest: async (request, delivery, signal, reserveRetry) => {
       deps.budget.recordRequest();
+      const guard = deps.poisonGuard.guardRequest(request);
       const progress = createProgress();
       const refuse = (refusal: Refusal): Either<Refusal, never> =>
         Left(makeFinalRefusal(progress, refusal));
@@ -77,6 +81,13 @@
         if (signal.aborted) return refuse(signal.reason as Refusal);
         const leftMs = request.deadlineAtMs - clock.getNowMs();
         if (leftMs <= 0) return refuse(makeDeadlineRefusal());
+        const poisoned = guard.check(clock.getNowMs());
+        if (poisoned !== undefined) {
+          const hasNotRun = progress.runState === RunState.NotRun;
+          return refuse(
+            hasNotRun ? poisoned : (progress.lastFailure ?? poisoned),
+          );
+        }
         const upstream = selectUpstream(request, progress);
         if (
           upstream === undefined ||
@@ -104,12 +115,17 @@
         );
         deps.metrics.countAttempt(outcome);
         if (outcome.isRight()) {
+          const requestKey = guard.recordAnswer(clock.getNowMs());
+          if (requestKey !== undefined) {
+            link.send({type: MessageType.RequestAnswered, requestKey});
+          }
           deps.loads.recordPrefixes(upstream.name, request.prefixHashes);
           return Right(outcome.extract());
         }
         const failure = outcome.swap().unsafeCoerce();
         recordFailure(progress, upstream.name, failure);
         if (signal.aborted) continue;
+        if (guard.check(clock.getNowMs()) !== undefined) continue;
         if (!retries.mayRetry(request, delivery, progress, failure)) {
           return refuse(failure);
         }
--- a/packages/entry/src/requests/run-attempt.ts
+++ b/packages/entry/src/requests/run-attempt.ts
@@ -3,7 +3,6 @@
 import {SpanSide, makeSecureId} from '@siskinplank/foundation';
 import type {Clock, Tracing} from '@siskinplank/foundation';
 import {MessageType} from '@siskinplank/messages';
-import {hashSecret} from '@siskinplank/resources';
 import type {Upstream} from '@siskinplank/resources';
 import type {LoadTable} from '@siskinplank/routing';
 import type {EntrySettings} from '@siskinplank/settings';
@@ -12,6 +11,7 @@
 import type {AttemptRelay} from '../attempts/relay';
 import type {AttemptFailure, AttemptSuccess} from '../attempts/types';
 import type {Delivery} from '../caller/delivery';
+import {makeAccountTag} from './account-tag';
 import type {CallerRequest} from './types';
 
 /** Dependencies of attempts. */
@@ -41,19 +41,8 @@
   place: AttemptDestination,
 ) => Promise<Either<AttemptFailure, AttemptSuccess>>;
 
-/** Hexadecimal digits of the tag that identifies a client account. */
-const ACCOUNT_TAG_LENGTH = 16;
-
-/** Account tag of requests on routes that need no key. */
-const PUBLIC_ACCOUNT_TAG = 'open';
-
 /** Creates a function that runs attempts. */
 export function createAttemptRunner(deps: AttemptDependencies): RunAttempt {
-  const makeAccountTag = (name: string | undefined): string =>
-    name === undefined
-      ? PUBLIC_ACCOUNT_TAG
-      : hashSecret(deps.hashKey, name).slice(0, ACCOUNT_TAG_LENGTH);
-
   return async (request, delivery, signal, {upstream, link, hopsLeft}) => {
     const account = request.identity?.account;
     const span = deps.tracing.startSpan(
@@ -75,7 +64,7 @@
         type: MessageType.RequestOpen,
         attemptId: makeSecureId(),
         requestId: request.requestId,
-        accountTag: makeAccountTag(account?.name),
+        accountTag: makeAccountTag(deps.hashKey, account?.name),
         accountWeight: account?.weight ?? 1,
         target: request.target,
         method: request.method,
--- a/packages/messages/src/enums.ts
+++ b/packages/messages/src/enums.ts
@@ -18,6 +18,8 @@
   LoadReport = 'load-report',
   LoadUpdate = 'load-update',
   LoadSubscribe = 'load-subscribe',
+  UpstreamEnded = 'upstream-ended',
+  RequestAnswered = 'request-answered',
   ConfigDigest = 'config-digest',
   ConfigFetch = 'config-fetch',
   ConfigDelta = 'config-delta',
--- a/packages/messages/src/types.ts
+++ b/packages/messages/src/types.ts
@@ -185,6 +185,33 @@
   quietPeriodMs: z.number().positive(),
 });
 
+/** Requests in one `UpstreamEnded`. */
+export const MAX_ENDED_REQUESTS = 64;
+
+const requestKeySchema = z.string().min(1).max(64);
+
+/** Reports that an upstream ended before it answered some requests. */
+const upstreamEndedSchema = z.strictObject({
+  type: z.literal(MessageType.UpstreamEnded),
+  upstream: z.string(),
+  /** Identifies the end, so that it counts once. */
+  endId: z.string().min(1).max(64),
+  /** Key of each request, and for how long the upstream had it. */
+  requests: listOf(
+    z.tuple([requestKeySchema, z.number().min(0)]),
+    MAX_ENDED_REQUESTS,
+  ),
+});
+
+/**
+ * Reports that an upstream answered a request under which others had ended. The
+ * side process of that upstream forwards it to the other entry processes.
+ */
+const requestAnsweredSchema = z.strictObject({
+  type: z.literal(MessageType.RequestAnswered),
+  requestKey: requestKeySchema,
+});
+
 const freshnessSchema = z.strictObject({
   state: z.enum(FreshnessState),
   /** Time since the last confirmation, in milliseconds. */
@@ -379,6 +406,8 @@
   loadReportSchema,
   loadUpdateSchema,
   loadSubscribeSchema,
+  upstreamEndedSchema,
+  requestAnsweredSchema,
   configDigestSchema,
   configFetchSchema,
   configDeltaSchema,
--- a/packages/resources/src/types.ts
+++ b/packages/resources/src/types.ts
@@ -64,6 +64,8 @@
   ClaimInProgress = 'idempotency_in_progress',
   ClaimMismatch = 'idempotency_body_mismatch',
   ClaimUnresolved = 'idempotency_outcome_unknown',
+  /** Upstreams ended under the request. */
+  PoisonedRequest = 'poisoned_request',
   Cancelled = 'cancelled',
 }
 
--- a/packages/side/src/attempts/controller.ts
+++ b/packages/side/src/attempts/controller.ts
@@ -196,6 +196,7 @@
       link,
       linkLostMs: undefined,
       handedOverMs: undefined,
+      firstDataMs: undefined,
       endSentMs: undefined,
       cancelCode: undefined,
     };
--- a/packages/side/src/attempts/types.ts
+++ b/packages/side/src/attempts/types.ts
@@ -28,6 +28,8 @@
   link: Link | undefined;
   linkLostMs: number | undefined;
   handedOverMs: number | undefined;
+  /** When the first bytes of the response body arrived. */
+  firstDataMs: number | undefined;
   endSentMs: number | undefined;
   /** Code of the refusal for a cancelled or expired attempt. */
   cancelCode: RefusalCode | undefined;
--- a/packages/side/src/constants.ts
+++ b/packages/side/src/constants.ts
@@ -41,6 +41,16 @@
  * bytes each.
  */
 export const MAX_ENGINE_REPLY_BYTES = 4 * 1024 * 1024;
+/** Limits the delay of a refusal by the check whether the upstream ended. */
+export const PROBE_TIMEOUT_MS = 500;
+/** Time for which an existing upstream leaves an idle connection open. */
+export const PROBE_OPEN_MS = 50;
+export const MAX_UPSTREAM_PROBES = 5;
+/** An upstream that sends a response for this long can run the request. */
+export const PROVEN_RESPONSE_MS = 100;
+/** Time until the status of a restarted engine shows the restart. */
+export const BREAK_RETENTION_MS = 5_000;
+export const MAX_FORWARDED_ANSWERS_PER_SECOND = 32;
 export const LOAD_REPORT_PERIOD_MS = 1_000;
 /** Shortest time between two load reports after responses on one link. */
 export const MIN_LOAD_REPORT_INTERVAL_MS = 100;
--- a/packages/side/src/engine-control.ts
+++ b/packages/side/src/engine-control.ts
@@ -46,6 +46,8 @@
   demand: DemandMeter;
   createLedger(limits: LedgerLimits): MemoryLedger;
   listRunning(): readonly Attempt[];
+  /** Called when the engine was restarted. */
+  onRestarted(): void;
   /** Called after each tick, when the loaded models may have changed. */
   onChanged(): void;
 }
@@ -233,6 +235,7 @@
         generation: String(status.generation),
       });
       cacheIndex.reset();
+      context.onRestarted();
     }
     if (status.usedMemoryMiB > status.totalMemoryMiB) {
       logger.log(events.MEMORY_OVERCOMMITTED, {
--- a/packages/side/src/events.ts
+++ b/packages/side/src/events.ts
@@ -94,3 +94,8 @@
   LogLevel.Info,
   'order intent could not be stored; using a reserved order id',
 );
+export const UPSTREAM_ENDED = defineEvent(
+  2021,
+  LogLevel.Warn,
+  'upstream ended before it answered these requests',
+);
--- a/packages/side/src/handover/runner.ts
+++ b/packages/side/src/handover/runner.ts
@@ -35,6 +35,8 @@
   tracing: Tracing;
   logger: Logger;
   receiveBudget: ReceiveBudget;
+  /** Checks the upstream after a connection broke and reports its end. */
+  checkAfterBreak(attempt: Attempt): Promise<void>;
 }
 
 function makeRefusal(attempt: Attempt, failure: UpstreamFailure): Refusal {
@@ -92,6 +94,9 @@
     return {usage: relayed.usage};
   }
   const failure = result.extract() as UpstreamFailure;
+  if (failure.isHandedOver && !abort.signal.aborted) {
+    await context.checkAfterBreak(attempt);
+  }
   // The engine may still be running the request although it is refused.
   if (isGeneration && failure.isHandedOver) {
     await client.cancelGeneration(open.requestId);
@@ -110,7 +115,7 @@
   response: UpstreamResponse,
   context: RunnerContext,
 ): Promise<RelayResult> {
-  const {client, logger} = context;
+  const {client, clock, logger} = context;
   const {open, stream, abort} = attempt;
   const isGeneration = open.target.type === TargetType.Model;
   const contentType = String(response.headers['content-type'] ?? '');
@@ -129,6 +134,7 @@
   ): Promise<string | undefined> => {
     try {
       for await (const data of body) {
+        if (data.byteLength > 0) attempt.firstDataMs ??= clock.getNowMs();
         collector.push(data);
         const whole = reader === undefined ? Right(data) : reader.push(data);
         const hasCapacity = await whole
@@ -152,6 +158,7 @@
       attemptId: open.attemptId,
       detail: error,
     });
+    await context.checkAfterBreak(attempt);
     if (reader !== undefined && open.idempotent) {
       error = await resumeAtEngine(attempt, reader, relayBody, context);
     }
--- a/packages/side/src/process.ts
+++ b/packages/side/src/process.ts
@@ -13,6 +13,8 @@
 import {createAttemptTable} from './attempts/table';
 import * as constants from './constants';
 import {createDispatcher} from './dispatcher';
+import {createEndReporter} from './ends/end-reporter';
+import {probeRefusal} from './ends/probe';
 import {createEngineControl} from './engine-control';
 import * as events from './events';
 import {runAttempt} from './handover/runner';
@@ -121,6 +123,7 @@
         tracing,
         logger,
         receiveBudget: options.receiveBudget,
+        checkAfterBreak: endReporter.checkAfterBreak,
       });
     },
     onOutcome: (attempt, outcome) => {
@@ -133,6 +136,19 @@
     },
   });
 
+  const endReporter = createEndReporter({
+    upstream: name,
+    network,
+    clock,
+    logger,
+    listRunning: dispatcher.listRunning,
+    probeRefusal: async () => {
+      const address = getUpstream()?.address;
+      return address !== undefined && probeRefusal(address);
+    },
+    isLeaving: () => getState() === MemberState.Leaving,
+  });
+
   const reporter = createLoadReporter(network, clock, () => {
     const {requests, tokens} = queue.getTotals();
     const content = parts?.control.summarizeContent();
@@ -168,6 +184,7 @@
           queue,
           demand,
           listRunning: dispatcher.listRunning,
+          onRestarted: endReporter.reportRestart,
           onChanged: dispatcher.dispatch,
         });
 
@@ -230,12 +247,14 @@
     start: async (): Promise<Either<StartError, void>> => {
       controller.start();
       reporter.start();
+      endReporter.start();
       const bound = await network.start();
       if (bound.isLeft()) return bound.mapLeft(({reason}) => ({reason}));
       const listening = await healthServer.start();
       if (listening.isLeft()) {
         controller.stop();
         reporter.stop();
+        endReporter.stop();
         await network.stop();
         return listening;
       }
@@ -261,6 +280,7 @@
       sweepTimer?.cancel();
       controller.stop();
       reporter.stop();
+      endReporter.stop();
       await parts?.control.stop();
       await parts?.client.close();
       await lease.stop();
--- a/packages/stand-ins/src/service.ts
+++ b/packages/stand-ins/src/service.ts
@@ -23,6 +23,8 @@
   host?: string;
   name?: string;
   delayMs?: number;
+  /** A call whose path contains this kills the process of the stand-in. */
+  killedBy?: string;
 }
 
 /** Starts a plain service that echoes each call. */
@@ -65,6 +67,10 @@
     const run = runs;
     const {method, url: path, headers, body} = request;
     log.record('run', {run, method, path, headers, body: body ?? ''});
+    const {killedBy} = options;
+    if (killedBy !== undefined && path.includes(killedBy)) {
+      process.kill(process.pid, 'SIGKILL');
+    }
     await waitMs(delayMs);
     if (pending.hangs > 0) {
       pending.hangs -= 1;
