Draw no conclusion on an upstream from the address of its replacement

Callers saw: requests that an operator's change of an upstream's address cut off could count as requests that end upstreams, and be refused after two.

Cause: the side process checked the present address of the Upstream object, where the new upstream may not listen yet.

Evidence: the new test failed before; the side process reported an end of the upstream after its address had changed.

Why it works: the check is skipped when the client of the attempt was replaced.

--- a/packages/side/src/ends/end-reporter.test.ts
+++ b/packages/side/src/ends/end-reporter.test.ts
@@ -35,17 +35,18 @@
     stop: () => void,
   ) => void,
 ) {
-  const upstream = await startHttp((request, response) =>
-    handler(request, response, upstream.stop),
+  const server = await startHttp((request, response) =>
+    handler(request, response, server.stop),
   );
   const bench = await startSide();
   const {network} = bench.options;
-  bench.put(ResourceKind.Upstream, 'u1', {
+  const upstream = {
     type: 'service',
-    address: {host: '127.0.0.1', port: upstream.port},
+    address: {host: '127.0.0.1', port: server.port},
     side: network.identity.address,
     failureDomain: 'a',
-  });
+  };
+  bench.put(ResourceKind.Upstream, 'u1', upstream);
   bench.put(ResourceKind.Route, 'r1', {
     methods: ['GET'],
     path: '/catalogue/*',
@@ -55,11 +56,11 @@
   });
   const entry = await startEntry(network);
   cleanups.push(
-    () => upstream.stop(),
+    () => server.stop(),
     () => bench.side.stop(),
     () => entry.network.stop(),
   );
-  return {bench, entry};
+  return {bench, entry, upstream};
 }
 
 async function waitForRefusal(
@@ -115,6 +116,25 @@
     expect(entry.list(MessageType.UpstreamEnded)).toEqual([]);
   });
 
+  // Guards against refusing what a planned stop or a new address cut off.
+  it.each([{state: 'leaving'}, {address: {host: '127.0.0.1', port: 1}}])(
+    'are not concluded after the upstream changed: %o',
+    async changes => {
+      let end: (() => void) | undefined;
+      const {bench, entry, upstream} = await startService(
+        (_request, _response, stop) => {
+          end = stop;
+        },
+      );
+      const attemptId = entry.open(REQUEST);
+      await vi.waitFor(() => expect(end).toBeDefined());
+      bench.put(ResourceKind.Upstream, 'u1', {...upstream, ...changes});
+      end?.();
+      await waitForRefusal(entry, attemptId);
+      expect(entry.list(MessageType.UpstreamEnded)).toEqual([]);
+    },
+  );
+
   // Guards against suspecting a request that the upstream has long run.
   it('leave out responses that have gone on for a while', async () => {
     const {entry} = await startService((_request, response, stop) => {
--- a/packages/side/src/process.ts
+++ b/packages/side/src/process.ts
@@ -123,7 +123,11 @@
         tracing,
         logger,
         receiveBudget: options.receiveBudget,
-        checkAfterBreak: endReporter.checkAfterBreak,
+        checkAfterBreak: async broken => {
+          // The address of a replaced upstream proves nothing about this one.
+          if (parts?.client !== client) return;
+          await endReporter.checkAfterBreak(broken);
+        },
       });
     },
     onOutcome: (attempt, outcome) => {
