Start ended services again before the test with a killed side process

The integration test of requests that end upstreams failed in one of three runs: its second part got 502 (expected 200). The two services that the first part had ended refused connections, and each refused connection used up one of the three attempts. All services run now when the side process is killed; the expectations are the same.

--- a/packages/proof/src/integration/deadly-requests.test.ts
+++ b/packages/proof/src/integration/deadly-requests.test.ts
@@ -72,14 +72,15 @@
 
   // Guards against refusing a sound request whose side processes stopped.
   it('are not those of which side processes were killed', async () => {
-    const left = services.filter(name => cluster.getProcess(name).isRunning());
-    for (const name of left) {
+    // Attempts at services that have ended would use up the retries.
+    for (const name of services) {
+      if (!cluster.getProcess(name).isRunning()) await cluster.restart(name);
       await cluster.getStandIn(name).sendFault({delayMs: 1_000});
     }
     const path = '/catalogue/slow';
     /** Service that runs the request now. */
     const findRunning = async (): Promise<string | undefined> => {
-      for (const name of left) {
+      for (const name of services) {
         const log = await cluster.getStandIn(name).listLog();
         const runs = log.filter(
           ({type, path: run}) => type === 'run' && run === path,
