Forget requests that ended upstreams in finite time

A process that had forgotten a refused request took the next report of a peer for a use of it, and kept it for two more hours. Peers that had used it last at different times so reported it to each other forever. A reported request now counts as used at its last end.

--- a/packages/poison-prompts/src/deadly-requests.test.ts
+++ b/packages/poison-prompts/src/deadly-requests.test.ts
@@ -274,4 +274,18 @@
     expect(peer.list(NOW_MS + 4 * HOUR_MS)).toEqual([]);
     expect(peer.isEmpty()).toBe(true);
   });
+
+  // Guards against peers that tell each other forever what each has forgotten.
+  it('forgets requests that peers used last at different times', () => {
+    const [first, second] = [create(false), create(false)];
+    recordTwoEnds(first, 'old');
+    exchange(first, second, NOW_MS + SECOND_MS);
+    second.checkRequest('old', NOW_MS + MINUTE_MS);
+    for (let seconds = 2; seconds * SECOND_MS < 3 * HOUR_MS; seconds += 1) {
+      const nowMs = NOW_MS + seconds * SECOND_MS;
+      exchange(first, second, nowMs);
+      exchange(second, first, nowMs);
+    }
+    expect([first.isEmpty(), second.isEmpty()]).toEqual([true, true]);
+  });
 });
--- a/packages/poison-prompts/src/deadly-requests.ts
+++ b/packages/poison-prompts/src/deadly-requests.ts
@@ -204,10 +204,17 @@
       .reduce(addEnd, known.ends)
       .filter(({atMs}) => atMs > answeredAtMs);
     const hasNewEnds = merged.length > (previous?.ends.length ?? 0);
+    // A report is no use of the request, else processes that forget it at
+    // different times would remind each other of it forever.
+    const lastUsedAtMs = Math.max(
+      previous?.lastUsedAtMs ?? -Infinity,
+      ...merged.map(({atMs}) => atMs),
+    );
     if (hasNewEnds) {
-      put(key, {...known, ends: merged, answeredAtMs, isShared: true});
+      if (nowMs - lastUsedAtMs >= LIFETIME_MS) return;
+      const isShared = true;
+      put(key, {...known, ends: merged, answeredAtMs, isShared, lastUsedAtMs});
     } else if (previous !== undefined) {
-      // A repeated report is no use, else peers would keep the request forever.
       previous.ends = merged;
       previous.answeredAtMs = answeredAtMs;
       previous.isShared = true;
