Count no end of an upstream before a known answer

The check of an upstream takes up to half a second. An answer at another gateway that arrived meanwhile was recorded, but the end before it was counted afterwards and could refuse the request.

--- a/packages/poison-prompts/src/deadly-requests.test.ts
+++ b/packages/poison-prompts/src/deadly-requests.test.ts
@@ -155,6 +155,20 @@
     expect(Math.abs(left - right)).toBeLessThan(2);
     expect(left).toBeCloseTo(APART_MS + 2 * SECOND_MS, 0);
   });
+
+  // Guards against an end that is found out later than an answer that followed.
+  it('counts no end before an answer at another gateway', () => {
+    const [first, second] = [create(), create()];
+    first.recordEnd('k', waiting('u1'), NOW_MS);
+    exchange(first, second, NOW_MS + 10);
+    second.recordAnswer('k', NOW_MS + 2 * APART_MS);
+    exchange(second, first, NOW_MS + 2 * APART_MS);
+    const begun = {...waiting('u2'), hasBegun: true};
+    first.recordEnd('k', begun, NOW_MS + APART_MS);
+    expect(first.isRefused('k')).toBe(false);
+    first.recordEnd('k', begun, NOW_MS + 3 * APART_MS);
+    expect(first.isRefused('k')).toBe(true);
+  });
 });
 
 describe('a test of a refused request', () => {
--- a/packages/poison-prompts/src/deadly-requests.ts
+++ b/packages/poison-prompts/src/deadly-requests.ts
@@ -224,6 +224,8 @@
   return {
     recordEnd: (key, end, nowMs) => {
       const known = getOrCreate(key, nowMs);
+      // Checks of upstreams take time, so a later answer may be known already.
+      if (nowMs <= known.answeredAtMs) return;
       const ends = addEnd(known.ends, {...end, atMs: nowMs});
       put(key, {
         ...known,
