End a shutdown before the forced kill though the store is silent

The last gateway writes that it gives up the order lease at the end of its stop, and the process then waits up to 0.2 s for its links to close. With a request open until the end of the grace, a store that did not answer made the stop take 8.9 s of 8 s. Both now go on at once, and no longer than 0.25 s after the end of the open requests, so that the last log lines are written.

--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -32,6 +32,7 @@
 import {createSharedLimits} from './shared-limits';
 import {createUpstreamBackoffs} from './upstream-backoffs';
 import {createUpstreamView} from './upstream-view';
+import {waitAtMostUntil} from './wait-at-most-until';
 
 /** What `createGatewayProcess` needs. */
 export interface GatewayOptions {
@@ -54,6 +55,12 @@
 
 /** Time kept before the forced kill, for the last responses and logs. */
 const KILL_MARGIN_MS = 500;
+/**
+ * Time after the end of the open requests at which the process exits, although
+ * the store may not have answered and links may be open. The rest of the margin
+ * is for the last log lines.
+ */
+const EXIT_DELAY_MS = 250;
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Period of the checks for pauses, stalls, shares and idle connections. */
 const HOUSEKEEPING_MS = 100;
@@ -423,10 +430,11 @@
     },
     stop: async () => {
       housekeeping.cancel();
-      await orders.stop();
       configuration.stop();
       view.stop();
-      await fleet.stop();
+      const stopAtMs = shutdown?.stopAtMs ?? clock.getNowMs() + graceMs;
+      const ended = Promise.all([orders.stop(), fleet.stop()]);
+      await waitAtMostUntil(ended, stopAtMs + EXIT_DELAY_MS, clock);
       pool.close();
       statusServers.stop();
       logger.log(GATEWAY_STOPPED, {open: handler.countOpen()});
