--- a/packages/poison-prompts/src/deadly-requests.test.ts
+++ b/packages/poison-prompts/src/deadly-requests.test.ts
@@ -155,6 +155,20 @@
     expect(Math.abs(left - right)).toBeLessThan(2);
     expect(left).toBeCloseTo(APART_MS + 2 * SECOND_MS, 0);
   });
+
+  // Guards against an end that is found out later than an answer that followed.
+  it('counts no end before an answer at another gateway', () => {
+    const [first, second] = [create(), create()];
+    first.recordEnd('k', waiting('u1'), NOW_MS);
+    exchange(first, second, NOW_MS + 10);
+    second.recordAnswer('k', NOW_MS + 2 * APART_MS);
+    exchange(second, first, NOW_MS + 2 * APART_MS);
+    const begun = {...waiting('u2'), hasBegun: true};
+    first.recordEnd('k', begun, NOW_MS + APART_MS);
+    expect(first.isRefused('k')).toBe(false);
+    first.recordEnd('k', begun, NOW_MS + 3 * APART_MS);
+    expect(first.isRefused('k')).toBe(true);
+  });
 });
 
 describe('a test of a refused request', () => {
@@ -274,4 +288,18 @@
     expect(peer.list(NOW_MS + 4 * HOUR_MS)).toEqual([]);
     expect(peer.isEmpty()).toBe(true);
   });
+
+  // Guards against peers that tell each other forever what each has forgotten.
+  it('forgets requests that peers used last at different times', () => {
+    const [first, second] = [create(false), create(false)];
+    recordTwoEnds(first, 'old');
+    exchange(first, second, NOW_MS + SECOND_MS);
+    second.checkRequest('old', NOW_MS + MINUTE_MS);
+    for (let seconds = 2; seconds * SECOND_MS < 3 * HOUR_MS; seconds += 1) {
+      const nowMs = NOW_MS + seconds * SECOND_MS;
+      exchange(first, second, nowMs);
+      exchange(second, first, nowMs);
+    }
+    expect([first.isEmpty(), second.isEmpty()]).toEqual([true, true]);
+  });
 });
