Believe no end of an upstream to which connections are open

A gateway that lost its path to an upstream takes it as ended, and its peers took over the end unverified. Two such cuts refused a sound request of any caller at all gateways for 5 to 15 s (503, deadly-request).

A gateway now leaves out reported ends of an upstream incarnation to which it has an open connection, which an ended process can't hold. States repeat their evidence, so that an end whose close arrives a moment later still counts.

The new test of request-guard failed before: the peer refused the request.

--- a/packages/gateway/src/request-guard.test.ts
+++ b/packages/gateway/src/request-guard.test.ts
@@ -131,6 +131,21 @@
     expect(isRefused(other)).toBe(true);
   });
 
+  // Guards against refusals at all gateways because one lost its path to the
+  // upstreams.
+  it('believes no end of an upstream to which it has an open connection', async () => {
+    const other = createGuard();
+    await breakOff('u1');
+    await breakOff('u2');
+    const report = guard.describe(clock.getNowMs());
+    hasOpen = true;
+    other.updatePeer(report, clock.getNowMs());
+    expect(isRefused(other)).toBe(false);
+    hasOpen = false;
+    other.updatePeer(report, clock.getNowMs());
+    expect(isRefused(other)).toBe(true);
+  });
+
   // Guards against refusals because connections were reset or answers lost.
   it('refuses nothing while the upstreams run', async () => {
     sign = LifeSign.Alive;
--- a/packages/gateway/src/request-guard.ts
+++ b/packages/gateway/src/request-guard.ts
@@ -248,6 +248,24 @@
     return reason;
   };
 
+  /**
+   * Drops ends of upstreams to which this process has open connections: a peer
+   * that lost its path to an upstream can't tell that from an end.
+   */
+  const dropDisproved = (
+    reported: readonly ReportedDeadlyRequest[],
+  ): ReportedDeadlyRequest[] => {
+    const isOpen = new Map<string, boolean>();
+    for (const [upstream] of reported.flatMap(([, ends]) => ends)) {
+      if (!isOpen.has(upstream)) isOpen.set(upstream, pool.hasOpen(upstream));
+    }
+    return reported.map(([key, ends, answeredAgeMs]) => [
+      key,
+      ends.filter(([upstream]) => isOpen.get(upstream) !== true),
+      answeredAgeMs,
+    ]);
+  };
+
   const checkUpstream = async (
     upstream: Upstream,
     key: string,
@@ -342,7 +360,8 @@
     },
     updatePeer: (report, nowMs) => {
       tracker.updatePeer(report, nowMs);
-      const refused = deadlyRequests.merge(report.deadlyRequests, nowMs);
+      const reported = dropDisproved(report.deadlyRequests);
+      const refused = deadlyRequests.merge(reported, nowMs);
       for (const fingerprint of refused) {
         recordRefused({fingerprint, isFromPeer: true});
       }
