Start no test of a refused request beside another gateway's

The next gateway did not know of a test that was under way when its turn began.

A test is started only if its result is due within the turn: turns last 10 s, and a test without a result is given up after 5 s.

The new test failed before: tests of two gateways began 200 ms apart.

--- a/packages/poison-prompts/src/deadly-requests.test.ts
+++ b/packages/poison-prompts/src/deadly-requests.test.ts
@@ -203,6 +203,31 @@
     expect(asked.size).toBeGreaterThan(2);
   });
 
+  // Guards against tests at several gateways at once, which exceed the retries
+  // that a deadly request may have.
+  it('is not made beside one of another gateway without a result yet', () => {
+    const createOwner = (remainder: number): DeadlyRequests =>
+      createDeadlyRequests({
+        isTrialOwner: key => Number(key.split('/')[1]) % 2 === remainder,
+      });
+    const gateways = [createOwner(0), createOwner(1)];
+    for (const requests of gateways) recordTwoEnds(requests, 'k');
+    for (const callerFromMs of [0, 4_900, 9_900]) {
+      const starts: number[] = [];
+      const fromMs = NOW_MS + 30 * SECOND_MS + callerFromMs;
+      for (let atMs = fromMs; atMs < fromMs + 15 * SECOND_MS; atMs += 100) {
+        for (const requests of gateways) {
+          if (requests.checkRequest('k', atMs).isTrial) starts.push(atMs);
+        }
+      }
+      expect(starts.length).toBeGreaterThan(0);
+      const gaps = starts.slice(1).map((atMs, index) => atMs - starts[index]);
+      for (const gapMs of gaps) {
+        expect(gapMs).toBeGreaterThanOrEqual(5 * SECOND_MS);
+      }
+    }
+  });
+
   // Guards against sound requests that stay refused after they were open beside
   // one that ends upstreams.
   it('comes sooner where others may have caused the ends', () => {
--- a/packages/poison-prompts/src/deadly-requests.ts
+++ b/packages/poison-prompts/src/deadly-requests.ts
@@ -78,9 +78,9 @@
 /** Longer than the longest time between two tests. */
 const LIFETIME_MS = 7_200_000;
 /** A test without a result after this time is given up. */
-const TRIAL_TIMEOUT_MS = 10_000;
+const TRIAL_TIMEOUT_MS = 5_000;
 /** Time after which another process may test the request. */
-const TRIAL_TURN_MS = 5_000;
+const TRIAL_TURN_MS = 10_000;
 const MIN_RETRY_AFTER_MS = 1_000;
 
 const NOT_REFUSED: RequestVerdict = {
@@ -181,6 +181,9 @@
     if (nowMs < trialAtMs) return false;
     if (nowMs - trialStartedAtMs < TRIAL_TIMEOUT_MS) return false;
     const turn = Math.floor((nowMs - trialAtMs) / TRIAL_TURN_MS);
+    const turnEndsAtMs = trialAtMs + (turn + 1) * TRIAL_TURN_MS;
+    // The next owner does not know of the test, so its result is due before.
+    if (nowMs + TRIAL_TIMEOUT_MS > turnEndsAtMs) return false;
     return options.isTrialOwner(`${key}/${turn}`);
   };
 
