Look for the requests that explain others once for each state

The state of a gateway and its metrics compared each request under which upstreams ended with all others. With 1,024 of them, after crashes of many upstreams or by a hostile account, one turn took 365 ms of processor time for a state and a reading of the metrics, again and again (120 ms are allowed).

The requests with enough ends to explain others are listed once for a state. The new test failed before with 365 ms.

--- a/packages/poison-prompts/src/deadly-requests.test.ts
+++ b/packages/poison-prompts/src/deadly-requests.test.ts
@@ -6,6 +6,8 @@
 const SECOND_MS = 1_000;
 const MINUTE_MS = 60_000;
 const HOUR_MS = 3_600_000;
+/** Processor time of one turn of the event loop. */
+const MAX_TURN_MS = 120;
 /** Two ends at a time further apart have separate causes. */
 const APART_MS = 200;
 
@@ -298,6 +300,19 @@
     expect(ends?.length).toBeLessThanOrEqual(8);
   });
 
+  // Guards against late turns of the event loop with each state of a gateway.
+  it('is described in little time however many requests it has', () => {
+    const requests = create();
+    for (let index = 0; index < 1_024; index += 1) {
+      recordTwoEnds(requests, `k${index}`);
+    }
+    const before = process.cpuUsage();
+    requests.list(NOW_MS + SECOND_MS);
+    expect(requests.countRefused()).toBe(1_024);
+    const {user, system} = process.cpuUsage(before);
+    expect((user + system) / 1_000).toBeLessThan(MAX_TURN_MS);
+  });
+
   it('forgets requests that were answered or do not come again', () => {
     const requests = create();
     requests.recordEnd('answered', waiting('u1'), NOW_MS);
--- a/packages/poison-prompts/src/deadly-requests.ts
+++ b/packages/poison-prompts/src/deadly-requests.ts
@@ -99,13 +99,22 @@
   const isSuspected = ({ends}: Suspicion): boolean =>
     hasBegunEnd(ends) || countSeparateEnds(ends) >= MIN_ENDS;
 
+  /** Lists the requests whose ends are enough to explain those of others. */
+  const listExplaining = (): Array<[string, Suspicion]> =>
+    [...suspicions].filter(
+      ([, {ends}]) => countSeparateEnds(ends) >= MIN_EXPLAINING_ENDS,
+    );
+
   /** Whether a request with further ends was open at each of the ends. */
-  const isExplained = (key: string, {ends}: Suspicion): boolean => {
+  const isExplained = (
+    key: string,
+    {ends}: Suspicion,
+    explaining: ReadonlyArray<[string, Suspicion]>,
+  ): boolean => {
     if (hasBegunEnd(ends) || ends.length >= MIN_EXPLAINING_ENDS) return false;
-    return [...suspicions].some(
+    return explaining.some(
       ([otherKey, other]) =>
         otherKey !== key &&
-        countSeparateEnds(other.ends) >= MIN_EXPLAINING_ENDS &&
         ends.every(({upstream}) =>
           other.ends.some(end => end.upstream === upstream),
         ),
@@ -121,10 +130,14 @@
       ),
     );
 
-  const isRefused = (key: string): boolean => {
+  /** Callers that ask for many requests list the explaining ones once. */
+  const isRefused = (
+    key: string,
+    explaining?: ReadonlyArray<[string, Suspicion]>,
+  ): boolean => {
     const suspicion = suspicions.get(key);
     if (suspicion === undefined || !isSuspected(suspicion)) return false;
-    return !isExplained(key, suspicion);
+    return !isExplained(key, suspicion, explaining ?? listExplaining());
   };
 
   /** Drops the least recently used request, a refused one only if all are. */
@@ -253,7 +266,7 @@
     },
     isEmpty: () => suspicions.size === 0,
     has: key => (suspicions.get(key)?.ends.length ?? 0) > 0,
-    isRefused,
+    isRefused: key => isRefused(key),
     checkRequest: (key, nowMs) => {
       const known = suspicions.get(key);
       if (known === undefined || !isRefused(key)) return NOT_REFUSED;
@@ -269,9 +282,10 @@
       dropExpired(nowMs);
       const refused: ReportedDeadlyRequest[] = [];
       const recent: ReportedDeadlyRequest[] = [];
+      const explaining = listExplaining();
       for (const [key, {ends, ownAnswerAtMs, ownEndAtMs}] of suspicions) {
         const newsAtMs = Math.max(ownEndAtMs, ownAnswerAtMs);
-        const isNowRefused = isRefused(key);
+        const isNowRefused = isRefused(key, explaining);
         if (!isNowRefused && nowMs - newsAtMs >= REPORT_MS) continue;
         // Rounded down, so that times do not drift as gateways repeat them.
         const answeredAgeMs =
@@ -303,6 +317,10 @@
         .map(([key]) => key)
         .filter(key => !before.has(key) && isRefused(key));
     },
-    countRefused: () => [...suspicions.keys()].filter(isRefused).length,
+    countRefused: () => {
+      const explaining = listExplaining();
+      return [...suspicions.keys()].filter(key => isRefused(key, explaining))
+        .length;
+    },
   };
 }
