--- a/packages/soak/src/deployment.ts
+++ b/packages/soak/src/deployment.ts
@@ -60,7 +60,7 @@
 }
 
 export const DEPLOYMENT_DOMAINS = ['a', 'b', 'c', 'd'] as const;
-/** Fraction of the page's rates that one process can send and answer. */
+/** Fraction of the deployment's rates that one process can send and answer. */
 const RATE_FRACTION = 0.5;
 /** Requests a second of the callers of each failure domain. */
 export const DOMAIN_RATES = [27.3, 35.3, 36.3, 37].map(
