--- a/packages/soak/src/late-streams.test.ts
+++ b/packages/soak/src/late-streams.test.ts
@@ -4,6 +4,8 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {
+  CallKind,
+  buildCallerRequest,
   encodeConfiguration,
   isReady,
   startScriptedServer,
@@ -40,6 +42,7 @@
 /** The maximum that each request names; an event has three tokens. */
 const MAX_EVENTS = 185;
 const MAX_TOKENS = 3 * MAX_EVENTS;
+const PROMPT_TOKENS = 350;
 /** Time from the start of the gateway to SIGTERM. */
 const UPTIME_MS = 3_000;
 /** Callers open connections until this long after SIGTERM. */
@@ -179,20 +182,27 @@
       });
       socket.once('close', finish);
       if (socket.destroyed) finish();
-      const model = MODELS[chooseModel(attemptId)];
-      socket.write(
-        [
-          'POST /stream/x HTTP/1.1',
-          `Host: ${HOST_NAME}`,
-          `X-Attempt-Id: ${attemptId}`,
-          `X-Key: ${KEY}`,
-          `X-Deadline-Ms: ${DEADLINE_MS}`,
-          `X-Model: ${model}`,
-          `X-Token-Count: 350,${MAX_TOKENS}`,
-          'Transfer-Encoding: chunked',
-          '\r\n',
-        ].join('\r\n') + renderChunk('first part'),
+      const {headers} = buildCallerRequest(
+        {
+          kind: CallKind.Stream,
+          attemptId,
+          account: '',
+          key: KEY,
+          gateway: '',
+          port: 0,
+          model: MODELS[chooseModel(attemptId)],
+          deadlineMs: DEADLINE_MS,
+          promptTokens: PROMPT_TOKENS,
+          outputTokens: MAX_TOKENS,
+          isChunked: true,
+        },
+        HOST_NAME,
       );
+      const head = [
+        'POST /stream/x HTTP/1.1',
+        ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`),
+      ];
+      socket.write(`${head.join('\r\n')}\r\n\r\n${renderChunk('first part')}`);
       const endBody = (): void =>
         void socket.write(renderChunk('last part') + END_OF_CHUNKS);
       if (bodyDelayMs === 0) endBody();
