Log which requests resume a stream, and by which software version

A request that goes on with a stream looked like any other one in 6030, and no line named the software version of an upstream. So the two reasons for which a resumed stream fails to go on, or goes on at a wrong version, could not be told apart from the log. 6030 now has the resumed attempt, the last event that the caller has and the version that sent the events; 6020 and 6031 have the version of the upstream. The version of the software is not that of the weights.

--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -143,6 +143,12 @@
     let modelKey: string | undefined;
     let limit: LimitReadings | undefined;
     const attemptId = decoded.map(request => request.attemptId).orDefault('');
+    const resumption = decoded
+      .map(({resumedAttemptId, lastEventId}) => ({
+        resumedAttemptId,
+        lastEventId,
+      }))
+      .orDefault({resumedAttemptId: undefined, lastEventId: undefined});
     let hasLogged = false;
 
     const logEnd = (
@@ -157,6 +163,7 @@
       options.metrics.recordRequest(kind, status, refusal, outcome, totalMs);
       logRequestEnd(logger, {
         attemptId,
+        ...resumption,
         status,
         refusal,
         outcome,
--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -10,6 +10,9 @@
 /** A request that ended, and what decided it. */
 export interface RequestEnd {
   attemptId: string;
+  /** Attempt and event after which the caller resumes a stream. */
+  resumedAttemptId: string | undefined;
+  lastEventId: string | undefined;
   status: number;
   refusal: Refusal | undefined;
   outcome: Partial<SessionOutcome>;
@@ -33,6 +36,8 @@
   const {firstByteMs} = outcome;
   logger.log(REQUEST_ENDED, {
     request: end.attemptId,
+    resumes: end.resumedAttemptId,
+    lastEvent: end.lastEventId,
     status: end.status,
     tokens: end.tokens,
     limitPerSecond: limit?.ratePerSecond,
@@ -45,6 +50,7 @@
     service: admission.service,
     model: end.modelKey,
     upstream: outcome.upstreamId,
+    softwareVersion: outcome.softwareVersion,
     attempts: outcome.attempts,
     firstByteMs:
       firstByteMs === undefined ? undefined : Math.round(firstByteMs),
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -77,6 +77,7 @@
       refusal,
       attempts: sentCount,
       upstreamId,
+      softwareVersion: startedBy?.entry.upstream.softwareVersion,
       firstByteMs,
       mayHaveRun,
     });
--- a/packages/gateway/src/session-types.ts
+++ b/packages/gateway/src/session-types.ts
@@ -41,6 +41,8 @@
   refusal: Refusal | undefined;
   attempts: number;
   upstreamId: string | undefined;
+  /** Software version of the upstreams that sent the events of a stream. */
+  softwareVersion: string | undefined;
   /** Milliseconds from arrival to the first byte of the response. */
   firstByteMs: number | undefined;
   /** Whether an upstream may have run the request. */
--- a/packages/gateway/src/upstream-attempt.ts
+++ b/packages/gateway/src/upstream-attempt.ts
@@ -89,6 +89,7 @@
 ): Record<string, string | number | boolean | undefined> {
   return {
     upstream: attempt.entry.upstream.id,
+    softwareVersion: attempt.entry.upstream.softwareVersion,
     status: attempt.getHead()?.status,
     wasSent: attempt.wasSent(),
     hadEvents: attempt.hasEvents(),
--- a/packages/gateway/src/upstream-view.ts
+++ b/packages/gateway/src/upstream-view.ts
@@ -244,6 +244,7 @@
     logger.log(UPSTREAM_CHANGED, {
       upstream: id,
       service: (upstream ?? former)?.service,
+      softwareVersion: (upstream ?? former)?.softwareVersion,
       state: upstream?.state ?? 'gone',
       former: former?.state,
     });
--- a/packages/serving/src/requests.ts
+++ b/packages/serving/src/requests.ts
@@ -90,6 +90,8 @@
   promptParts: readonly PromptPart[];
   /** Last event that the caller received, when it resumes a stream. */
   lastEventId: string | undefined;
+  /** Attempt that brought the first event of the stream that it resumes. */
+  resumedAttemptId: string | undefined;
   /** Headers to forward unchanged: alternating names and values. */
   forwardedHeaders: readonly string[];
 }
