Resume a stream within one response only at its software version

What callers saw: events of two software versions of a service in one stream (ORDER), with nothing in the response to show it. Cause: the search for the next upstream, the failover of a stalled stream and the repeat after a rejection looked at the model, the load and the faults of the upstreams, and never at softwareVersion. Change: a session keeps the version that sent the first event, and passes it to every later search; the dispatcher chooses, waits for and names back-offs of upstreams of that version only. It refuses at once if no upstream has it, and does not wait for a load, since loads follow the demand of the model whatever its version. Until the first event, any version may run the request.

--- a/packages/gateway/src/dispatcher.test.ts
+++ b/packages/gateway/src/dispatcher.test.ts
@@ -26,13 +26,14 @@
   withFields: () => SILENT_LOGGER,
 };
 
+/** Upstreams whose ids begin with `new` have a newer software version. */
 function makeUpstream(id: string): Upstream {
   return {
     id,
     service: SERVICE,
     address: {host: '10.0.0.1', port: 80},
     failureDomain: 'a',
-    softwareVersion: '',
+    softwareVersion: id.startsWith('new') ? '2' : '1',
     slots: 8,
     state: UpstreamState.Ready,
     startedAtMs: 1,
@@ -55,7 +56,11 @@
   /** Upstreams that requests got, in order. */
   chosen: string[];
   refused: Refused[];
-  acquire(tried?: readonly string[], deadlineMs?: number): void;
+  acquire(
+    tried?: readonly string[],
+    deadlineMs?: number,
+    softwareVersion?: string,
+  ): void;
 }
 
 function createBench(ids: readonly string[], canLoad = false): Bench {
@@ -95,7 +100,7 @@
     limits,
     chosen,
     refused,
-    acquire: (tried = [], deadlineMs = 8_000) =>
+    acquire: (tried = [], deadlineMs = 8_000, softwareVersion) =>
       void dispatcher.acquire({
         service: SERVICE,
         model: MODEL,
@@ -106,6 +111,7 @@
         deadlineAtMs: clock.getNowMs() + deadlineMs,
         targetLatencyMs: 500,
         targetPauseMs: undefined,
+        softwareVersion,
         getLastStartAtMs: () => undefined,
         onUpstream: ({upstream}) => chosen.push(upstream.id),
         onRefused: (retryAfterMs, code) => refused.push({retryAfterMs, code}),
@@ -170,10 +176,48 @@
 
   it('tells when all upstreams with the model want requests again', () => {
     const {backoffs, dispatcher} = createBench(['u1', 'u2']);
+    const estimate = (model: string): number | undefined =>
+      dispatcher.estimateBackoffMs({
+        service: SERVICE,
+        model,
+        softwareVersion: undefined,
+      });
     backoffs.record('u1/1', 3_000, 0);
-    expect(dispatcher.estimateBackoffMs(SERVICE, MODEL)).toBeUndefined();
+    expect(estimate(MODEL)).toBeUndefined();
     backoffs.record('u2/1', 2_000, 0);
-    expect(dispatcher.estimateBackoffMs(SERVICE, MODEL)).toBe(2_000);
-    expect(dispatcher.estimateBackoffMs(SERVICE, 'other')).toBeUndefined();
+    expect(estimate(MODEL)).toBe(2_000);
+    expect(estimate('other')).toBeUndefined();
+  });
+});
+
+describe('dispatcher of requests that resume a stream', () => {
+  it('chooses the version that began it, however busy', () => {
+    const {acquire, chosen} = createBench(['new1', 'u1', 'u2']);
+    for (let count = 0; count < 20; count += 1) acquire([], 8_000, '2');
+    expect(new Set(chosen)).toEqual(new Set(['new1']));
+  });
+
+  it('refuses at once when no upstream has the version', () => {
+    const {acquire, refused} = createBench(['u1', 'u2'], true);
+    acquire([], 8_000, '2');
+    expect(refused).toEqual([
+      {retryAfterMs: undefined, code: 'version-not-served'},
+    ]);
+  });
+
+  // Loads follow the demand of the model, which another version serves.
+  it('does not wait for a load that nobody plans', () => {
+    const {acquire, refused} = createBench(['new1', 'u1'], true);
+    acquire(['new1'], 8_000, '2');
+    expect(refused).toMatchObject([{code: 'no-upstream'}]);
+  });
+
+  it('waits only for upstreams of the version that want requests again', () => {
+    const {acquire, backoffs, chosen, clock} = createBench(['new1', 'u1']);
+    backoffs.record('new1/1', 1_000, 0);
+    acquire([], 8_000, '2');
+    expect(chosen).toEqual([]);
+    clock.runFor(1_100);
+    expect(chosen).toEqual(['new1']);
   });
 });
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -17,6 +17,11 @@
   service: string;
   model: string | undefined;
   adapter: string | undefined;
+  /**
+   * Software version that began the stream that the request goes on with;
+   * undefined if any version may run it.
+   */
+  softwareVersion: string | undefined;
   promptTokens: number;
   triedUpstreamIds: ReadonlySet<string>;
   arrivedAtMs: number;
@@ -60,12 +65,11 @@
   /** Tries all waiting searches again. */
   retryWaiting(): void;
   /**
-   * Time until one of the upstreams that have the model wants requests again;
-   * undefined unless none of them does now.
+   * Time until one of the upstreams that can run the request wants requests
+   * again; undefined unless none of them does now.
    */
   estimateBackoffMs(
-    service: string,
-    model: string | undefined,
+    search: Pick<UpstreamSearch, 'service' | 'model' | 'softwareVersion'>,
   ): number | undefined;
   /** Waiting requests and the age of the oldest in milliseconds, by model. */
   describeWaiting(
@@ -104,6 +108,20 @@
     return true;
   };
 
+  const listCandidates = ({
+    service,
+    softwareVersion,
+  }: Pick<
+    UpstreamSearch,
+    'service' | 'softwareVersion'
+  >): readonly UpstreamEntry[] => {
+    const entries = table.listServiceUpstreams(service);
+    if (softwareVersion === undefined) return entries;
+    return entries.filter(
+      ({upstream}) => upstream.softwareVersion === softwareVersion,
+    );
+  };
+
   /**
    * Earliest time at which an upstream finishes loading the model, or finishes
    * another load and can then load the adapter.
@@ -115,7 +133,7 @@
     const {model} = search;
     if (model === undefined) return undefined;
     let earliestMs: number | undefined;
-    for (const entry of table.listServiceUpstreams(search.service)) {
+    for (const entry of listCandidates(search)) {
       const {arriving, models} = entry.modelState;
       if (arriving === undefined) continue;
       if (arriving.model !== model && !models.has(model)) continue;
@@ -243,7 +261,7 @@
       triedUpstreamIds: excluded,
       failureDomain: options.failureDomain,
     };
-    const entries = table.listServiceUpstreams(search.service);
+    const entries = listCandidates(search);
     const {available, backedOff} = backoffs.split(entries, nowMs);
     const {spendable, exhausted} = limits.splitBySpendable(available);
     const choice = policy.chooseUpstream(request, spendable, nowMs);
@@ -268,6 +286,10 @@
       waitForUnit(item, limited.entry, nowMs);
       return;
     }
+    if (search.softwareVersion !== undefined && entries.length === 0) {
+      refuse(item, undefined, RefusalCode.VersionNotServed);
+      return;
+    }
     const backoffEndMs = findBackoffEndMs(request, backedOff, nowMs);
     const loadedAtMs = findLoadedAtMs(search, nowMs);
     const wasSentToAll =
@@ -287,7 +309,10 @@
         backoffEndMs !== undefined ||
         (search.model !== undefined &&
           !wasSentToAll &&
-          options.canLoad(search.service, search.model)),
+          // Loads follow the demand of a model, not that of one version.
+          (search.softwareVersion === undefined
+            ? options.canLoad(search.service, search.model)
+            : loadedAtMs !== undefined)),
       nowMs,
     });
     if (decision.isRefused) {
@@ -328,10 +353,10 @@
       return () => void finish(item);
     },
     retryWaiting,
-    estimateBackoffMs: (service, model) => {
+    estimateBackoffMs: search => {
       const nowMs = clock.getNowMs();
-      const ends = table
-        .listServiceUpstreams(service)
+      const {model} = search;
+      const ends = listCandidates(search)
         .filter(({modelState}) =>
           model === undefined ? true : modelState.models.has(model),
         )
--- a/packages/gateway/src/refusals.ts
+++ b/packages/gateway/src/refusals.ts
@@ -21,6 +21,8 @@
   Stopping = 'stopping',
   /** No upstream can run the request now. */
   NoUpstream = 'no-upstream',
+  /** No upstream has the software version that began the stream. */
+  VersionNotServed = 'version-not-served',
   /** The upstreams that could run it are at the limits that they named. */
   UpstreamLimit = 'upstream-limit',
   /** The upstreams that could run it want nothing from this gateway yet. */
@@ -60,6 +62,7 @@
   [RefusalCode.LateStart]: 503,
   [RefusalCode.Stopping]: 503,
   [RefusalCode.NoUpstream]: 503,
+  [RefusalCode.VersionNotServed]: 503,
   [RefusalCode.UpstreamLimit]: 503,
   [RefusalCode.UpstreamBackoff]: 503,
   [RefusalCode.PoisonedPrompt]: 503,
--- a/packages/gateway/src/request-failover.test.ts
+++ b/packages/gateway/src/request-failover.test.ts
@@ -10,7 +10,7 @@
 import {beforeEach, describe, expect, it} from 'vitest';
 import {createFailover} from './request-failover';
 import type {Failover} from './request-failover';
-import type {SessionOptions} from './session-types';
+import type {AttemptTarget, SessionOptions} from './session-types';
 import type {Attempt} from './upstream-attempt';
 
 const SILENT_MS = 5_000;
@@ -79,7 +79,7 @@
           getWallMs: clock.getWallMs,
         }),
         acquireUpstream: (
-          _tried: ReadonlySet<string>,
+          _target: AttemptTarget,
           onUpstream: (entry: UpstreamEntry) => void,
           onRefused: () => void,
         ) => {
@@ -94,7 +94,10 @@
         recordFailover: (reason: FailoverReason) => reasons.push(reason),
         recordFault: () => undefined,
       } as unknown as SessionOptions,
-      triedUpstreamIds: new Set(['silent']),
+      getTarget: () => ({
+        triedUpstreamIds: new Set(['silent']),
+        softwareVersion: undefined,
+      }),
       maySend: () => true,
       send: entry => {
         const attempt = makeAttempt(entry, () => isConnected);
--- a/packages/gateway/src/request-failover.ts
+++ b/packages/gateway/src/request-failover.ts
@@ -9,13 +9,14 @@
 import type {Timer} from '@siskinplank/foundation';
 import {RequestKind, canRepeat} from '@siskinplank/serving';
 import {REQUEST_FAILED_OVER} from './events';
-import type {SessionOptions} from './session-types';
+import type {AttemptTarget, SessionOptions} from './session-types';
 import type {Attempt} from './upstream-attempt';
 
 /** What `createFailover` needs. */
 export interface FailoverOptions {
   session: SessionOptions;
-  triedUpstreamIds: ReadonlySet<string>;
+  /** Which upstreams may replace the current one. */
+  getTarget(): AttemptTarget;
   /** Whether the request may be sent to the upstream that was found. */
   maySend(): boolean;
   send(entry: UpstreamEntry): Attempt;
@@ -113,7 +114,7 @@
       stopSearch = undefined;
     };
     const stop = session.acquireUpstream(
-      options.triedUpstreamIds,
+      options.getTarget(),
       entry => {
         decide();
         // The upstream may have gone on while the search waited.
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -260,19 +260,26 @@
         return duration.getLastStartAtMs(shutdown, clock.getNowMs());
       };
       session = createRequestSession({
-        admitted: {request, ...admission, body, arrivedAtMs, deadlineAtMs},
+        admitted: {
+          request,
+          ...admission,
+          body,
+          arrivedAtMs,
+          deadlineAtMs,
+          softwareVersion: undefined,
+        },
         response,
         format,
         pool: options.pool,
         clock,
         logger,
-        acquireUpstream: (triedUpstreamIds, onUpstream, onRefused) =>
+        acquireUpstream: (target, onUpstream, onRefused) =>
           options.dispatcher.acquire({
             service,
             model,
             adapter,
             promptTokens,
-            triedUpstreamIds,
+            ...target,
             arrivedAtMs,
             deadlineAtMs,
             targetLatencyMs: route.targetLatencyMs,
@@ -302,8 +309,13 @@
         guard: options.guard,
         limits: options.limits,
         getLastStartAtMs,
-        estimateBackoffMs: () =>
-          options.dispatcher.estimateBackoffMs(service, model),
+        estimateBackoffMs: softwareVersion =>
+          options.dispatcher.estimateBackoffMs({
+            service,
+            model,
+            softwareVersion,
+          }),
+        onStreamBegun: () => undefined,
         canSpendRetry: () => budget.canSpend(clock.getNowMs()),
         trySpendRetry: () => budget.trySpend(clock.getNowMs()),
         sendRefusal,
--- a/packages/gateway/src/request-session.test.ts
+++ b/packages/gateway/src/request-session.test.ts
@@ -14,6 +14,7 @@
 import {RefusalCode} from './refusals';
 import {createRequestSession} from './request-session';
 import type {
+  AttemptTarget,
   RequestSession,
   SessionOptions,
   SessionOutcome,
@@ -22,6 +23,8 @@
 import {makeHead} from './testing/response-head';
 
 const UPSTREAM_IDS = ['u-1', 'u-2', 'u-3'];
+/** Software version of all upstreams, unless a test sets others. */
+const VERSION = 'v1';
 const DEADLINE_MS = 10_000;
 /** Longer than the bodies that are buffered whole. */
 const LONG_BODY_BYTES = 300_000;
@@ -45,6 +48,11 @@
   let isCallerReading: boolean;
   let drain: () => void;
   let logLines: string[];
+  /** Software versions by upstream. */
+  let versions: Record<string, string>;
+  /** Version that began the stream that the request resumes. */
+  let resumedVersion: string | undefined;
+  let begunBy: string[];
 
   const startSession = (kind: RequestKind, maxAttempts = 3): void => {
     const table = createUpstreamTable();
@@ -57,6 +65,7 @@
             service: 's',
             address: {host: '127.0.0.1', port: 1},
             failureDomain: 'a',
+            softwareVersion: versions[id] ?? VERSION,
             state: UpstreamState.Ready,
             models: [],
           }) as never,
@@ -69,6 +78,7 @@
         service: 's',
         arrivedAtMs: clock.getNowMs(),
         deadlineAtMs: clock.getNowMs() + DEADLINE_MS,
+        softwareVersion: resumedVersion,
       },
       response: {
         startStream: ({status}: ResponseHead) => {
@@ -120,11 +130,16 @@
         getWallMs: clock.getWallMs,
       }),
       acquireUpstream: (
-        tried: ReadonlySet<string>,
+        {triedUpstreamIds, softwareVersion}: AttemptTarget,
         onUpstream: (entry: UpstreamEntry) => void,
         onRefused: (retryAfterMs: undefined, code: RefusalCode) => void,
       ) => {
-        const id = UPSTREAM_IDS.find(known => !tried.has(known));
+        const id = UPSTREAM_IDS.find(
+          known =>
+            !triedUpstreamIds.has(known) &&
+            (softwareVersion === undefined ||
+              softwareVersion === (versions[known] ?? VERSION)),
+        );
         const entry = id === undefined ? undefined : table.getEntry(id);
         if (entry === undefined) onRefused(undefined, RefusalCode.NoUpstream);
         else onUpstream(entry);
@@ -133,6 +148,7 @@
       isUsable: () => true,
       getLastStartAtMs: () => undefined,
       estimateBackoffMs: () => undefined,
+      onStreamBegun: (version: string) => begunBy.push(version),
       recordOpen: () => ({
         markPromptProcessed: () => undefined,
         end: () => undefined,
@@ -152,6 +168,9 @@
 
   beforeEach(() => {
     logLines = [];
+    versions = {};
+    resumedVersion = undefined;
+    begunBy = [];
     clock = createManualClock();
     exchanges = [];
     received = '';
@@ -215,6 +234,47 @@
     expect(received).toBe(`200 ${EVENT}${EVENT}end`);
   });
 
+  // Guards against streams joined from two versions within one response.
+  it('resumes an event stream only at the version that began it', () => {
+    versions = {'u-1': 'v1', 'u-2': 'v2', 'u-3': 'v1'};
+    startSession(RequestKind.Stream);
+    answer(0, makeHead(200), EVENT);
+    breakOff(0);
+    answer(1, makeHead(200), EVENT);
+    exchanges[1].observer.onEnd();
+    expect(outcome).toMatchObject({upstreamId: 'u-3', softwareVersion: 'v1'});
+    expect(begunBy).toEqual(['v1']);
+  });
+
+  it('breaks an event stream off when no upstream has its version', () => {
+    versions = {'u-1': 'v1', 'u-2': 'v2', 'u-3': 'v2'};
+    startSession(RequestKind.Stream);
+    answer(0, makeHead(200), EVENT);
+    breakOff(0);
+    expect(exchanges.length).toBe(1);
+    expect(wasAborted).toBe(true);
+  });
+
+  it('tries upstreams of any version until the first event', () => {
+    versions = {'u-1': 'v1', 'u-2': 'v2'};
+    startSession(RequestKind.Stream);
+    exchanges[0].observer.onSend();
+    breakOff(0);
+    answer(1, makeHead(200), EVENT);
+    exchanges[1].observer.onEnd();
+    expect(outcome).toMatchObject({upstreamId: 'u-2', softwareVersion: 'v2'});
+  });
+
+  it('tries only the version that began the stream that its caller resumes', () => {
+    versions = {'u-1': 'v1', 'u-2': 'v2', 'u-3': 'v1'};
+    resumedVersion = 'v2';
+    startSession(RequestKind.Stream);
+    exchanges[0].observer.onSend();
+    breakOff(0);
+    expect(exchanges.length).toBe(1);
+    expect(received).toBe(RefusalCode.OutcomeUnknown);
+  });
+
   it('completes a stream of which only the end was missing', () => {
     startSession(RequestKind.Stream);
     answer(0, makeHead(200), EVENT);
@@ -296,6 +356,17 @@
     expect(ended[0]).toContain('timed out');
   });
 
+  it('fails a begun stream over only to the version that began it', async () => {
+    versions = {'u-1': 'v1', 'u-2': 'v2', 'u-3': 'v1'};
+    startSession(RequestKind.Stream);
+    answer(0, makeHead(200), EVENT);
+    await clock.runFor(SILENT_MS);
+    session.checkProgress(clock.getNowMs());
+    answer(1, makeHead(200), EVENT);
+    exchanges[1].observer.onEnd();
+    expect(outcome).toMatchObject({upstreamId: 'u-3', softwareVersion: 'v1'});
+  });
+
   describe('with an upstream that pauses', () => {
     const failOver = async (kind: RequestKind): Promise<void> => {
       startSession(kind, 2);
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -44,6 +44,11 @@
   let current: Attempt | undefined;
   /** Attempt whose head was sent to the caller before its body was complete. */
   let startedBy: Attempt | undefined;
+  /**
+   * What different versions write doesn't fit together, so a stream goes on at
+   * the version that began it.
+   */
+  let {softwareVersion} = admitted;
   /** Whether another attempt may go on with the response that has begun. */
   let canContinue = true;
   let sentCount = 0;
@@ -77,7 +82,7 @@
       refusal,
       attempts: sentCount,
       upstreamId,
-      softwareVersion: startedBy?.entry.upstream.softwareVersion,
+      softwareVersion: startedBy && softwareVersion,
       firstByteMs,
       mayHaveRun,
     });
@@ -127,7 +132,8 @@
     if (mayHaveRun) refuse({code: RefusalCode.OutcomeUnknown}, 502);
     else if (sentCount === 0) refuse({code, retryAfterMs}, 503);
     else {
-      const delayMs = options.estimateBackoffMs() ?? retryAfterMs;
+      const delayMs =
+        options.estimateBackoffMs(softwareVersion) ?? retryAfterMs;
       refuse({code: RefusalCode.Rejected, retryAfterMs: delayMs}, 503);
     }
   };
@@ -171,7 +177,7 @@
     onNone: (retryAfterMs?: number, code?: RefusalCode) => void,
   ): void => {
     stopSearch = options.acquireUpstream(
-      triedUpstreamIds,
+      {triedUpstreamIds, softwareVersion},
       entry => {
         stopSearch = undefined;
         if (hasEnded || !checkRequest()) return;
@@ -203,6 +209,11 @@
     else refuseUnserved();
   };
 
+  const recordStreamBegun = ({entry}: Attempt): void => {
+    ({softwareVersion} = entry.upstream);
+    options.onStreamBegun(softwareVersion);
+  };
+
   const recordFirstByte = (): void => {
     firstByteMs ??= clock.getNowMs() - admitted.arrivedAtMs;
   };
@@ -235,6 +246,7 @@
     if (!response.hasStarted()) {
       startedBy = attempt;
       canContinue = route.kind === RequestKind.Stream && isSuccess(head);
+      if (canContinue) recordStreamBegun(attempt);
       response.startStream(head, route.kind !== RequestKind.Stream);
     }
     if (!response.writeChunk(chunk)) attempt.pause();
@@ -415,7 +427,7 @@
 
   const failover = createFailover({
     session: options,
-    triedUpstreamIds,
+    getTarget: () => ({triedUpstreamIds, softwareVersion}),
     maySend: () =>
       !hasEnded && canTryAnother() && !options.guard.isBlamed(guarded),
     send: sendTo,
--- a/packages/gateway/src/session-types.ts
+++ b/packages/gateway/src/session-types.ts
@@ -29,6 +29,19 @@
   arrivedAtMs: number;
   /** Monotonic time: the earlier of the caller's and the route's deadline. */
   deadlineAtMs: number;
+  /**
+   * Software version that began the stream that the request goes on with;
+   * undefined if any version may run it.
+   */
+  softwareVersion: string | undefined;
+}
+
+/** Which upstreams may run the next attempt. */
+export interface AttemptTarget {
+  /** Upstreams that are left out. */
+  triedUpstreamIds: ReadonlySet<string>;
+  /** The only software version that may; undefined if any may. */
+  softwareVersion: string | undefined;
 }
 
 /** How a request ended. */
@@ -62,7 +75,7 @@
    * the search.
    */
   acquireUpstream(
-    triedUpstreamIds: ReadonlySet<string>,
+    target: AttemptTarget,
     onUpstream: (entry: UpstreamEntry) => void,
     onRefused: (retryAfterMs: number | undefined, code: RefusalCode) => void,
   ): () => void;
@@ -81,10 +94,12 @@
   /** Spends one retry of the service's budget; false when it is exhausted. */
   trySpendRetry(): boolean;
   /**
-   * Time until an upstream that can run the request wants requests again;
-   * undefined unless none of them does now.
+   * Time until an upstream of the version that can run the request wants
+   * requests again; undefined unless none of them does now.
    */
-  estimateBackoffMs(): number | undefined;
+  estimateBackoffMs(softwareVersion: string | undefined): number | undefined;
+  /** Called when a stream has begun, before its first event is sent. */
+  onStreamBegun(softwareVersion: string): void;
   limits: UpstreamLimits;
   /** Evidence about requests that end upstreams. */
   guard: RequestGuard;
