--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -24,6 +24,11 @@
   /** Undefined if the route needs no key. */
   account: ClientAccount | undefined;
   service: string;
+  /**
+   * Software version that began the stream that the request goes on with;
+   * undefined if any version may run it.
+   */
+  softwareVersion: string | undefined;
 }
 
 /** Admits caller requests by the configuration in force. */
@@ -66,16 +71,19 @@
       }
       const service = pickService(route);
       if (service === undefined) return Left({code: RefusalCode.NoUpstream});
+      // Known later, for requests that resume a stream.
+      const softwareVersion = undefined;
       const needsKey =
         table.configuration.accounts !== undefined && !route.isPublic;
-      if (!needsKey) return Right({route, account: undefined, service});
+      if (!needsKey)
+        return Right({route, account: undefined, service, softwareVersion});
       const isFresh =
         configuration.getAgeMs(nowMs) < options.maxConfigurationAgeMs;
       if (!isFresh || mayBeLost) return Left(NOT_READY);
       const account =
         request.key === undefined ? undefined : table.findAccount(request.key);
       if (account === undefined) return Left({code: RefusalCode.UnknownKey});
-      return Right({route, account, service});
+      return Right({route, account, service, softwareVersion});
     },
   };
 }
--- a/packages/gateway/src/caller-bodies.test.ts
+++ b/packages/gateway/src/caller-bodies.test.ts
@@ -68,6 +68,7 @@
           else setTimeout(() => onTaken(Left(refusal)), answerMs);
         },
       },
+      origins: {findOrigin: () => undefined},
       pool: {receiveBudget},
       format: {
         decodeRequest: () => Right({key: 'k', attemptId: 'i'}),
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -107,6 +107,26 @@
   LogLevel.Warn,
   'upstream answered a request that was refused; sending it again',
 );
+export const VERSIONS_CHANGED = defineEvent(
+  6060,
+  LogLevel.Info,
+  'software versions by which streams may have begun changed',
+);
+export const ORIGINS_LOADED = defineEvent(
+  6061,
+  LogLevel.Info,
+  'read the stored origins of streams',
+);
+export const ORIGINS_UNREADABLE = defineEvent(
+  6062,
+  LogLevel.Warn,
+  'could not read stored origins of streams',
+);
+export const ORIGINS_UNWRITTEN = defineEvent(
+  6063,
+  LogLevel.Warn,
+  'could not store the origins of streams; trying again',
+);
 export const LINK_KEY_FAILED = defineEvent(
   6040,
   LogLevel.Warn,
--- a/packages/gateway/src/fleet-node.test.ts
+++ b/packages/gateway/src/fleet-node.test.ts
@@ -66,6 +66,7 @@
         onMembersChange: () => undefined,
         listLenders: () => new Set(),
         mayRemoveRegistrations: () => false,
+        onRegistrationRemoved: () => undefined,
       }),
     );
     const run = async (forMs: number, onStep?: () => void): Promise<void> => {
--- a/packages/gateway/src/fleet-node.ts
+++ b/packages/gateway/src/fleet-node.ts
@@ -14,6 +14,7 @@
 import type {SharedObjectStore, StoreHealth} from '@siskinplank/directory';
 import {waitForPoll} from '@siskinplank/foundation';
 import type {Clock, Logger, Random, Timer} from '@siskinplank/foundation';
+import {rankMembers} from '@siskinplank/membership';
 import {MessageType, ProcessRole} from '@siskinplank/messages';
 import type {Message, MessageOf} from '@siskinplank/messages';
 import {createPeerNetwork} from '@siskinplank/transport';
@@ -70,6 +71,8 @@
    * gateway at a time may.
    */
   mayRemoveRegistrations(): boolean;
+  /** Called when this gateway has removed the registration of another one. */
+  onRegistrationRemoved(name: string): void;
 }
 
 /** Registration of this gateway, its peers and the links to them. */
@@ -84,6 +87,8 @@
   scheduleStateToLeader(): void;
   /** Asks peers for units of limits within milliseconds. */
   scheduleStateToLenders(): void;
+  /** Whether this gateway is the one among the responsive ones for a key. */
+  isOwner(key: string): boolean;
   /** Whether there is an open link to the peer. */
   isLinked(peer: string): boolean;
   /** Returns false when there is no link to the peer. */
@@ -279,7 +284,11 @@
       listeningSinceMs,
       nowMs: clock.getNowMs(),
     });
-    for (const name of expired) void registry.removeRegistration(name);
+    for (const name of expired) {
+      void registry.removeRegistration(name).then(isRemoved => {
+        if (isRemoved) options.onRegistrationRemoved(name);
+      });
+    }
   };
 
   network.subscribe([MessageType.GatewayState], (link, state) => {
@@ -299,6 +308,7 @@
       MessageType.UpstreamLoads,
       MessageType.AdapterRequest,
       MessageType.AdapterReply,
+      MessageType.StreamOrigins,
     ],
     (link, message) => {
       const {name, incarnation} = link.peer;
@@ -368,6 +378,11 @@
     },
     scheduleStateToLeader: leaderStates.request,
     scheduleStateToLenders: lenderStates.request,
+    isOwner: key => {
+      const {name} = ownRecord;
+      const members = [{name}, ...peers.listResponsive(clock.getNowMs())];
+      return rankMembers(members, key)[0].name === name;
+    },
     isLinked: peer => links.has(peer),
     sendTo: (peer, message) => links.get(peer)?.send(message) ?? false,
     sendToAll: message => network.sendToAll(message),
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -17,6 +17,8 @@
   limitedUpstreams: number;
   leavingUpstreams: number;
   backedOffUpstreams: number;
+  /** Streams of which the software version is known that began them. */
+  streamOrigins: number;
   /** Messages from outside that are not complete. */
   received: ReceiveReadings;
   /** Messages and bytes over the links to other gateways, since the start. */
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -4,7 +4,6 @@
 import {makeSecureId, waitForPoll} from '@siskinplank/foundation';
 import type {Clock, Logger, Metrics, Random} from '@siskinplank/foundation';
 import type {ConnectionPool} from '@siskinplank/http-exchange';
-import {rankMembers} from '@siskinplank/membership';
 import type {PlatformPorts, RouteTable} from '@siskinplank/serving';
 import type {GatewaySettings} from '@siskinplank/settings';
 import {Right} from 'purify-ts';
@@ -23,11 +22,14 @@
 import {createFleetNode} from './fleet-node';
 import type {FleetNode} from './fleet-node';
 import {createGatewayMetrics} from './gateway-metrics';
+import {readGateway} from './gateway-readings';
 import {createOrderManager} from './order-manager';
+import {applyPeerStates} from './peer-states';
 import {createProcessWatch} from './process-watch';
 import type {ShutdownTimes} from './request-durations';
 import {createRequestGuard} from './request-guard';
 import {createRequestHandler} from './request-handler';
+import {createStreamOrigins} from './stream-origins';
 import {createStatusServers} from './status-servers';
 import {createSharedLimits} from './shared-limits';
 import {createUpstreamBackoffs} from './upstream-backoffs';
@@ -170,7 +172,8 @@
     directory: ports.upstreams,
     getEra: () => ports.sharedObjects.getEra(),
     countGateways: () => fleet.registry.listOthers().length + 1,
-    onChange: usable => {
+    onChange: (usable, nowMs) => {
+      origins.observeUpstreams(usable, nowMs);
       upstreams.setUpstreams(usable);
       dispatcher.retryWaiting();
     },
@@ -223,15 +226,6 @@
     onModelStateChange: () => dispatcher.retryWaiting(),
   });
 
-  /** Whether this gateway is the one among the responsive ones for a key. */
-  const isOwner = (key: string): boolean => {
-    const members = [
-      {name: ownName},
-      ...fleet.peers.listResponsive(clock.getNowMs()),
-    ];
-    return rankMembers(members, key)[0].name === ownName;
-  };
-
   const fleet: FleetNode = createFleetNode({
     objects: ports.sharedObjects,
     ownRecord: {
@@ -258,63 +252,60 @@
       leaving: view.listLeaving(nowMs).map(report => [...report]),
       poison: guard.describe(nowMs),
     }),
-    onPeerStates: (changed, nowMs) => {
-      let isWaiting = false;
-      for (const {name, incarnation, state} of changed) {
-        const {orderToken, isOrdering} = state;
-        orders.leadership.observeToken(orderToken);
-        if (isOrdering) {
-          orders.leadership.observeHolder(name, incarnation, orderToken);
-        }
-        upstreams.setPeerLoad(name, state.open);
-        upstreams.setPeerFaults(name, state.faults, nowMs);
-        view.recordLeaving(state.leaving, nowMs);
-        guard.updatePeer(state.poison, nowMs);
-        isWaiting ||= Object.values(state.demand).some(
-          ([, waiting]) => waiting > 0,
-        );
-      }
-      configuration.observePeers(nowMs);
-      limits.updatePeers(changed, nowMs);
-      if (isWaiting) orders.schedulePlan();
-    },
+    onPeerStates: (changed, nowMs) =>
+      applyPeerStates(
+        {orders, upstreams, view, guard, configuration, limits},
+        changed,
+        nowMs,
+      ),
     onReceive: turns.observe,
     onPeerLost: name => {
       upstreams.removePeer(name);
       limits.removePeer(name);
     },
     onMessage: (peer, message) => {
-      if (!limits.handleMessage(peer, message))
-        orders.handleMessage(peer, message);
+      const isHandled =
+        limits.handleMessage(peer, message) || origins.handleMessage(message);
+      if (!isHandled) orders.handleMessage(peer, message);
+    },
+    onPeerConnected: name => {
+      orders.handleConnected(name);
+      origins.handleConnected(name);
     },
-    onPeerConnected: name => orders.handleConnected(name),
     onMembersChange: limits.updateMembers,
     listLenders: limits.listLenders,
     mayRemoveRegistrations: () => orders.leadership.getTerm() !== undefined,
+    onRegistrationRemoved: name => origins.removeGateway(name),
   });
 
-  const gatewayMetrics = createGatewayMetrics(metrics, () => {
-    const nowMs = clock.getNowMs();
-    let waitingRequests = 0;
-    for (const {count} of dispatcher.describeWaiting(nowMs).values()) {
-      waitingRequests += count;
-    }
-    return {
-      openRequests: handler.countOpen(),
-      waitingRequests,
-      upstreamConnections: pool.countConnections(),
-      configurationAgeMs: configuration.getAgeMs(nowMs),
-      isOrdering: orders.leadership.getTerm() !== undefined,
-      peers: fleet.peers.listResponsive(nowMs).length,
-      limitedUpstreams: limits.upstreams.countLimits(),
-      leavingUpstreams: view.countDisputed(),
-      backedOffUpstreams: backoffs.count(nowMs),
-      received: pool.receiveBudget.getReadings(),
-      blamedPrompts: guard.countBlames(),
-      links: fleet.getTraffic(),
-    };
+  const origins = createStreamOrigins({
+    ...watchOptions,
+    objects: ports.sharedObjects,
+    ownName,
+    getFleet: () => fleet,
+    isStoreConfirmed: nowMs =>
+      configuration.getAgeMs(nowMs) < settings.store.readyAgeMs,
   });
 
+  const gatewayMetrics = createGatewayMetrics(metrics, () =>
+    readGateway(
+      {
+        handler,
+        dispatcher,
+        pool,
+        configuration,
+        leadership: orders.leadership,
+        fleet,
+        limits: limits.upstreams,
+        view,
+        backoffs,
+        guard,
+        origins,
+      },
+      clock.getNowMs(),
+    ),
+  );
+
   const guard = createRequestGuard({
     upstreams,
     control: ports.upstreamControl,
@@ -322,7 +313,7 @@
     ...watchOptions,
     metrics: gatewayMetrics,
     getRoutes: configuration.getTable,
-    isTrialOwner: isOwner,
+    isTrialOwner: key => fleet.isOwner(key),
     onBlame: () => handler.refuseBlamed(),
     onNews: () => fleet.scheduleState(),
   });
@@ -347,6 +338,7 @@
     limiter: limits.accounts,
     demand,
     guard,
+    origins,
     limits: limits.upstreams,
     backoffs,
     pool,
@@ -391,6 +383,7 @@
     checkPause();
     // Responses may have arrived that were not read yet.
     void waitForPoll().then(handler.checkProgress);
+    origins.observeUpstreams(view.listUsable(), clock.getNowMs());
     limits.updateMembers();
     limits.sendAccrued();
     pool.closeExpired(clock.getNowMs());
@@ -403,6 +396,7 @@
       configuration.start();
       view.start();
       fleet.start();
+      origins.start();
       orders.start();
       const listening = await callers.start(handler.handle);
       if (listening.isLeft()) return listening;
@@ -432,6 +426,7 @@
       housekeeping.cancel();
       configuration.stop();
       view.stop();
+      origins.stop();
       const stopAtMs = shutdown?.stopAtMs ?? clock.getNowMs() + graceMs;
       const ended = Promise.all([orders.stop(), fleet.stop()]);
       await waitAtMostUntil(ended, stopAtMs + EXIT_DELAY_MS, clock);
--- a/packages/gateway/src/link-keys.test.ts
+++ b/packages/gateway/src/link-keys.test.ts
@@ -86,6 +86,7 @@
       onMembersChange: () => undefined,
       listLenders: () => new Set(),
       mayRemoveRegistrations: () => false,
+      onRegistrationRemoved: () => undefined,
     });
     node.start();
     const gateway = {name, node, connection, connectedPeers};
--- /dev/null
+++ b/packages/gateway/src/origin-store.ts
@@ -0,0 +1,148 @@
+/** Stores the origins of streams, so that they outlast all gateways. */
+import {StoreFailureCode} from '@siskinplank/directory';
+import type {SharedObjectStore} from '@siskinplank/directory';
+import type {Clock, Logger, Timer} from '@siskinplank/foundation';
+import {
+  decodeOriginRecord,
+  encodeOriginRecord,
+} from '@siskinplank/stream-origins';
+import type {OriginRecord} from '@siskinplank/stream-origins';
+import {ORIGINS_UNREADABLE, ORIGINS_UNWRITTEN} from './events';
+
+/** What `createOriginStore` needs. */
+export interface OriginStoreOptions {
+  objects: SharedObjectStore;
+  ownName: string;
+  retryDelayMs: number;
+  clock: Clock;
+  logger: Logger;
+  /** Least time between two writes. */
+  getPeriodMs(): number;
+  collectRecord(nowMs: number): OriginRecord;
+  /** Called once, with the records of all gateways by their names. */
+  onLoaded(records: ReadonlyMap<string, OriginRecord>, nowMs: number): void;
+}
+
+/** The records of the origins, one for each gateway. */
+export interface OriginStore {
+  start(): void;
+  stop(): void;
+  isLoaded(): boolean;
+  /** Writes the record of this gateway when the period has passed. */
+  requestWrite(): void;
+  /** Removes the record of a gateway that is gone. */
+  removeRecord(gateway: string): Promise<void>;
+}
+
+export const STREAM_ORIGINS_KIND = 'siskinplank-stream-origins';
+
+/** Creates a store that reads and writes nothing before `start`. */
+export function createOriginStore(options: OriginStoreOptions): OriginStore {
+  const {objects, ownName, clock, logger} = options;
+  let isStopped = false;
+  let isLoaded = false;
+  let isDue = false;
+  let isWriting = false;
+  let writtenAtMs = -Infinity;
+  let timer: Timer | undefined;
+  /** Revision to replace; undefined to create the record. */
+  let revision: number | undefined;
+
+  const load = async (): Promise<void> => {
+    while (!isStopped) {
+      const listed = await objects.listObjects(STREAM_ORIGINS_KIND);
+      const items = listed.toMaybe().extract()?.items;
+      if (items !== undefined) {
+        const records = new Map<string, OriginRecord>();
+        for (const {name, content, revision: storedRevision} of items) {
+          if (name === ownName) revision = storedRevision;
+          decodeOriginRecord(content).caseOf({
+            Left: reason =>
+              logger.log(ORIGINS_UNREADABLE, {gateway: name, reason}),
+            Right: record => void records.set(name, record),
+          });
+        }
+        isLoaded = true;
+        options.onLoaded(records, clock.getNowMs());
+        scheduleWrite();
+        return;
+      }
+      listed.ifLeft(({code, reason}) =>
+        logger.log(ORIGINS_UNREADABLE, {code, reason}),
+      );
+      await clock.waitMs(options.retryDelayMs);
+    }
+  };
+
+  const write = async (): Promise<void> => {
+    isDue = false;
+    isWriting = true;
+    writtenAtMs = clock.getNowMs();
+    const content = encodeOriginRecord(options.collectRecord(writtenAtMs));
+    const written =
+      revision === undefined
+        ? await objects.createObject(STREAM_ORIGINS_KIND, ownName, content)
+        : await objects.replaceObject(
+            STREAM_ORIGINS_KIND,
+            ownName,
+            content,
+            revision,
+          );
+    isWriting = false;
+    written.caseOf({
+      Right: object => {
+        revision = object.revision;
+      },
+      Left: ({code, reason, current}) => {
+        const isUnchanged =
+          code === StoreFailureCode.NoAnswer ||
+          code === StoreFailureCode.Refused;
+        if (!isUnchanged) revision = current?.revision;
+        isDue = true;
+        logger.log(ORIGINS_UNWRITTEN, {code, reason});
+      },
+    });
+    scheduleWrite();
+  };
+
+  const scheduleWrite = (): void => {
+    const isIdle = timer === undefined && !isWriting;
+    if (isStopped || !isLoaded || !isDue || !isIdle) return;
+    const dueAtMs = writtenAtMs + options.getPeriodMs();
+    timer = clock.startTimer(Math.max(0, dueAtMs - clock.getNowMs()), () => {
+      timer = undefined;
+      if (!isStopped) void write();
+    });
+  };
+
+  const requestWrite = (): void => {
+    isDue = true;
+    scheduleWrite();
+  };
+
+  return {
+    start: () => {
+      objects.observeRestores(() => {
+        // The copy may lack the record, or hold an older one.
+        revision = undefined;
+        requestWrite();
+      });
+      void load();
+    },
+    stop: () => {
+      isStopped = true;
+      timer?.cancel();
+    },
+    isLoaded: () => isLoaded,
+    requestWrite,
+    removeRecord: async gateway => {
+      const listed = await objects.listObjects(STREAM_ORIGINS_KIND);
+      const object = listed
+        .toMaybe()
+        .extract()
+        ?.items.find(({name}) => name === gateway);
+      if (object === undefined) return;
+      await objects.deleteObject(STREAM_ORIGINS_KIND, gateway, object.revision);
+    },
+  };
+}
--- a/packages/gateway/src/refusals.ts
+++ b/packages/gateway/src/refusals.ts
@@ -23,6 +23,8 @@
   NoUpstream = 'no-upstream',
   /** No upstream has the software version that began the stream. */
   VersionNotServed = 'version-not-served',
+  /** It is not known which software version began the stream. */
+  OriginUnknown = 'origin-unknown',
   /** The upstreams that could run it are at the limits that they named. */
   UpstreamLimit = 'upstream-limit',
   /** The upstreams that could run it want nothing from this gateway yet. */
@@ -63,6 +65,7 @@
   [RefusalCode.Stopping]: 503,
   [RefusalCode.NoUpstream]: 503,
   [RefusalCode.VersionNotServed]: 503,
+  [RefusalCode.OriginUnknown]: 503,
   [RefusalCode.UpstreamLimit]: 503,
   [RefusalCode.UpstreamBackoff]: 503,
   [RefusalCode.PoisonedPrompt]: 503,
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -3,18 +3,14 @@
 import {
   LATE_START_RETRY_MS,
   SHUTDOWN_RETRY_AFTER_MS,
-  createRetryBudget,
   shouldRefuseLateStart,
 } from '@siskinplank/dispatch';
-import type {
-  RetryBudget,
-  RetryBudgetOptions,
-  UpstreamTable,
-} from '@siskinplank/dispatch';
+import type {RetryBudgetOptions, UpstreamTable} from '@siskinplank/dispatch';
 import {waitForPoll} from '@siskinplank/foundation';
 import type {Clock, Logger, Random} from '@siskinplank/foundation';
 import type {ConnectionPool} from '@siskinplank/http-exchange';
 import {BufferFault} from '@siskinplank/receive-buffers';
+import {canRepeat} from '@siskinplank/serving';
 import type {LimitReadings} from '@siskinplank/token-shares';
 import type {CallerRequest, ExchangeFormat} from '@siskinplank/serving';
 import {countTokens} from './account-limiter';
@@ -39,7 +35,10 @@
 import type {ShutdownTimes} from './request-durations';
 import {logRequestEnd} from './request-log';
 import {createRequestSession} from './request-session';
+import {createServiceBudgets} from './service-budgets';
 import type {RequestSession, SessionOutcome} from './session-types';
+import {resolveTarget} from './resumed-streams';
+import type {StreamOrigins} from './stream-origins';
 import type {UpstreamBackoffs} from './upstream-backoffs';
 import type {UpstreamLimits} from './upstream-limits';
 
@@ -54,6 +53,7 @@
   format: ExchangeFormat;
   retryBudget: RetryBudgetOptions;
   guard: RequestGuard;
+  origins: StreamOrigins;
   limits: UpstreamLimits;
   backoffs: UpstreamBackoffs;
   /** Fraction of the retry budget of all gateways that this one may use. */
@@ -97,24 +97,12 @@
 ): RequestHandler {
   const {configuration, upstreams, arrivals, clock, logger, format} = options;
   const requestAdmission = createAdmission(options);
-  const budgets = new Map<string, RetryBudget>();
+  const budgets = createServiceBudgets(options);
   const durations = createRequestDurations();
   const sessions = new Set<RequestSession>();
   const connections = createCallerConnections(options.isLeaving);
   const openRequests = new Set<() => void>();
 
-  const getBudget = (service: string): RetryBudget => {
-    const known = budgets.get(service);
-    if (known !== undefined) return known;
-    const budget = createRetryBudget(
-      options.retryBudget,
-      options.getFleetFraction,
-      clock.getStartedMs(),
-    );
-    budgets.set(service, budget);
-    return budget;
-  };
-
   const handle = (
     incoming: IncomingMessage,
     outgoing: ServerResponse,
@@ -143,12 +131,6 @@
     let modelKey: string | undefined;
     let limit: LimitReadings | undefined;
     const attemptId = decoded.map(request => request.attemptId).orDefault('');
-    const resumption = decoded
-      .map(({resumedAttemptId, lastEventId}) => ({
-        resumedAttemptId,
-        lastEventId,
-      }))
-      .orDefault({resumedAttemptId: undefined, lastEventId: undefined});
     let hasLogged = false;
 
     const logEnd = (
@@ -163,7 +145,7 @@
       options.metrics.recordRequest(kind, status, refusal, outcome, totalMs);
       logRequestEnd(logger, {
         attemptId,
-        ...resumption,
+        request: decoded.toMaybe().extract(),
         status,
         refusal,
         outcome,
@@ -241,7 +223,7 @@
         request.expectedOutputTokens ?? request.maxOutputTokens ?? 0;
       const deadlineAtMs =
         arrivedAtMs + Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
-      const budget = getBudget(service);
+      const budget = budgets.ensureBudget(service);
       budget.recordRequest(clock.getNowMs());
       if (model !== undefined) options.demand.recordRequest(model);
       const duration = durations.measure({request, route, deadlineAtMs});
@@ -266,7 +248,6 @@
           body,
           arrivedAtMs,
           deadlineAtMs,
-          softwareVersion: undefined,
         },
         response,
         format,
@@ -309,18 +290,18 @@
         guard: options.guard,
         limits: options.limits,
         getLastStartAtMs,
-        estimateBackoffMs: softwareVersion =>
-          options.dispatcher.estimateBackoffMs({
-            service,
-            model,
-            softwareVersion,
-          }),
-        onStreamBegun: () => undefined,
+        estimateBackoffMs: target =>
+          options.dispatcher.estimateBackoffMs({service, model, ...target}),
+        onStreamBegun: ({softwareVersion}) => {
+          const origin = {service, softwareVersion};
+          if (canRepeat(route)) options.origins.recordBegun(request, origin);
+        },
         canSpendRetry: () => budget.canSpend(clock.getNowMs()),
         trySpendRetry: () => budget.trySpend(clock.getNowMs()),
         sendRefusal,
         onEnd: outcome => {
           recordDuration(outcome);
+          if (outcome.status !== 0) options.origins.recordCompleted(attemptId);
           const hasNotRun =
             outcome.refusal !== undefined && !outcome.mayHaveRun;
           if (hasNotRun && account !== undefined) {
@@ -341,17 +322,29 @@
 
     const start = (
       request: CallerRequest,
-      admission: AdmittedTarget,
+      admitted: AdmittedTarget,
       body: Buffer | undefined,
     ): void => {
       if (hasCallerLeft()) return;
-      const {account, route} = admission;
-      const {targetLatencyMs} = route;
+      const {targetLatencyMs} = admitted.route;
       if (shouldRefuseLateStart({unreadMs, targetLatencyMs})) {
         const retryAfterMs = LATE_START_RETRY_MS;
-        refuse({code: RefusalCode.LateStart, retryAfterMs}, admission);
+        refuse({code: RefusalCode.LateStart, retryAfterMs}, admitted);
         return;
       }
+      const nowMs = clock.getNowMs();
+      resolveTarget(options, request, admitted, nowMs).caseOf({
+        Left: refusal => refuse(refusal, admitted),
+        Right: target => startAt(request, target, body),
+      });
+    };
+
+    const startAt = (
+      request: CallerRequest,
+      admission: AdmittedTarget,
+      body: Buffer | undefined,
+    ): void => {
+      const {account} = admission;
       if (account !== undefined) tokens = countTokens(account, request);
       if (account === undefined) {
         run(request, admission, body, 0);
--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -1,5 +1,6 @@
 /** Log line of a request that ended. */
 import type {Logger} from '@siskinplank/foundation';
+import type {CallerRequest} from '@siskinplank/serving';
 import type {LimitReadings} from '@siskinplank/token-shares';
 import type {AdmittedTarget} from './admission';
 import type {CallerClose} from './caller-close';
@@ -10,9 +11,8 @@
 /** A request that ended, and what decided it. */
 export interface RequestEnd {
   attemptId: string;
-  /** Attempt and event after which the caller resumes a stream. */
-  resumedAttemptId: string | undefined;
-  lastEventId: string | undefined;
+  /** Undefined if its head could not be decoded. */
+  request: CallerRequest | undefined;
   status: number;
   refusal: Refusal | undefined;
   outcome: Partial<SessionOutcome>;
@@ -36,8 +36,8 @@
   const {firstByteMs} = outcome;
   logger.log(REQUEST_ENDED, {
     request: end.attemptId,
-    resumes: end.resumedAttemptId,
-    lastEvent: end.lastEventId,
+    resumes: end.request?.resumedAttemptId,
+    lastEvent: end.request?.lastEventId,
     status: end.status,
     tokens: end.tokens,
     limitPerSecond: limit?.ratePerSecond,
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -9,14 +9,18 @@
 import type {ExchangeFailure, ResponseHead} from '@siskinplank/http-exchange';
 import {RequestKind, ResponseClass, canRepeat} from '@siskinplank/serving';
 import {ATTEMPT_ENDED} from './events';
-import {createGuardedRequest} from './guarded-request';
+import {createBrokenObserver, createGuardedRequest} from './guarded-request';
 import type {BrokenRequest} from './request-guard';
-import {RefusalCode} from './refusals';
+import {REFUSAL_STATUSES, RefusalCode} from './refusals';
 import type {Refusal} from './refusals';
 import {startRequestAttempt} from './request-attempt';
 import {createFailover} from './request-failover';
 import {isEmptySuccess, isSuccess} from './response-heads';
-import type {RequestSession, SessionOptions} from './session-types';
+import type {
+  AttemptTarget,
+  RequestSession,
+  SessionOptions,
+} from './session-types';
 import {describeAttempt} from './upstream-attempt';
 import type {Attempt} from './upstream-attempt';
 
@@ -38,17 +42,13 @@
   const {request, route, deadlineAtMs} = admitted;
   const isRepeatable = canRepeat(route);
   const guarded = createGuardedRequest(admitted);
+  const observeBroken = createBrokenObserver(guarded, route);
   const triedUpstreamIds = new Set<string>();
   /** Upstreams at which an attempt was made, those that rejected it included. */
   const sentUpstreamIds = new Set<string>();
   let current: Attempt | undefined;
   /** Attempt whose head was sent to the caller before its body was complete. */
   let startedBy: Attempt | undefined;
-  /**
-   * What different versions write doesn't fit together, so a stream goes on at
-   * the version that began it.
-   */
-  let {softwareVersion} = admitted;
   /** Whether another attempt may go on with the response that has begun. */
   let canContinue = true;
   let sentCount = 0;
@@ -63,11 +63,16 @@
   let hasResent = false;
   let stopSearch: (() => void) | undefined;
   let firstByteMs: number | undefined;
-  /** Attempts whose connection was lost before the upstream answered. */
-  let brokenCount = 0;
   /** Whether this request tests whether it ends upstreams. */
   let isTrial = false;
 
+  // What two versions write doesn't fit together, so a stream goes on at the
+  // version that began it.
+  const getTarget = (): AttemptTarget => ({
+    triedUpstreamIds,
+    softwareVersion: (startedBy?.entry.upstream ?? admitted).softwareVersion,
+  });
+
   const end = (
     status: number,
     refusal: Refusal | undefined,
@@ -82,7 +87,7 @@
       refusal,
       attempts: sentCount,
       upstreamId,
-      softwareVersion: startedBy && softwareVersion,
+      softwareVersion: startedBy?.entry.upstream.softwareVersion,
       firstByteMs,
       mayHaveRun,
     });
@@ -113,7 +118,7 @@
     cancelled.cancel();
   };
 
-  const refuse = (refusal: Refusal, status: number): void => {
+  const refuse = (refusal: Refusal): void => {
     if (hasEnded) return;
     if (response.hasStarted()) {
       response.abort();
@@ -122,19 +127,18 @@
     }
     if (deliverFailure !== undefined) return deliverFailure();
     options.sendRefusal(refusal);
-    end(status, refusal, undefined);
+    end(REFUSAL_STATUSES[refusal.code], refusal, undefined);
   };
 
   const refuseUnserved = (
     retryAfterMs = REJECTED_RETRY_MS,
     code = RefusalCode.NoUpstream,
   ): void => {
-    if (mayHaveRun) refuse({code: RefusalCode.OutcomeUnknown}, 502);
-    else if (sentCount === 0) refuse({code, retryAfterMs}, 503);
+    if (mayHaveRun) refuse({code: RefusalCode.OutcomeUnknown});
+    else if (sentCount === 0) refuse({code, retryAfterMs});
     else {
-      const delayMs =
-        options.estimateBackoffMs(softwareVersion) ?? retryAfterMs;
-      refuse({code: RefusalCode.Rejected, retryAfterMs: delayMs}, 503);
+      const delayMs = options.estimateBackoffMs(getTarget()) ?? retryAfterMs;
+      refuse({code: RefusalCode.Rejected, retryAfterMs: delayMs});
     }
   };
 
@@ -150,15 +154,14 @@
         ? RefusalCode.DeadlyRequest
         : RefusalCode.PoisonedPrompt;
     if (mayHaveRun) refuseUnserved();
-    else refuse({code: guardCode, retryAfterMs}, 503);
+    else refuse({code: guardCode, retryAfterMs});
     return false;
   };
 
   const onTimeout = (): void => {
     if (current !== undefined) logAttempt(current, 'timed out');
     cancelAttempt();
-    if (mayHaveRun) refuse({code: RefusalCode.TimedOut}, 504);
-    else refuse({code: RefusalCode.NoUpstream}, 503);
+    refuse({code: mayHaveRun ? RefusalCode.TimedOut : RefusalCode.NoUpstream});
   };
 
   const logAttempt = (attempt: Attempt, cause: string): void =>
@@ -177,7 +180,7 @@
     onNone: (retryAfterMs?: number, code?: RefusalCode) => void,
   ): void => {
     stopSearch = options.acquireUpstream(
-      {triedUpstreamIds, softwareVersion},
+      getTarget(),
       entry => {
         stopSearch = undefined;
         if (hasEnded || !checkRequest()) return;
@@ -209,11 +212,6 @@
     else refuseUnserved();
   };
 
-  const recordStreamBegun = ({entry}: Attempt): void => {
-    ({softwareVersion} = entry.upstream);
-    options.onStreamBegun(softwareVersion);
-  };
-
   const recordFirstByte = (): void => {
     firstByteMs ??= clock.getNowMs() - admitted.arrivedAtMs;
   };
@@ -246,7 +244,7 @@
     if (!response.hasStarted()) {
       startedBy = attempt;
       canContinue = route.kind === RequestKind.Stream && isSuccess(head);
-      if (canContinue) recordStreamBegun(attempt);
+      if (canContinue) options.onStreamBegun(attempt.entry.upstream);
       response.startStream(head, route.kind !== RequestKind.Stream);
     }
     if (!response.writeChunk(chunk)) attempt.pause();
@@ -264,10 +262,6 @@
     end(head.status, undefined, attempt.entry.upstream.id);
   };
 
-  /** Whether another upstream works on the request; `attempt` has failed. */
-  const hasOtherAttempt = (attempt: Attempt): boolean =>
-    failover.handleFailure(attempt) || failover.replaceFailed();
-
   const onAnswer = (
     attempt: Attempt,
     head: ResponseHead,
@@ -286,7 +280,9 @@
     };
     if (response.hasStarted() && !isComplete) return leaveUnresumed(attempt);
     const mayLeave = isFailure && !response.hasStarted();
-    if (mayLeave && hasOtherAttempt(attempt)) return leaveFailed();
+    const hasOther = (): boolean =>
+      failover.handleFailure(attempt) || failover.replaceFailed();
+    if (mayLeave && hasOther()) return leaveFailed();
     stopFailover();
     current = undefined;
     if (!response.hasStarted()) {
@@ -364,26 +360,18 @@
     if (failure.code === ExchangeFailureCode.NotConnected) {
       options.recordUnreachable(attempt.entry);
     }
-    const maySuspect =
-      failure.code === ExchangeFailureCode.BrokenOff && !attempt.isAnswering();
-    // Only streams have a head long before the rest of their response.
-    const hasBegun =
-      route.kind === RequestKind.Stream &&
-      attempt.getHead() !== undefined &&
-      !attempt.hasEvents();
-    const broken = {...guarded, hasBegun, isRepeated: brokenCount > 0};
-    if (maySuspect) brokenCount += 1;
+    const broken = observeBroken(attempt, failure);
     if (isSuccessor || failover.replaceFailed()) {
       // The other attempt goes on, so nothing waits for the verdict.
-      if (maySuspect && attempt.wasSent()) {
+      if (broken !== undefined && attempt.wasSent()) {
         const {upstream} = attempt.entry;
         options.guard.reportBroken(upstream, broken, () => undefined);
       }
       return;
     }
     stopFailover();
-    if (maySuspect) retryUnlessEnded(attempt.entry, broken);
-    else tryNext();
+    if (broken === undefined) tryNext();
+    else retryUnlessEnded(attempt.entry, broken);
   };
 
   const sendTo = (entry: UpstreamEntry): Attempt => {
@@ -427,7 +415,7 @@
 
   const failover = createFailover({
     session: options,
-    getTarget: () => ({triedUpstreamIds, softwareVersion}),
+    getTarget,
     maySend: () =>
       !hasEnded && canTryAnother() && !options.guard.isBlamed(guarded),
     send: sendTo,
--- /dev/null
+++ b/packages/gateway/src/resumed-streams.ts
@@ -0,0 +1,51 @@
+/** Where a request runs that resumes a stream. */
+import type {UpstreamTable} from '@siskinplank/dispatch';
+import type {CallerRequest} from '@siskinplank/serving';
+import {OriginVerdictType} from '@siskinplank/stream-origins';
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
+import type {AdmittedTarget} from './admission';
+import {RefusalCode} from './refusals';
+import type {Refusal} from './refusals';
+import type {StreamOrigins} from './stream-origins';
+
+/** Retry-After while the stored origins of streams are read. */
+const LOADING_RETRY_MS = 200;
+
+/**
+ * Narrows the target of a request that resumes a stream to the service and the
+ * version that began it, or refuses the request if they are not known or gone.
+ */
+export function resolveTarget(
+  {
+    origins,
+    upstreams,
+  }: {
+    origins: StreamOrigins;
+    upstreams: Pick<UpstreamTable, 'listServiceUpstreams'>;
+  },
+  request: CallerRequest,
+  target: AdmittedTarget,
+  nowMs: number,
+): Either<Refusal, AdmittedTarget> {
+  const verdict = origins.findOrigin(request, target, nowMs);
+  if (verdict === undefined) return Right(target);
+  switch (verdict.type) {
+    case OriginVerdictType.Unknown:
+      return Left({
+        code: RefusalCode.OriginUnknown,
+        retryAfterMs: origins.isLoaded() ? undefined : LOADING_RETRY_MS,
+      });
+    case OriginVerdictType.NotServed:
+      return Left({code: RefusalCode.VersionNotServed});
+    case OriginVerdictType.Known: {
+      const {service, softwareVersion} = verdict.origin;
+      const isServed = upstreams
+        .listServiceUpstreams(service)
+        .some(({upstream}) => upstream.softwareVersion === softwareVersion);
+      return isServed
+        ? Right({...target, service, softwareVersion})
+        : Left({code: RefusalCode.VersionNotServed});
+    }
+  }
+}
--- a/packages/gateway/src/session-types.ts
+++ b/packages/gateway/src/session-types.ts
@@ -11,6 +11,7 @@
   ClientAccount,
   ExchangeFormat,
   Route,
+  Upstream,
 } from '@siskinplank/serving';
 import type {CallerResponse} from './caller-response';
 import type {RequestGuard} from './request-guard';
@@ -97,9 +98,9 @@
    * Time until an upstream of the version that can run the request wants
    * requests again; undefined unless none of them does now.
    */
-  estimateBackoffMs(softwareVersion: string | undefined): number | undefined;
+  estimateBackoffMs(target: AttemptTarget): number | undefined;
   /** Called when a stream has begun, before its first event is sent. */
-  onStreamBegun(softwareVersion: string): void;
+  onStreamBegun(upstream: Upstream): void;
   limits: UpstreamLimits;
   /** Evidence about requests that end upstreams. */
   guard: RequestGuard;
--- /dev/null
+++ b/packages/gateway/src/stream-origins.test.ts
@@ -0,0 +1,253 @@
+import {createManualClock, waitForPoll} from '@siskinplank/foundation';
+import type {Logger} from '@siskinplank/foundation';
+import type {Message} from '@siskinplank/messages';
+import {RequestKind, UpstreamState} from '@siskinplank/serving';
+import type {CallerRequest, Upstream} from '@siskinplank/serving';
+import {ORIGIN_KEEP_MS, OriginVerdictType} from '@siskinplank/stream-origins';
+import type {OriginVerdict} from '@siskinplank/stream-origins';
+import {MemorySharedObjectStore} from '@siskinplank/testing';
+import {beforeEach, describe, expect, it} from 'vitest';
+import type {AdmittedTarget} from './admission';
+import {STREAM_ORIGINS_KIND} from './origin-store';
+import {createStreamOrigins} from './stream-origins';
+import type {StreamOrigins} from './stream-origins';
+
+const SERVICE = 's';
+/** Several periods of messages and writes. */
+const SPREAD_MS = 2_000;
+
+const SILENT_LOGGER: Logger = {
+  log: () => undefined,
+  withFields: () => SILENT_LOGGER,
+};
+
+const target = {
+  service: SERVICE,
+  route: {
+    kind: RequestKind.Stream,
+    isResumable: true,
+    services: [{service: SERVICE, weight: 1}],
+  },
+} as unknown as AdmittedTarget;
+
+function makeRequest(
+  attemptId: string,
+  resumedAttemptId?: string,
+): CallerRequest {
+  const lastEventId = resumedAttemptId === undefined ? undefined : '3';
+  return {attemptId, resumedAttemptId, lastEventId} as CallerRequest;
+}
+
+function listUpstreams(versions: readonly string[]): Upstream[] {
+  return versions.map(
+    softwareVersion =>
+      ({
+        service: SERVICE,
+        softwareVersion,
+        state: UpstreamState.Ready,
+      }) as Upstream,
+  );
+}
+
+describe('origins of streams among gateways', () => {
+  let objects: MemorySharedObjectStore;
+  let clock: ReturnType<typeof createManualClock>;
+  let gateways: Map<string, StreamOrigins>;
+  let messageCount: number;
+  let isConnected: boolean;
+
+  beforeEach(() => {
+    objects = new MemorySharedObjectStore();
+    clock = createManualClock();
+    gateways = new Map();
+    messageCount = 0;
+    isConnected = true;
+  });
+
+  /** Lets messages, calls and timers of `forMs` run. */
+  const run = async (forMs = SPREAD_MS): Promise<void> => {
+    for (let elapsedMs = 0; elapsedMs < forMs; elapsedMs += 100) {
+      await waitForPoll();
+      await clock.runFor(100);
+    }
+    await waitForPoll();
+  };
+
+  const startGateway = (
+    name: string,
+    versions: readonly string[],
+  ): StreamOrigins => {
+    const deliver = (to: string, message: Message): boolean => {
+      messageCount += 1;
+      return gateways.get(to)?.handleMessage(message) ?? false;
+    };
+    const origins = createStreamOrigins({
+      objects,
+      ownName: name,
+      retryDelayMs: 50,
+      clock,
+      logger: SILENT_LOGGER,
+      isStoreConfirmed: () => isConnected,
+      getFleet: () => ({
+        registry: {listOthers: () => Array(gateways.size - 1) as never[]},
+        peers: {listResponsive: () => []},
+        sendTo: deliver,
+        sendToAll: message => {
+          for (const other of gateways.keys()) {
+            if (gateways.get(name) === origins && other !== name) {
+              deliver(other, message);
+            }
+          }
+        },
+      }),
+    });
+    gateways.set(name, origins);
+    origins.start();
+    origins.observeUpstreams(listUpstreams(versions), clock.getNowMs());
+    return origins;
+  };
+
+  const killAll = (): void => {
+    for (const origins of gateways.values()) origins.stop();
+    gateways.clear();
+  };
+
+  const begin = (
+    origins: StreamOrigins,
+    attemptId: string,
+    softwareVersion: string,
+  ): void =>
+    origins.recordBegun(makeRequest(attemptId), {
+      service: SERVICE,
+      softwareVersion,
+    });
+
+  const find = (
+    origins: StreamOrigins,
+    resumedAttemptId: string,
+  ): OriginVerdict | undefined =>
+    origins.findOrigin(
+      makeRequest('later', resumedAttemptId),
+      target,
+      clock.getNowMs(),
+    );
+
+  const known = (softwareVersion: string): OriginVerdict => ({
+    type: OriginVerdictType.Known,
+    origin: {service: SERVICE, softwareVersion},
+  });
+  const unknown = {type: OriginVerdictType.Unknown};
+
+  it('are known to the others when their gateway is killed', async () => {
+    const first = startGateway('g1', ['1', '2']);
+    const second = startGateway('g2', ['1', '2']);
+    await run();
+    begin(first, 'a', '1');
+    begin(first, 'b', '2');
+    await run(200);
+    gateways.delete('g1');
+    expect(find(second, 'a')).toEqual(known('1'));
+    expect(find(second, 'b')).toEqual(known('2'));
+    expect(find(second, 'c')).toEqual(unknown);
+  });
+
+  // Guards against streams that are open when the second version comes.
+  it('are sent also of streams that began before the second version', async () => {
+    const first = startGateway('g1', ['1']);
+    const second = startGateway('g2', ['1']);
+    await run();
+    begin(first, 'a', '1');
+    await run();
+    expect(messageCount).toBe(0);
+    first.observeUpstreams(listUpstreams(['1', '2']), clock.getNowMs());
+    await run(200);
+    expect(find(second, 'a')).toEqual(known('1'));
+  });
+
+  it('are sent to a gateway that connects later', async () => {
+    const first = startGateway('g1', ['1', '2']);
+    begin(first, 'a', '1');
+    await run();
+    const second = startGateway('g2', ['1', '2']);
+    first.handleConnected('g2');
+    expect(find(second, 'a')).toEqual(known('1'));
+  });
+
+  // All gateways are killed at once, twice, while the old version leaves.
+  it('outlast all gateways, also when the old version has left', async () => {
+    for (const name of ['g1', 'g2']) startGateway(name, ['1', '2']);
+    await run();
+    const first = gateways.get('g1') as StreamOrigins;
+    begin(first, 'a', '1');
+    begin(first, 'b', '2');
+    await run();
+    for (let kills = 0; kills < 2; kills += 1) {
+      killAll();
+      const restarted = ['g1', 'g2'].map(name => startGateway(name, ['2']));
+      await run();
+      for (const origins of restarted) {
+        expect(find(origins, 'a')).toEqual(known('1'));
+        expect(find(origins, 'b')).toEqual(known('2'));
+        expect(find(origins, 'c')).toEqual(unknown);
+      }
+    }
+  });
+
+  it('are that of the only version for all others once the old one has left for long', async () => {
+    const origins = startGateway('g1', ['1', '2']);
+    await run();
+    for (let elapsedMs = 0; elapsedMs <= ORIGIN_KEEP_MS; elapsedMs += 2_000) {
+      origins.observeUpstreams(listUpstreams(['2']), clock.getNowMs());
+      await run();
+    }
+    expect(find(origins, 'c')).toEqual(known('2'));
+    await run();
+    killAll();
+    const restarted = startGateway('g1', ['2']);
+    await run();
+    expect(find(restarted, 'c')).toEqual(known('2'));
+  });
+
+  it('cost one write and no message while there is one version', async () => {
+    const revision = (await objects.listObjects(STREAM_ORIGINS_KIND)).extract();
+    const origins = startGateway('g1', ['1']);
+    startGateway('g2', ['1']);
+    for (let count = 0; count < 50; count += 1) {
+      begin(origins, `a${count}`, '1');
+      await run(200);
+    }
+    const after = (await objects.listObjects(STREAM_ORIGINS_KIND)).extract();
+    expect(messageCount).toBe(0);
+    expect(revision).toMatchObject({revision: 1});
+    expect(after).toMatchObject({revision: 3});
+    expect(find(origins, 'unknown')).toEqual(known('1'));
+  });
+
+  it('are unknown before the stored ones are read, and to a gateway that is cut off', async () => {
+    const origins = startGateway('g1', ['1']);
+    expect(find(origins, 'a')).toEqual(unknown);
+    await run();
+    expect(find(origins, 'a')).toEqual(known('1'));
+    isConnected = false;
+    expect(find(origins, 'a')).toEqual(unknown);
+  });
+
+  it('are stored again in a store restored from an older copy', async () => {
+    const copy = objects.takeCopy();
+    begin(startGateway('g1', ['1', '2']), 'a', '1');
+    await run();
+    objects.restore(copy);
+    await run();
+    killAll();
+    const restarted = startGateway('g1', ['2']);
+    await run();
+    expect(find(restarted, 'a')).toEqual(known('1'));
+  });
+
+  it('are not asked for by requests that resume no stream', async () => {
+    const origins = startGateway('g1', ['1', '2']);
+    await run();
+    const request = makeRequest('a');
+    expect(origins.findOrigin(request, target, 0)).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/stream-origins.ts
@@ -0,0 +1,251 @@
+/**
+ * Tells by which software version a stream began that a caller resumes. While a
+ * service has more than one, gateways pass the origins of their streams on to
+ * each other, and store them for the case that all of them are killed.
+ */
+import type {SharedObjectStore} from '@siskinplank/directory';
+import type {Clock, Logger, Timer} from '@siskinplank/foundation';
+import {MessageType} from '@siskinplank/messages';
+import type {Message, MessageOf} from '@siskinplank/messages';
+import {RequestKind, canRepeat} from '@siskinplank/serving';
+import type {CallerRequest, Upstream} from '@siskinplank/serving';
+import {
+  createOriginTable,
+  createVersionHistory,
+  resolveOrigin,
+  collectOrigins,
+  listOrigins,
+  planOriginSchedule,
+} from '@siskinplank/stream-origins';
+import type {
+  OriginRecord,
+  OriginVerdict,
+  StreamOrigin,
+} from '@siskinplank/stream-origins';
+import type {AdmittedTarget} from './admission';
+import type {FleetNode} from './fleet-node';
+import {ORIGINS_LOADED, VERSIONS_CHANGED} from './events';
+import {createOriginStore} from './origin-store';
+
+/** The other gateways, as far as origins concern them. */
+export type OriginPeers = Pick<FleetNode, 'sendTo' | 'sendToAll'> & {
+  registry: Pick<FleetNode['registry'], 'listOthers'>;
+  peers: Pick<FleetNode['peers'], 'listResponsive'>;
+};
+
+/** What `createStreamOrigins` needs. */
+export interface StreamOriginsOptions {
+  objects: SharedObjectStore;
+  ownName: string;
+  retryDelayMs: number;
+  clock: Clock;
+  logger: Logger;
+  getFleet(): OriginPeers;
+  /** Whether the store answers, so that new versions are known. */
+  isStoreConfirmed(nowMs: number): boolean;
+}
+
+/** Origins of the streams that callers may resume. */
+export interface StreamOrigins {
+  start(): void;
+  stop(): void;
+  /** Notes the versions that serve now. */
+  observeUpstreams(usable: readonly Upstream[], nowMs: number): void;
+  /** Notes a stream that this gateway begins or goes on with. */
+  recordBegun(request: CallerRequest, origin: StreamOrigin): void;
+  /** Notes that the caller was sent the whole stream. */
+  recordCompleted(attemptId: string): void;
+  /**
+   * Resolves where a request goes on with a stream; undefined for a request that
+   * resumes none.
+   */
+  findOrigin(
+    request: CallerRequest,
+    target: AdmittedTarget,
+    nowMs: number,
+  ): OriginVerdict | undefined;
+  /** Whether the stored origins were read. */
+  isLoaded(): boolean;
+  /** Returns false for messages that do not concern origins. */
+  handleMessage(message: Message): boolean;
+  /** Sends the origins to a gateway that has just connected. */
+  handleConnected(peer: string): void;
+  /** Removes what a gateway has stored that is gone. */
+  removeGateway(name: string): void;
+  /** Origins known, of own streams and those of other gateways. */
+  count(): number;
+}
+
+/** New origins are collected for this time before they are sent. */
+const MESSAGE_DELAY_MS = 10;
+
+/** Creates origins that are neither read nor sent before `start`. */
+export function createStreamOrigins(
+  options: StreamOriginsOptions,
+): StreamOrigins {
+  const {clock, logger} = options;
+  const table = createOriginTable();
+  const history = createVersionHistory();
+  let loggedVersions = '{}';
+  /** Own origins before this time were sent to all. */
+  let sentUntilMs = -Infinity;
+  let sentAtMs = -Infinity;
+  let messageTimer: Timer | undefined;
+
+  const planSchedule = () =>
+    planOriginSchedule(options.getFleet().registry.listOthers().length + 1);
+
+  /** Whether the store or another gateway would have told of a version. */
+  const isConnected = (nowMs: number): boolean =>
+    options.isStoreConfirmed(nowMs) ||
+    options.getFleet().peers.listResponsive(nowMs).length > 0;
+
+  /** Leaves out streams of services in which all began by one version. */
+  const selectMixed = (
+    origins: ReadonlyArray<[string, StreamOrigin]>,
+    nowMs: number,
+  ): Array<[string, StreamOrigin]> =>
+    origins.filter(([, {service}]) => history.isMixed(service, nowMs));
+
+  const makeMessage = (
+    sinceMs: number,
+    nowMs: number,
+  ): MessageOf<MessageType.StreamOrigins> => ({
+    type: MessageType.StreamOrigins,
+    versions: history.describeAges(nowMs),
+    origins: collectOrigins(
+      selectMixed(table.listOwnSince(sinceMs, nowMs), nowMs),
+    ),
+  });
+
+  const sendNew = (): void => {
+    messageTimer = undefined;
+    const nowMs = clock.getNowMs();
+    options.getFleet().sendToAll(makeMessage(sentUntilMs, nowMs));
+    sentUntilMs = nowMs;
+    sentAtMs = nowMs;
+  };
+
+  const scheduleMessage = (): void => {
+    if (messageTimer !== undefined) return;
+    const nowMs = clock.getNowMs();
+    const dueAtMs = sentAtMs + planSchedule().messagePeriodMs;
+    const delayMs = Math.max(MESSAGE_DELAY_MS, dueAtMs - nowMs);
+    messageTimer = clock.startTimer(delayMs, sendNew);
+  };
+
+  const checkVersions = (nowMs: number): void => {
+    const versions = JSON.stringify(history.describe(nowMs));
+    if (versions === loggedVersions) return;
+    loggedVersions = versions;
+    logger.log(VERSIONS_CHANGED, {versions});
+    store.requestWrite();
+    const services = Object.keys(history.describe(nowMs));
+    if (!services.some(service => history.isMixed(service, nowMs))) return;
+    // The others do not know the streams that began before.
+    sentUntilMs = -Infinity;
+    scheduleMessage();
+  };
+
+  const store = createOriginStore({
+    ...options,
+    getPeriodMs: () => planSchedule().storePeriodMs,
+    collectRecord: nowMs => ({
+      versions: history.describe(nowMs),
+      origins: selectMixed(table.listOwnOpen(nowMs), nowMs),
+    }),
+    onLoaded: (records, nowMs) => {
+      let originCount = 0;
+      for (const [gateway, record] of records) {
+        recordStored(gateway, record, nowMs);
+        originCount += record.origins.length;
+      }
+      logger.log(ORIGINS_LOADED, {
+        gateways: records.size,
+        origins: originCount,
+      });
+      checkVersions(nowMs);
+    },
+  });
+
+  const recordStored = (
+    gateway: string,
+    {versions, origins}: OriginRecord,
+    nowMs: number,
+  ): void => {
+    for (const [service, recent] of Object.entries(versions)) {
+      for (const version of recent) history.observe(service, version, nowMs);
+    }
+    for (const [attemptId, origin] of origins) {
+      // Those of an earlier process of this host have no other owner.
+      if (gateway === options.ownName) table.addOwn(attemptId, origin, nowMs);
+      else table.addReported(attemptId, origin, nowMs);
+    }
+  };
+
+  return {
+    start: store.start,
+    stop: () => {
+      store.stop();
+      messageTimer?.cancel();
+    },
+    observeUpstreams: (usable, nowMs) => {
+      for (const {service, softwareVersion} of usable) {
+        history.observe(service, softwareVersion, nowMs);
+      }
+      checkVersions(nowMs);
+    },
+    recordBegun: ({attemptId, resumedAttemptId}, origin) => {
+      const nowMs = clock.getNowMs();
+      const {service, softwareVersion} = origin;
+      history.observe(service, softwareVersion, nowMs);
+      table.addOwn(attemptId, origin, nowMs);
+      if (resumedAttemptId !== undefined) {
+        table.addOwn(resumedAttemptId, origin, nowMs);
+      }
+      checkVersions(nowMs);
+      if (!history.isMixed(service, nowMs)) return;
+      scheduleMessage();
+      store.requestWrite();
+    },
+    recordCompleted: attemptId => table.complete(attemptId, clock.getNowMs()),
+    findOrigin: (request, {route, service}, nowMs) => {
+      const {lastEventId, resumedAttemptId} = request;
+      const isResumable = route.kind === RequestKind.Stream && canRepeat(route);
+      if (lastEventId === undefined || !isResumable) return undefined;
+      return resolveOrigin({
+        origin:
+          resumedAttemptId === undefined
+            ? undefined
+            : table.find(resumedAttemptId, nowMs),
+        service,
+        routeServices: route.services.map(candidate => candidate.service),
+        recentVersions: history.listRecent(service, nowMs),
+        isInformed: store.isLoaded() && isConnected(nowMs),
+      });
+    },
+    isLoaded: store.isLoaded,
+    handleMessage: message => {
+      if (message.type !== MessageType.StreamOrigins) return false;
+      const nowMs = clock.getNowMs();
+      for (const [service, ages] of Object.entries(message.versions)) {
+        for (const [version, ageMs] of Object.entries(ages)) {
+          history.observe(service, version, nowMs - ageMs);
+        }
+      }
+      for (const [attemptId, origin] of listOrigins(message.origins)) {
+        table.addReported(attemptId, origin, nowMs);
+      }
+      checkVersions(nowMs);
+      return true;
+    },
+    handleConnected: peer => {
+      const nowMs = clock.getNowMs();
+      const message = makeMessage(-Infinity, nowMs);
+      if (Object.keys(message.origins).length > 0)
+        options.getFleet().sendTo(peer, message);
+    },
+    removeGateway: name => void store.removeRecord(name),
+    count: table.count,
+  };
+}
--- a/packages/messages/src/enums.ts
+++ b/packages/messages/src/enums.ts
@@ -1,7 +1,7 @@
 /** Protocol version and enums of the messages. */
 
 /** Version of the protocol; links between different versions are refused. */
-export const PROTOCOL_VERSION = 5;
+export const PROTOCOL_VERSION = 6;
 
 /** Discriminator of each message. */
 export enum MessageType {
@@ -40,6 +40,7 @@
   UpstreamLoads = 'upstream-loads',
   AdapterRequest = 'adapter-request',
   AdapterReply = 'adapter-reply',
+  StreamOrigins = 'stream-origins',
 }
 
 /** Role of a process. */
--- a/packages/messages/src/gateway.ts
+++ b/packages/messages/src/gateway.ts
@@ -183,3 +183,17 @@
   /** Time until the adapter is present; absent when it cannot be loaded. */
   readyInMs: amountSchema.optional(),
 });
+
+const nameSchema = z.string().max(256);
+
+/**
+ * Streams that the sender began or resumed, while a service has more than one
+ * software version.
+ */
+export const streamOriginsSchema = z.strictObject({
+  type: z.literal(MessageType.StreamOrigins),
+  /** By service and version: how long ago the version was last seen. */
+  versions: mapOf(mapOf(amountSchema)),
+  /** Attempts by service and software version. */
+  origins: mapOf(mapOf(listOf(nameSchema, 20_000))),
+});
--- a/packages/messages/src/types.ts
+++ b/packages/messages/src/types.ts
@@ -15,6 +15,7 @@
   adapterReplySchema,
   adapterRequestSchema,
   gatewayStateSchema,
+  streamOriginsSchema,
   tokenGrantSchema,
   tokenRequestSchema,
   tokenReturnSchema,
@@ -428,6 +429,7 @@
   upstreamLoadsSchema,
   adapterRequestSchema,
   adapterReplySchema,
+  streamOriginsSchema,
 ]);
 
 export type Message = z.output<typeof messageSchema>;
--- /dev/null
+++ b/packages/stream-origins/src/origin-schedule.ts
@@ -0,0 +1,37 @@
+/** Plans how often gateways pass on the origins of streams. */
+
+/** Periods of one gateway while a service has more than one version. */
+export interface OriginSchedule {
+  /** Least time between two messages with new origins to the other gateways. */
+  messagePeriodMs: number;
+  /** Least time between two writes of the origins to the store. */
+  storePeriodMs: number;
+}
+
+/** Messages with origins that a gateway receives per second in a large fleet. */
+const MAX_MESSAGES_PER_SECOND = 40;
+/** Writes of all gateways together per second. */
+const MAX_WRITES_PER_SECOND = 20;
+const MILLISECONDS_PER_SECOND = 1_000;
+/**
+ * A stream that begins in the last period before its gateway is killed can't be
+ * resumed; streams take seconds.
+ */
+const MIN_MESSAGE_PERIOD_MS = 100;
+const MIN_STORE_PERIOD_MS = 500;
+
+/** Plans the schedule for a fleet, this gateway included. */
+export function planOriginSchedule(gatewayCount: number): OriginSchedule {
+  const computePeriodMs = (maxPerSecond: number): number =>
+    (gatewayCount * MILLISECONDS_PER_SECOND) / maxPerSecond;
+  return {
+    messagePeriodMs: Math.max(
+      MIN_MESSAGE_PERIOD_MS,
+      computePeriodMs(MAX_MESSAGES_PER_SECOND),
+    ),
+    storePeriodMs: Math.max(
+      MIN_STORE_PERIOD_MS,
+      computePeriodMs(MAX_WRITES_PER_SECOND),
+    ),
+  };
+}
--- /dev/null
+++ b/packages/stream-origins/src/origin-table.ts
@@ -0,0 +1,115 @@
+/** Which upstreams began the streams of the last minute, by attempt. */
+
+/** Where a stream began. */
+export interface StreamOrigin {
+  service: string;
+  /** Version of the upstreams' software, not of the weights. */
+  softwareVersion: string;
+}
+
+/**
+ * Time for which an origin is kept after its last use. Callers wait 25 s at
+ * most from the first attempt to the last event; a stream that began before a
+ * pause of its gateway may be resumed later than that.
+ */
+export const ORIGIN_KEEP_MS = 60_000;
+/** A caller that has the last event of a stream may not have read its end. */
+const COMPLETED_KEEP_MS = 2_000;
+/** About 16 MB; a gateway of the largest deployment learns 280 a second. */
+const MAX_ORIGINS = 50_000;
+
+/** The origins that a gateway knows. */
+export interface OriginTable {
+  /** Adds the origin of a stream that this gateway began or resumed. */
+  addOwn(attemptId: string, origin: StreamOrigin, nowMs: number): void;
+  /** Adds an origin that another process knows. */
+  addReported(attemptId: string, origin: StreamOrigin, nowMs: number): void;
+  /** Notes that the response of an own attempt was sent whole. */
+  complete(attemptId: string, nowMs: number): void;
+  find(attemptId: string, nowMs: number): StreamOrigin | undefined;
+  /** Own origins that were added at `sinceMs` or later, oldest first. */
+  listOwnSince(sinceMs: number, nowMs: number): Array<[string, StreamOrigin]>;
+  /** Own origins of streams that callers may still resume, oldest first. */
+  listOwnOpen(nowMs: number): Array<[string, StreamOrigin]>;
+  /** Number of origins, those that are no longer found included. */
+  count(): number;
+}
+
+interface KnownOrigin {
+  origin: StreamOrigin;
+  addedAtMs: number;
+  isOwn: boolean;
+  completedAtMs: number;
+}
+
+/** Creates a table without origins. */
+export function createOriginTable(maxOrigins = MAX_ORIGINS): OriginTable {
+  /** Oldest first. */
+  const known = new Map<string, KnownOrigin>();
+
+  const isExpired = ({addedAtMs}: KnownOrigin, nowMs: number): boolean =>
+    nowMs - addedAtMs > ORIGIN_KEEP_MS;
+
+  const removeOldest = (nowMs: number): void => {
+    for (const [attemptId, item] of known) {
+      if (known.size <= maxOrigins && !isExpired(item, nowMs)) return;
+      known.delete(attemptId);
+    }
+  };
+
+  const add = (
+    attemptId: string,
+    origin: StreamOrigin,
+    isOwn: boolean,
+    nowMs: number,
+  ): void => {
+    const former = known.get(attemptId);
+    known.delete(attemptId);
+    known.set(attemptId, {
+      origin,
+      addedAtMs: nowMs,
+      isOwn: isOwn || former?.isOwn === true,
+      completedAtMs: Infinity,
+    });
+    removeOldest(nowMs);
+  };
+
+  const listOwn = (
+    select: (item: KnownOrigin) => boolean,
+    nowMs: number,
+  ): Array<[string, StreamOrigin]> => {
+    removeOldest(nowMs);
+    const listed: Array<[string, StreamOrigin]> = [];
+    for (const [attemptId, item] of known) {
+      if (item.isOwn && select(item)) listed.push([attemptId, item.origin]);
+    }
+    return listed;
+  };
+
+  return {
+    addOwn: (attemptId, origin, nowMs) => add(attemptId, origin, true, nowMs),
+    addReported: (attemptId, origin, nowMs) => {
+      // The first report is kept: a later one is the same or a mistake.
+      if (known.has(attemptId)) return;
+      add(attemptId, origin, false, nowMs);
+    },
+    complete: (attemptId, nowMs) => {
+      const item = known.get(attemptId);
+      if (item !== undefined) item.completedAtMs = nowMs;
+    },
+    find: (attemptId, nowMs) => {
+      const item = known.get(attemptId);
+      return item === undefined || isExpired(item, nowMs)
+        ? undefined
+        : item.origin;
+    },
+    listOwnSince: (sinceMs, nowMs) =>
+      listOwn(({addedAtMs}) => addedAtMs >= sinceMs, nowMs),
+    listOwnOpen: nowMs =>
+      listOwn(
+        ({completedAtMs}) => nowMs - completedAtMs < COMPLETED_KEEP_MS,
+        nowMs,
+      ),
+    count: () => known.size,
+  };
+}
--- /dev/null
+++ b/packages/stream-origins/src/resolve-origin.ts
@@ -0,0 +1,56 @@
+/**
+ * Decides by which software version a resumed stream goes on. What two versions
+ * write doesn't fit together, and upstreams don't check it.
+ */
+import type {StreamOrigin} from './origin-table';
+
+/** What is known about a request that resumes a stream. */
+export interface OriginInput {
+  /** Origin of the stream; undefined if this gateway does not know it. */
+  origin: StreamOrigin | undefined;
+  /** Service that the route chose, and those that it may choose. */
+  service: string;
+  routeServices: readonly string[];
+  /** Versions by which streams of `service` may have begun. */
+  recentVersions: readonly string[];
+  /**
+   * Whether `recentVersions` is complete: what earlier gateways have stored was
+   * read, and a new version would be known.
+   */
+  isInformed: boolean;
+}
+
+/** Kinds of verdicts. */
+export enum OriginVerdictType {
+  /** The stream goes on at upstreams of the origin. */
+  Known = 'known',
+  /** It may have begun by one of several versions. */
+  Unknown = 'unknown',
+  /** The route no longer leads to the service that began it. */
+  NotServed = 'not-served',
+}
+
+/** Where the stream goes on. */
+export type OriginVerdict =
+  | {type: OriginVerdictType.Known; origin: StreamOrigin}
+  | {type: OriginVerdictType.Unknown}
+  | {type: OriginVerdictType.NotServed};
+
+/** Resolves where the stream goes on. */
+export function resolveOrigin(input: OriginInput): OriginVerdict {
+  const {origin, service, recentVersions} = input;
+  if (origin !== undefined) {
+    return input.routeServices.includes(origin.service)
+      ? {type: OriginVerdictType.Known, origin}
+      : {type: OriginVerdictType.NotServed};
+  }
+  // Without a second version, each stream began by the only one.
+  if (!input.isInformed || recentVersions.length !== 1) {
+    return {type: OriginVerdictType.Unknown};
+  }
+  const [softwareVersion] = recentVersions;
+  return {
+    type: OriginVerdictType.Known,
+    origin: {service, softwareVersion},
+  };
+}
