--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -158,6 +158,11 @@
     'Upstreams that want nothing from this gateway for a time',
     r => r.backedOffUpstreams,
   );
+  createGauge(
+    'gateway_stream_origins',
+    'Streams of which the software version is known that began them',
+    r => r.streamOrigins,
+  );
   createGauge(
     'gateway_incomplete_bytes',
     'Bytes held for messages from outside that are not complete',
