Load a lost model at the software version that held it

What callers saw: when the last upstream with a model ended, streams of it that callers resumed were refused at once, and its next copy was loaded at any version, where they can't go on. Cause: a search for one version never waited for a load, and the plan did not know by which version a lost model was served. Change: the order leader remembers the version of the last replica of each model and ranks upstreams of another version lower by the streams that are open or wait; it makes no further load for it. A resumed stream waits for a load that is planned, or may be since no upstream holds the model any more; where another version holds it, the stream is still refused at once. Evidence: 'loads a lost model at the version that held it' fails without the remembered version, 'waits for a load of a model that no upstream holds any more' failed before.

--- a/packages/gateway/src/dispatcher.test.ts
+++ b/packages/gateway/src/dispatcher.test.ts
@@ -26,7 +26,10 @@
   withFields: () => SILENT_LOGGER,
 };
 
-/** Upstreams whose ids begin with `new` have a newer software version. */
+/**
+ * Upstreams whose ids begin with `new` have a newer software version, and those
+ * with `empty` in their ids no model.
+ */
 function makeUpstream(id: string): Upstream {
   return {
     id,
@@ -37,7 +40,9 @@
     slots: 8,
     state: UpstreamState.Ready,
     startedAtMs: 1,
-    models: [{name: MODEL, version: 1, adapters: []}],
+    models: id.includes('empty')
+      ? []
+      : [{name: MODEL, version: 1, adapters: []}],
     orderSequence: 0,
     remainingMs: undefined,
   };
@@ -213,6 +218,12 @@
     expect(refused).toMatchObject([{code: 'no-upstream'}]);
   });
 
+  it('waits for a load of a model that no upstream holds any more', () => {
+    const {acquire, refused} = createBench(['empty1', 'newempty1'], true);
+    acquire([], 8_000, '2');
+    expect(refused).toEqual([]);
+  });
+
   it('waits only for upstreams of the version that want requests again', () => {
     const {acquire, backoffs, chosen, clock} = createBench(['new1', 'u1']);
     backoffs.record('new1/1', 1_000, 0);
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -124,6 +124,22 @@
     );
   };
 
+  /**
+   * Whether a load may be planned for the search. A model that another version
+   * holds is not loaded for streams of one version.
+   */
+  const mayPlanLoad = (
+    {service, softwareVersion}: UpstreamSearch,
+    model: string,
+  ): boolean =>
+    softwareVersion === undefined ||
+    table
+      .listServiceUpstreams(service)
+      .every(
+        ({modelState}) =>
+          !modelState.models.has(model) && modelState.arriving?.model !== model,
+      );
+
   /**
    * Earliest time at which an upstream finishes loading the model, or finishes
    * another load and can then load the adapter.
@@ -312,10 +328,9 @@
         backoffEndMs !== undefined ||
         (search.model !== undefined &&
           !wasSentToAll &&
-          // Loads follow the demand of a model, not that of one version.
-          (search.softwareVersion === undefined
-            ? options.canLoad(search.service, search.model)
-            : loadedAtMs !== undefined)),
+          (loadedAtMs !== undefined ||
+            (mayPlanLoad(search, search.model) &&
+              options.canLoad(search.service, search.model)))),
       nowMs,
     });
     if (decision.isRefused) {
--- a/packages/model-orders/src/placement-controller.ts
+++ b/packages/model-orders/src/placement-controller.ts
@@ -107,6 +107,7 @@
     isCurrent: inventory =>
       inventories.get(inventory.upstream.id) === inventory,
   });
+  const lastVersions = new Map<string, string>();
   const budget = createLoadBudget();
   const reading = new Set<UpstreamInventory>();
   const failingIds = new Set<string>();
@@ -136,6 +137,11 @@
       }
     }
     inventories = next;
+    for (const {models, upstream} of next.values()) {
+      for (const model of models.keys()) {
+        lastVersions.set(model, upstream.softwareVersion);
+      }
+    }
   };
 
   const readReport = async (inventory: UpstreamInventory): Promise<void> => {
@@ -337,6 +343,7 @@
       models: engine.models,
       demand: input.demand,
       openPerCopy: options.openPerCopy,
+      lastVersions,
       storeLoadsLeft: budget.countLeft(engine, nowMs),
     });
     for (const change of changes) {
--- a/packages/model-orders/src/plan-placement-changes.test.ts
+++ b/packages/model-orders/src/plan-placement-changes.test.ts
@@ -74,6 +74,7 @@
     models: MODELS,
     demand: [],
     openPerCopy: 8,
+    lastVersions: new Map(),
     storeLoadsLeft: 3,
     ...changes,
   });
@@ -246,6 +247,23 @@
       });
     });
 
+    // Guards against streams that wait for their model at another version.
+    it('loads a lost model at the version that held it', () => {
+      const listTargets = (lastVersion: string): string[] =>
+        plan({
+          upstreams: [
+            makeUpstream('a', ['small'], OLD),
+            makeUpstream('b', ['small'], NEW),
+          ],
+          lastVersions: new Map([['hot', lastVersion]]),
+          demand: [makeDemand('hot', {averageOpen: 4, waitingCount: 4})],
+        })
+          .filter(({load}) => load === 'hot')
+          .map(({upstream}) => upstream);
+      expect(listTargets('1')).toEqual(['a']);
+      expect(listTargets('2')).toEqual(['b']);
+    });
+
     it('plans no change only to bring replicas to one version', () => {
       const changes = plan({
         models: makeModels({hot: BIG_MB, idle: BIG_MB}),
--- a/packages/model-orders/src/plan-placement-changes.ts
+++ b/packages/model-orders/src/plan-placement-changes.ts
@@ -34,6 +34,8 @@
   demand: readonly ModelDemand[];
   /** Open requests that one replica of a model serves without slowing down. */
   openPerCopy: number;
+  /** Software version of the last replica of each model that was ever held. */
+  lastVersions: ReadonlyMap<string, string>;
   /** Loads from the weight store that may begin now. */
   storeLoadsLeft: number;
 }
@@ -164,6 +166,21 @@
     UPSTREAM_LOSSES_PER_SECOND *
     HORIZON_SECONDS;
 
+  /**
+   * Estimates the streams that can't go on since the last replica was lost and
+   * the next one is loaded at another version.
+   */
+  const estimateReloadCost = (
+    model: string,
+    {softwareVersion}: PlannedUpstream,
+  ): number => {
+    const lastVersion = input.lastVersions.get(model) ?? softwareVersion;
+    const isLost = (replicaCounts.get(model) ?? 0) === 0;
+    if (!isLost || lastVersion === softwareVersion) return 0;
+    const {averageOpen = 0, waitingCount = 0} = demandByModel.get(model) ?? {};
+    return averageOpen + waitingCount;
+  };
+
   const computeEvictionCost = (
     upstream: PlannedUpstream,
     model: string,
@@ -242,7 +259,9 @@
     return {
       upstream,
       evict: evictions.evict,
-      riskCost: estimateRiskCost(model.name, 1, upstream),
+      riskCost:
+        estimateRiskCost(model.name, 1, upstream) +
+        estimateReloadCost(model.name, upstream),
       isStoreLoad,
       cost:
         evictions.cost +
