Start resumed streams for as long as their callers wait

What callers saw: after a kill of all gateways, streams that they resumed were refused with late-start although they still waited (LOST). Hypotheses: (1) they waited unread past half the target latency of a first event, well below the gap after which a caller abandons a stream; then unreadMs of the refused ones is between 0.25 s and 1.7 s at a target of 0.5 s; (2) their callers had left; then the connection is closed before. Cause: the decision knew one bound, that of a new stream. Half the target latency says that the first event would be late; a resumed stream has had its first event. Change: a request that resumes a stream is refused only when it waited for 0.85 of the gap after which its caller abandons it. The bound is that of requests that wait for a model, now in a function that both decisions use.

--- a/packages/dispatch/src/late-start.ts
+++ b/packages/dispatch/src/late-start.ts
@@ -5,15 +5,22 @@
  * serving.
  */
 
+import {computeMaxWaitMs} from './caller-patience';
+import type {CallerTargets} from './caller-patience';
+
 /** What the decision depends on. */
-export interface LateStartInput {
+export interface LateStartInput extends CallerTargets {
   /**
    * Time from the arrival of the request until its head was read. The time that
    * its body takes is the caller's.
    */
   unreadMs: number;
-  /** Time within which a response is on time. */
-  targetLatencyMs: number;
+  /**
+   * Whether the request resumes a stream. The stream's first event was on time
+   * or not, whatever happens now, so that the target latency is no reason to
+   * refuse the rest.
+   */
+  isResuming: boolean;
 }
 
 /** Waits below this are usual for a turn of the event loop under load. */
@@ -29,6 +36,7 @@
 /** Whether a request is refused because its time was spent waiting here. */
 export function shouldRefuseLateStart(input: LateStartInput): boolean {
   const {unreadMs, targetLatencyMs} = input;
+  if (input.isResuming) return unreadMs >= computeMaxWaitMs(input);
   const refusedMs = targetLatencyMs * REFUSED_WAIT_FRACTION;
   return unreadMs >= Math.max(MIN_REFUSED_WAIT_MS, refusedMs);
 }
--- a/packages/dispatch/src/wait-decision.ts
+++ b/packages/dispatch/src/wait-decision.ts
@@ -4,15 +4,15 @@
  * long, and the rest are better refused at once than after their timeout.
  */
 
+import {computeMaxWaitMs} from './caller-patience';
+import type {CallerTargets} from './caller-patience';
 import {SHUTDOWN_RETRY_AFTER_MS} from './last-start';
 
 /** A request that no upstream can run now. */
-export interface WaitInput {
+export interface WaitInput extends CallerTargets {
   arrivedAtMs: number;
   /** Time at which the caller's deadline or the route's timeout ends. */
   deadlineAtMs: number;
-  targetLatencyMs: number;
-  targetPauseMs: number | undefined;
   /**
    * Expected end of a load of the model, or of the time for which an upstream
    * wants no requests; undefined if none is known.
@@ -40,12 +40,6 @@
   retryAfterMs: number;
 }
 
-/** Callers wait for the first event of a stream at least this long. */
-const MIN_CALLER_WAIT_MS = 2_000;
-const CALLER_WAIT_LATENCY_MULTIPLE = 4;
-const CALLER_WAIT_PAUSE_MULTIPLE = 8;
-/** Fraction of the caller's wait for which the gateway keeps a request. */
-const MAX_WAIT_FRACTION = 0.85;
 /** Time that the placement controller may take to plan a load. */
 const MIN_PLANNING_MS = 700;
 /** Fraction of the maximum wait in which a load must have been planned. */
@@ -56,13 +50,7 @@
 
 /** Decides whether a request keeps waiting. */
 export function planWait(input: WaitInput): WaitDecision {
-  const maxWaitMs =
-    MAX_WAIT_FRACTION *
-    Math.max(
-      MIN_CALLER_WAIT_MS,
-      input.targetLatencyMs * CALLER_WAIT_LATENCY_MULTIPLE,
-      (input.targetPauseMs ?? 0) * CALLER_WAIT_PAUSE_MULTIPLE,
-    );
+  const maxWaitMs = computeMaxWaitMs(input);
   const waitEndsAtMs = Math.min(
     input.arrivedAtMs + maxWaitMs,
     input.deadlineAtMs,
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -10,7 +10,7 @@
 import type {Clock, Logger, Random} from '@siskinplank/foundation';
 import type {ConnectionPool} from '@siskinplank/http-exchange';
 import {BufferFault} from '@siskinplank/receive-buffers';
-import {canRepeat} from '@siskinplank/serving';
+import {canRepeat, isResumingStream} from '@siskinplank/serving';
 import type {LimitReadings} from '@siskinplank/token-shares';
 import type {CallerRequest, ExchangeFormat} from '@siskinplank/serving';
 import {countTokens} from './account-limiter';
@@ -326,8 +326,9 @@
       body: Buffer | undefined,
     ): void => {
       if (hasCallerLeft()) return;
-      const {targetLatencyMs} = admitted.route;
-      if (shouldRefuseLateStart({unreadMs, targetLatencyMs})) {
+      const {route} = admitted;
+      const isResuming = isResumingStream(request, route);
+      if (shouldRefuseLateStart({...route, unreadMs, isResuming})) {
         const retryAfterMs = LATE_START_RETRY_MS;
         refuse({code: RefusalCode.LateStart, retryAfterMs}, admitted);
         return;
--- /dev/null
+++ b/packages/gateway/src/resumed-streams.test.ts
@@ -0,0 +1,87 @@
+import {once} from 'node:events';
+import {createServer, request as sendRequest} from 'node:http';
+import type {IncomingMessage, Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {createSystemClock} from '@siskinplank/foundation';
+import {createReceiveBudget} from '@siskinplank/receive-buffers';
+import {RequestKind} from '@siskinplank/serving';
+import {Left, Right} from 'purify-ts';
+import {afterEach, describe, expect, it} from 'vitest';
+import {RefusalCode} from './refusals';
+import {createRequestHandler} from './request-handler';
+import type {RequestHandlerOptions} from './request-handler';
+
+const TARGET_MS = 500;
+/** Past half the target latency, and well below the patience of callers. */
+const UNREAD_MS = 400;
+
+describe('request that resumes a stream', () => {
+  let server: Server | undefined;
+
+  afterEach(() => server?.close());
+
+  /** Sends a request that waited unread; the limiter refuses what is started. */
+  const runRequest = async (lastEventId?: string): Promise<number> => {
+    const route = {
+      name: 'r',
+      services: [{service: 's', weight: 1}],
+      kind: RequestKind.Stream,
+      isResumable: true,
+      targetLatencyMs: TARGET_MS,
+    };
+    const account = {name: 'a', countsTokens: false};
+    const handler = createRequestHandler({
+      configuration: {
+        getAgeMs: () => 0,
+        mayBeLost: () => false,
+        getTable: () => ({
+          configuration: {
+            version: 1,
+            accounts: [account],
+            limits: {maxBodyBytes: 1_000},
+          },
+          findRoute: () => route,
+          findAccount: () => account,
+        }),
+      },
+      limiter: {
+        take: (...args: unknown[]) => {
+          const onTaken = args.at(-1) as (taken: unknown) => void;
+          onTaken(Left({code: RefusalCode.OverLimit, retryAfterMs: 100}));
+        },
+      },
+      origins: {findOrigin: () => undefined},
+      pool: {receiveBudget: createReceiveBudget({maxBytes: 1_000_000})},
+      format: {
+        decodeRequest: () => Right({key: 'k', attemptId: 'i', lastEventId}),
+        encodeGatewayHeaders: () => [],
+      },
+      maxConfigurationAgeMs: 1_000,
+      clock: createSystemClock(),
+      arrivals: {
+        takeArrivalMs: (_socket: unknown, nowMs: number) => nowMs - UNREAD_MS,
+      },
+      random: {getNext: () => 0.5},
+      logger: {log: () => undefined},
+      metrics: {recordRequest: () => undefined},
+      isLeaving: () => false,
+      getShutdown: () => undefined,
+      onArrival: () => undefined,
+    } as unknown as RequestHandlerOptions);
+    server = createServer(handler.handle);
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const {port} = server.address() as AddressInfo;
+    const sent = sendRequest({port, host: '127.0.0.1', method: 'POST'});
+    sent.end('x');
+    const [response] = (await once(sent, 'response')) as [IncomingMessage];
+    response.resume();
+    return response.statusCode ?? 0;
+  };
+
+  // Such requests were refused in the second after a restart of all gateways.
+  it('is started although a new stream would be too late', async () => {
+    expect(await runRequest()).toBe(503);
+    expect(await runRequest('3')).toBe(429);
+  });
+});
--- a/packages/gateway/src/stream-origins.ts
+++ b/packages/gateway/src/stream-origins.ts
@@ -7,7 +7,7 @@
 import type {Clock, Logger, Timer} from '@siskinplank/foundation';
 import {MessageType} from '@siskinplank/messages';
 import type {Message, MessageOf} from '@siskinplank/messages';
-import {RequestKind, canRepeat} from '@siskinplank/serving';
+import {isResumingStream} from '@siskinplank/serving';
 import type {CallerRequest, Upstream} from '@siskinplank/serving';
 import {
   createOriginTable,
@@ -210,9 +210,8 @@
     },
     recordCompleted: attemptId => table.complete(attemptId, clock.getNowMs()),
     findOrigin: (request, {route, service}, nowMs) => {
-      const {lastEventId, resumedAttemptId} = request;
-      const isResumable = route.kind === RequestKind.Stream && canRepeat(route);
-      if (lastEventId === undefined || !isResumable) return undefined;
+      const {resumedAttemptId} = request;
+      if (!isResumingStream(request, route)) return undefined;
       return resolveOrigin({
         origin:
           resumedAttemptId === undefined
--- a/packages/serving/src/requests.ts
+++ b/packages/serving/src/requests.ts
@@ -1,6 +1,8 @@
 /** Requests of callers, and the classification of upstream responses. */
 
 import {createHash} from 'node:crypto';
+import {RequestKind, canRepeat} from './configuration';
+import type {Route} from './configuration';
 
 /** 132 bits. */
 const FINGERPRINT_LENGTH = 22;
@@ -96,6 +98,15 @@
   forwardedHeaders: readonly string[];
 }
 
+/** Whether the request goes on with a stream that its caller began earlier. */
+export function isResumingStream(
+  {lastEventId}: Pick<CallerRequest, 'lastEventId'>,
+  route: Route,
+): boolean {
+  const isResumable = route.kind === RequestKind.Stream && canRepeat(route);
+  return isResumable && lastEventId !== undefined;
+}
+
 /** Values that the gateway adds to a request that it sends to an upstream. */
 export interface UpstreamInstructions {
   upstreamId: string;
