Let resumed streams wait for tokens of their account up to a second

What callers saw: while tokens of an account were short, after a kill of all gateways, streams that they resumed were refused with over-limit as often as new ones (LOST). Hypotheses: (1) the tokens accrue within the patience of the caller, but later than the 150 ms that any request waits; then retryAfterMs is between 150 and 1,000; (2) the account is so far over its limit that no wait helps; then it is longer; (3) no home answers; then the code is limit-unknown. Change: a request that resumes a stream may wait for tokens up to 1 s, within 0.85 of its caller's gap since the arrival and within its deadline; a new one waits 150 ms as before. Nothing is counted differently; what resumed streams leave of the rate goes to new ones. The property test of the limits under cuts, losses, pauses and restarts now draws the part of requests with the longer patience, too.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -20,8 +20,8 @@
   createDispatchPolicy,
 } from './policies';
 export type {DispatchChoice, DispatchRequest} from './policies';
-export {computeMaxWaitMs} from './caller-patience';
-export type {CallerTargets} from './caller-patience';
+export {computeTokenWaitMs} from './caller-patience';
+export type {TokenWaitInput} from './caller-patience';
 export {planWait} from './wait-decision';
 export type {WaitDecision, WaitInput} from './wait-decision';
 export {createUpstreamProgress} from './upstream-progress';
--- a/packages/gateway/src/account-limiter.test.ts
+++ b/packages/gateway/src/account-limiter.test.ts
@@ -11,6 +11,8 @@
 const LARGE_RATE = 47_667;
 const SMALL_RATE = 2_700;
 const EXTRA_BURST = 4_950;
+/** Longest wait of a request that resumes a stream. */
+const RESUMED_PATIENCE_MS = 1_000;
 
 /** Accounts of a large deployment: a few large ones, many small ones. */
 const ACCOUNTS = new Map<string, AccountLimit>(
@@ -32,6 +34,7 @@
   gatewayCount: number,
   getPart: (account: string) => number,
   random: Random,
+  resumedPart = 0,
 ): (nowMs: number) => void {
   const meanTokens = 1_390;
   return () => {
@@ -41,7 +44,10 @@
       while (random.getNext() < expected) {
         expected -= 1;
         const gateway = random.getInteger(gatewayCount);
-        fleet.request(gateway, account, sampleTokens(random));
+        const tokens = sampleTokens(random);
+        const isResumed = resumedPart > 0 && random.getNext() < resumedPart;
+        const patienceMs = isResumed ? RESUMED_PATIENCE_MS : undefined;
+        fleet.request(gateway, account, tokens, patienceMs);
       }
     }
   };
@@ -240,6 +246,7 @@
           freezeForMs: fc.integer({min: 0, max: 6_000}),
           restartAtMs: fc.integer({min: 0, max: 10_000}),
           lossRate: fc.double({min: 0, max: 0.3, noNaN: true}),
+          resumedPart: fc.double({min: 0, max: 1, noNaN: true}),
           seed: fc.integer({min: 1, max: 1_000_000}),
         }),
         async drawn => {
@@ -257,6 +264,7 @@
             gatewayCount,
             () => drawn.part,
             random,
+            drawn.resumedPart,
           );
           const frozen = fleet.findHome('account-1');
           const separated = drawn.isHomeCut ? fleet.findHome('account-2') : 0;
--- a/packages/gateway/src/account-limiter.ts
+++ b/packages/gateway/src/account-limiter.ts
@@ -20,11 +20,13 @@
 export interface AccountLimiter {
   /**
    * Takes the tokens of a request, or calls back with a refusal. Asks the home
-   * of the account for tokens that are missing here.
+   * of the account for tokens that are missing here, and waits for them at most
+   * `patienceMs`.
    */
   take(
     account: ClientAccount,
     request: CallerRequest,
+    patienceMs: number,
     onResult: (result: Either<LimitRefusal, number>) => void,
   ): void;
   /** Returns the tokens of a request that has not run. */
@@ -44,8 +46,6 @@
   getLastSeenAtMs(peer: string): number | undefined;
 }
 
-/** Longest wait for tokens that accrue. */
-const MAX_WAIT_MS = 150;
 /** Longest wait for a reply; a refusal costs the caller more time than this. */
 const REPLY_TIMEOUT_MS = 400;
 /** A home that does not reply and was silent for this long is passed over. */
@@ -246,7 +246,7 @@
   };
 
   return {
-    take: (account, request, onResult) => {
+    take: (account, request, patienceMs, onResult) => {
       const nowMs = clock.getNowMs();
       const tokens = countTokens(account, request);
       if (shares.trySpend(account.name, tokens, nowMs)) {
@@ -258,7 +258,7 @@
         id: lastId,
         account: account.name,
         tokens,
-        endsAtMs: nowMs + MAX_WAIT_MS,
+        endsAtMs: nowMs + patienceMs,
         home: ownName,
         round: 0,
         homes: 0,
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -44,6 +44,15 @@
   retryAfterMs: NOT_READY_RETRY_MS,
 };
 
+/** Time at which the caller's deadline or the route's timeout ends. */
+export function computeDeadlineAtMs(
+  {deadlineMs = Infinity}: CallerRequest,
+  {timeoutMs}: Route,
+  arrivedAtMs: number,
+): number {
+  return arrivedAtMs + Math.min(deadlineMs, timeoutMs);
+}
+
 /** Creates the admission. */
 export function createAdmission(options: AdmissionOptions): Admission {
   const {configuration, random} = options;
--- a/packages/gateway/src/caller-bodies.test.ts
+++ b/packages/gateway/src/caller-bodies.test.ts
@@ -61,6 +61,7 @@
         take: (
           _account: unknown,
           _request: unknown,
+          _patienceMs: number,
           onTaken: (taken: unknown) => void,
         ) => {
           const refusal = {code: RefusalCode.OverLimit, retryAfterMs: 100};
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -3,6 +3,7 @@
 import {
   LATE_START_RETRY_MS,
   SHUTDOWN_RETRY_AFTER_MS,
+  computeTokenWaitMs,
   shouldRefuseLateStart,
 } from '@siskinplank/dispatch';
 import type {RetryBudgetOptions, UpstreamTable} from '@siskinplank/dispatch';
@@ -15,7 +16,7 @@
 import type {CallerRequest, ExchangeFormat} from '@siskinplank/serving';
 import {countTokens} from './account-limiter';
 import type {AccountLimiter} from './account-limiter';
-import {createAdmission} from './admission';
+import {computeDeadlineAtMs, createAdmission} from './admission';
 import type {AdmittedTarget} from './admission';
 import type {ArrivalTimes} from './arrival-times';
 import {receiveBody, skipBody} from './caller-body';
@@ -221,8 +222,7 @@
       const promptTokens = request.promptTokens ?? 0;
       const outputTokens =
         request.expectedOutputTokens ?? request.maxOutputTokens ?? 0;
-      const deadlineAtMs =
-        arrivedAtMs + Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
+      const deadlineAtMs = computeDeadlineAtMs(request, route, arrivedAtMs);
       const budget = budgets.ensureBudget(service);
       budget.recordRequest(clock.getNowMs());
       if (model !== undefined) options.demand.recordRequest(model);
@@ -345,13 +345,20 @@
       admission: AdmittedTarget,
       body: Buffer | undefined,
     ): void => {
-      const {account} = admission;
+      const {route, account} = admission;
       if (account !== undefined) tokens = countTokens(account, request);
       if (account === undefined) {
         run(request, admission, body, 0);
         return;
       }
-      options.limiter.take(account, request, taken => {
+      const patienceMs = computeTokenWaitMs({
+        ...route,
+        isResuming: isResumingStream(request, route),
+        arrivedAtMs,
+        deadlineAtMs: computeDeadlineAtMs(request, route, arrivedAtMs),
+        nowMs: clock.getNowMs(),
+      });
+      options.limiter.take(account, request, patienceMs, taken => {
         if (hasEnded()) {
           taken.ifRight(tokens => options.limiter.refund(account, tokens));
           return;
--- a/packages/gateway/src/resumed-streams.test.ts
+++ b/packages/gateway/src/resumed-streams.test.ts
@@ -20,14 +20,21 @@
 
   afterEach(() => server?.close());
 
-  /** Sends a request that waited unread; the limiter refuses what is started. */
-  const runRequest = async (lastEventId?: string): Promise<number> => {
+  /**
+   * Sends a request that waited unread; the limiter refuses what is started.
+   * Returns the status and the time that the limiter was given.
+   */
+  const runRequest = async (
+    lastEventId?: string,
+  ): Promise<{status: number; patienceMs: number}> => {
+    let patienceMs = 0;
     const route = {
       name: 'r',
       services: [{service: 's', weight: 1}],
       kind: RequestKind.Stream,
       isResumable: true,
       targetLatencyMs: TARGET_MS,
+      timeoutMs: 15_000,
     };
     const account = {name: 'a', countsTokens: false};
     const handler = createRequestHandler({
@@ -45,8 +52,13 @@
         }),
       },
       limiter: {
-        take: (...args: unknown[]) => {
-          const onTaken = args.at(-1) as (taken: unknown) => void;
+        take: (
+          _account: unknown,
+          _request: unknown,
+          givenMs: number,
+          onTaken: (taken: unknown) => void,
+        ) => {
+          patienceMs = givenMs;
           onTaken(Left({code: RefusalCode.OverLimit, retryAfterMs: 100}));
         },
       },
@@ -76,12 +88,17 @@
     sent.end('x');
     const [response] = (await once(sent, 'response')) as [IncomingMessage];
     response.resume();
-    return response.statusCode ?? 0;
+    return {status: response.statusCode ?? 0, patienceMs};
   };
 
   // Such requests were refused in the second after a restart of all gateways.
   it('is started although a new stream would be too late', async () => {
-    expect(await runRequest()).toBe(503);
-    expect(await runRequest('3')).toBe(429);
+    expect((await runRequest()).status).toBe(503);
+    expect((await runRequest('3')).status).toBe(429);
+  });
+
+  // While tokens are short, a wait of 150 ms refused them as often as new ones.
+  it('may wait for tokens for a second', async () => {
+    expect((await runRequest('3')).patienceMs).toBe(1_000);
   });
 });
--- a/packages/gateway/src/testing/limiter-fleet.ts
+++ b/packages/gateway/src/testing/limiter-fleet.ts
@@ -22,6 +22,7 @@
 export interface LimitedRequest {
   account: string;
   tokens: number;
+  patienceMs: number;
   askedAtMs: number;
   endedAtMs: number;
   isRefused: boolean;
@@ -44,7 +45,12 @@
 export interface LimiterFleet {
   clock: ManualClock;
   ended: LimitedRequest[];
-  request(gateway: number, account: string, tokens: number): void;
+  request(
+    gateway: number,
+    account: string,
+    tokens: number,
+    patienceMs?: number,
+  ): void;
   /** Separates gateways for which the group differs, until `endCut`. */
   startCut(getGroup: (gateway: number) => number): void;
   endCut(): void;
@@ -71,6 +77,8 @@
 }
 
 const STEP_MS = 10;
+/** Longest wait for tokens of a request that resumes no stream. */
+const PATIENCE_MS = 150;
 const HOUSEKEEPING_MS = 100;
 const STATE_PERIOD_MS = 1_700;
 const MIN_DELAY_MS = 2;
@@ -195,17 +203,18 @@
   return {
     clock,
     ended,
-    request: (gateway, account, tokens) => {
+    request: (gateway, account, tokens, patienceMs = PATIENCE_MS) => {
       const askedAtMs = clock.getNowMs();
       const client = {name: account, countsTokens: true} as ClientAccount;
       const request = {
         promptTokens: tokens,
         maxOutputTokens: 0,
       } as CallerRequest;
-      gateways[gateway].limiter.take(client, request, result =>
+      gateways[gateway].limiter.take(client, request, patienceMs, result =>
         ended.push({
           account,
           tokens,
+          patienceMs,
           askedAtMs,
           endedAtMs: clock.getNowMs(),
           isRefused: result.isLeft(),
