Load further copies of a model where its software version has one

What callers saw: a stream goes on only at the version that began it, and after the end of an upstream no other upstream of its version had the model (no-upstream; LOST). Cause: the plan chose the upstream for a copy, and what to evict, without a look at versions. Change: while two versions serve, candidates for a load are ranked by their cost plus the open streams that would be alone at their version, times the rate at which upstreams end, over the horizon of the plan. An eviction that leaves a copy alone at its version costs as much. The rank does not count for whether a load is worth its cost, so no load is made for it. With one version, the plan is as before. Evidence: the tests "adds a replica at the version that has the other one" and "evicts a model that leaves no other replica alone" fail with the former plan-placement-changes.ts; the other tests of the plan pass with both.

--- a/packages/model-orders/src/placement-controller.ts
+++ b/packages/model-orders/src/placement-controller.ts
@@ -301,6 +301,7 @@
       .map(([model]) => model);
     return {
       id: inventory.upstream.id,
+      softwareVersion: inventory.upstream.softwareVersion,
       capacityMb: engine.weightsMb - engine.adapterSlots * largestAdapterMb,
       models: new Set(inventory.models.keys()),
       serving: new Set(serving),
--- a/packages/model-orders/src/plan-placement-changes.test.ts
+++ b/packages/model-orders/src/plan-placement-changes.test.ts
@@ -33,6 +33,7 @@
 ): PlannedUpstream {
   return {
     id,
+    softwareVersion: '1',
     capacityMb: 83_000,
     models: new Set(models),
     serving: new Set(models),
@@ -189,4 +190,73 @@
     });
     expect(changes[0]).toMatchObject({upstream: 'b', isStoreLoad: false});
   });
+
+  describe('while two software versions serve', () => {
+    const OLD = {softwareVersion: '1'};
+    const NEW = {softwareVersion: '2'};
+    const HOT_DEMAND = makeDemand('hot', {
+      requestsPerSecond: 10,
+      averageOpen: 24,
+    });
+
+    // Guards against streams that have nowhere to go on when their upstream ends.
+    it('adds a replica at the version that has the other one', () => {
+      const upstreams = [
+        makeUpstream('a', ['hot', 'small'], NEW),
+        makeUpstream('b', ['small'], OLD),
+        makeUpstream('c', ['idle', 'rare'], NEW),
+      ];
+      const listTargets = (planned: readonly PlannedUpstream[]): string[] =>
+        plan({upstreams: planned, demand: [HOT_DEMAND]})
+          .filter(({load}) => load === 'hot')
+          .map(({upstream}) => upstream);
+      expect(listTargets(upstreams)).toEqual(['c']);
+      // With one version, the upstream with free memory is the cheapest.
+      const alike = upstreams.map(upstream => ({...upstream, ...OLD}));
+      expect(listTargets(alike)).toEqual(['b']);
+    });
+
+    it('adds a replica at another version rather than none', () => {
+      const changes = plan({
+        upstreams: [
+          makeUpstream('a', ['hot', 'idle'], NEW),
+          makeUpstream('b', ['small'], OLD),
+        ],
+        demand: [HOT_DEMAND],
+      });
+      expect(changes).toContainEqual(
+        expect.objectContaining({upstream: 'b', load: 'hot'}),
+      );
+    });
+
+    it('evicts a model that leaves no other replica alone', () => {
+      const upstreams = [
+        makeUpstream('a', ['hot', 'idle'], OLD),
+        makeUpstream('b', ['hot', 'small'], {...OLD, canTakeOrder: false}),
+        makeUpstream('c', ['idle', 'small'], {...NEW, canTakeOrder: false}),
+      ];
+      const demand = [
+        makeDemand('hot', {requestsPerSecond: 1, averageOpen: 5}),
+        makeDemand('idle', {requestsPerSecond: 1, averageOpen: 5}),
+        makeDemand('rare', {requestsPerSecond: 1, waitingCount: 5}),
+      ];
+      expect(plan({upstreams, demand})[0]).toMatchObject({
+        load: 'rare',
+        evict: ['idle'],
+      });
+    });
+
+    it('plans no change only to bring replicas to one version', () => {
+      const changes = plan({
+        models: makeModels({hot: BIG_MB, idle: BIG_MB}),
+        upstreams: [
+          makeUpstream('a', ['hot'], NEW),
+          makeUpstream('b', ['hot'], OLD),
+          makeUpstream('c', ['idle'], OLD),
+        ],
+        demand: [makeDemand('hot', {requestsPerSecond: 8, averageOpen: 15})],
+      });
+      expect(changes).toEqual([]);
+    });
+  });
 });
--- a/packages/model-orders/src/plan-placement-changes.ts
+++ b/packages/model-orders/src/plan-placement-changes.ts
@@ -5,10 +5,13 @@
  */
 import type {ModelSpec} from '@siskinplank/serving';
 import type {ModelDemand} from './demand-tracker';
+import {createReplicaVersions} from './replica-versions';
 
 /** An upstream as the planner sees it. */
 export interface PlannedUpstream {
   id: string;
+  /** Software version; a stream goes on only at the one that began it. */
+  softwareVersion: string;
   /** Memory for weights, in MB, less the memory reserved for adapters. */
   capacityMb: number;
   /** Models that use memory: present, being loaded or being unloaded. */
@@ -73,6 +76,11 @@
   upstream: PlannedUpstream;
   evict: string[];
   cost: number;
+  /**
+   * Streams at risk after the change, in requests. It only ranks candidates, so
+   * that two software versions do not lead to further loads.
+   */
+  riskCost: number;
   isStoreLoad: boolean;
 }
 
@@ -119,6 +127,7 @@
       replicaCounts.set(model, (replicaCounts.get(model) ?? 0) + 1);
     }
   }
+  const replicaVersions = createReplicaVersions(upstreams);
   const usedUpstreams = new Set<string>();
   let storeLoadsLeft = input.storeLoadsLeft;
 
@@ -141,6 +150,20 @@
       recoverySeconds.get(model) ?? 0,
     );
 
+  /**
+   * Estimates the streams that are lost over the horizon since their upstream
+   * ends and no other one of its version has the model.
+   */
+  const estimateRiskCost = (
+    model: string,
+    change: number,
+    {softwareVersion}: PlannedUpstream,
+  ): number =>
+    replicaVersions.computeLoneFraction(model, change, softwareVersion) *
+    (demandByModel.get(model)?.averageOpen ?? 0) *
+    UPSTREAM_LOSSES_PER_SECOND *
+    HORIZON_SECONDS;
+
   const computeEvictionCost = (
     upstream: PlannedUpstream,
     model: string,
@@ -148,11 +171,13 @@
     if (!upstream.serving.has(model)) return Infinity;
     if ((upstream.openByModel.get(model) ?? 0) > 0) return Infinity;
     const count = replicaCounts.get(model) ?? 1;
-    return (
-      (estimateDegradedRate(model, count - 1) -
-        estimateDegradedRate(model, count)) *
-      HORIZON_SECONDS
-    );
+    const degradedRate =
+      estimateDegradedRate(model, count - 1) -
+      estimateDegradedRate(model, count);
+    const riskCost =
+      estimateRiskCost(model, -1, upstream) -
+      estimateRiskCost(model, 0, upstream);
+    return degradedRate * HORIZON_SECONDS + Math.max(0, riskCost);
   };
 
   /**
@@ -217,6 +242,7 @@
     return {
       upstream,
       evict: evictions.evict,
+      riskCost: estimateRiskCost(model.name, 1, upstream),
       isStoreLoad,
       cost:
         evictions.cost +
@@ -230,29 +256,36 @@
     model: ModelSpec,
     gain: number,
   ): PlacementChange | undefined => {
-    let best: Candidate | undefined;
-    for (const upstream of upstreams) {
-      const candidate = scoreUpstream(upstream, model);
-      if (candidate === undefined) continue;
-      if (best === undefined || candidate.cost < best.cost) best = candidate;
-    }
-    if (best === undefined) return undefined;
-    const isFree = best.evict.length === 0;
-    const net = gain - best.cost;
     const isUrgent = (replicaCounts.get(model.name) ?? 0) === 0 && gain > 0;
-    if (net <= 0 && !(isFree && isUrgent)) return undefined;
+    const isWorthwhile = ({cost, evict}: Candidate): boolean =>
+      gain - cost > 0 || (isUrgent && evict.length === 0);
+    const candidates = upstreams
+      .map(upstream => scoreUpstream(upstream, model))
+      .filter(candidate => candidate !== undefined)
+      .sort((left, right) => left.cost - right.cost);
+    if (candidates.length === 0 || !isWorthwhile(candidates[0]))
+      return undefined;
+    const [best] = candidates
+      .filter(isWorthwhile)
+      .sort(
+        (left, right) =>
+          left.cost + left.riskCost - right.cost - right.riskCost,
+      );
     usedUpstreams.add(best.upstream.id);
     if (best.isStoreLoad) storeLoadsLeft -= 1;
+    const {softwareVersion} = best.upstream;
     for (const evicted of best.evict) {
       replicaCounts.set(evicted, (replicaCounts.get(evicted) ?? 1) - 1);
+      replicaVersions.add(evicted, softwareVersion, -1);
     }
     replicaCounts.set(model.name, (replicaCounts.get(model.name) ?? 0) + 1);
+    replicaVersions.add(model.name, softwareVersion, 1);
     return {
       upstream: best.upstream.id,
       load: model.name,
       evict: best.evict,
       isStoreLoad: best.isStoreLoad,
-      gain: net,
+      gain: gain - best.cost,
     };
   };
 
