Resume a stream at its own upstream when no other one has its version

What callers saw: a stream whose connection to the upstream was reset broke off, though the upstream was sound. Cause: the session leaves out upstreams that it has tried, and no other one of the stream's version had the model. The new tests "resumes an event stream at its upstream by a new connection", "whose upstream is unreachable" and "whose attempts are used up" fail without the change to request-session.ts. Change: when the search finds none, a stream whose connection broke goes on at that upstream by a new connection, if it is still listed and reachable, and the attempts of the route, the retry budget and the limits of the upstream allow it. An upstream drops a request when its connection closes, so it does not run twice. The test "breaks an event stream off when no upstream has its version" expected that the own upstream is left out; two tests replace it, which also name the upstreams that were tried.

--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -16,6 +16,7 @@
 import {startRequestAttempt} from './request-attempt';
 import {createFailover} from './request-failover';
 import {isEmptySuccess, isSuccess} from './response-heads';
+import {createSameUpstream} from './same-upstream';
 import type {
   AttemptTarget,
   RequestSession,
@@ -29,8 +30,6 @@
 const CONNECTION_FAULT = 0.5;
 /** Retry-After when upstreams rejected a request or none is left to try. */
 const REJECTED_RETRY_MS = 200;
-/** Delay before a request is sent again to the upstream that rejected it. */
-const SAME_UPSTREAM_DELAY_MS = 60;
 /** Upstreams that one request finds unreachable before it is refused. */
 const MAX_UNREACHABLE = 4;
 /** Least time before the deadline at which a request is still sent. */
@@ -43,6 +42,7 @@
   const isRepeatable = canRepeat(route);
   const guarded = createGuardedRequest(admitted);
   const observeBroken = createBrokenObserver(guarded, route);
+  const sameUpstream = createSameUpstream(options);
   const triedUpstreamIds = new Set<string>();
   /** Upstreams at which an attempt was made, those that rejected it included. */
   const sentUpstreamIds = new Set<string>();
@@ -208,8 +208,12 @@
   /** Starts another attempt, or refuses the request. */
   const tryNext = (): void => {
     if (hasEnded || !checkRequest()) return;
-    if (canTryAnother()) search(sentCount > 0, refuseUnserved);
-    else refuseUnserved();
+    if (!canTryAnother()) return refuseUnserved();
+    search(sentCount > 0, (retryAfterMs, code) => {
+      const entry = canTryAnother() && sameUpstream.takeBroken(sentCount);
+      if (entry) startAttemptAt(entry);
+      else refuseUnserved(retryAfterMs, code);
+    });
   };
 
   const recordFirstByte = (): void => {
@@ -316,16 +320,10 @@
     if (hasAttemptsLeft() || !mayResend) return tryNext();
     // The model or adapter may still have been loading; it may be ready soon.
     hasResent = true;
-    clock.startTimer(SAME_UPSTREAM_DELAY_MS, () => {
+    sameUpstream.startWaiting(attempt.entry, isPossible => {
       if (hasEnded) return;
-      const lastStartAtMs = options.getLastStartAtMs() ?? Infinity;
-      const isPossible =
-        clock.getNowMs() <= lastStartAtMs && options.isUsable(attempt.entry);
       const maySend =
-        isPossible &&
-        checkRequest() &&
-        options.trySpendRetry() &&
-        options.limits.trySpend(attempt.entry.upstream);
+        isPossible && checkRequest() && sameUpstream.trySpend(attempt.entry);
       if (maySend) startAttemptAt(attempt.entry);
       else refuseUnserved();
     });
@@ -360,6 +358,7 @@
     if (failure.code === ExchangeFailureCode.NotConnected) {
       options.recordUnreachable(attempt.entry);
     }
+    sameUpstream.observeFailure(attempt, failure);
     const broken = observeBroken(attempt, failure);
     if (isSuccessor || failover.replaceFailed()) {
       // The other attempt goes on, so nothing waits for the verdict.
--- a/packages/gateway/src/stream-versions.test.ts
+++ b/packages/gateway/src/stream-versions.test.ts
@@ -1,3 +1,4 @@
+import {ExchangeFailureCode} from '@siskinplank/http-exchange';
 import {RequestKind} from '@siskinplank/serving';
 import {beforeEach, describe, expect, it} from 'vitest';
 import {RefusalCode} from './refusals';
@@ -31,13 +32,51 @@
     expect(bench.begunBy).toEqual(['v1']);
   });
 
-  it('breaks an event stream off when no upstream has its version', () => {
-    bench.versions = {'u-1': 'v1', 'u-2': 'v2', 'u-3': 'v2'};
-    bench.startSession(RequestKind.Stream);
-    bench.answer(0, makeHead(200), EVENT);
-    bench.breakOff(0);
-    expect(bench.exchanges.length).toBe(1);
-    expect(bench.wasAborted).toBe(true);
+  describe('when no other upstream has its version', () => {
+    const failToConnect = (index: number): void =>
+      bench.exchanges[index].observer.onFailure({
+        code: ExchangeFailureCode.NotConnected,
+        reason: 'refused',
+        wasReused: false,
+      });
+
+    beforeEach(() => {
+      bench.versions = {'u-1': 'v1', 'u-2': 'v2', 'u-3': 'v2'};
+      bench.startSession(RequestKind.Stream);
+      bench.answer(0, makeHead(200), EVENT);
+      bench.breakOff(0);
+    });
+
+    // Guards against streams lost with a reset connection of a sound upstream.
+    it('resumes an event stream at its upstream by a new connection', () => {
+      expect(bench.exchanges[1]).toMatchObject({
+        key: bench.exchanges[0].key,
+        needsNewConnection: true,
+      });
+      bench.answer(1, makeHead(200), EVENT);
+      bench.exchanges[1].observer.onEnd();
+      expect(bench.received).toBe(`200 ${EVENT}${EVENT}end`);
+      expect(bench.begunBy).toEqual(['v1']);
+    });
+
+    it('breaks an event stream off whose upstream is unreachable', () => {
+      failToConnect(1);
+      expect(bench.exchanges.map(({key}) => key)).toEqual(
+        Array(2).fill(bench.exchanges[0].key),
+      );
+      expect(bench.wasAborted).toBe(true);
+    });
+
+    it('breaks an event stream off whose attempts are used up', () => {
+      for (const index of [1, 2]) {
+        bench.answer(index, makeHead(200), EVENT);
+        bench.breakOff(index);
+      }
+      expect(bench.exchanges.map(({key}) => key)).toEqual(
+        Array(3).fill(bench.exchanges[0].key),
+      );
+      expect(bench.wasAborted).toBe(true);
+    });
   });
 
   it('tries upstreams of any version until the first event', () => {
--- a/packages/gateway/src/testing/session-bench.ts
+++ b/packages/gateway/src/testing/session-bench.ts
@@ -32,7 +32,13 @@
 /** The session, and what its caller and the upstreams got. */
 export interface SessionBench {
   clock: ReturnType<typeof createManualClock>;
-  exchanges: Array<{observer: ExchangeObserver; isCancelled: boolean}>;
+  exchanges: Array<{
+    /** Incarnation of the upstream that it is with. */
+    key: string;
+    observer: ExchangeObserver;
+    isCancelled: boolean;
+    needsNewConnection: boolean;
+  }>;
   /** What the caller got. */
   received: string;
   hasStarted: boolean;
@@ -111,11 +117,16 @@
       pool: {
         receiveBudget: createReceiveBudget({maxBytes: 33_554_432}),
         send: (
-          _target: unknown,
-          _request: unknown,
+          {key}: {key: string},
+          {needsNewConnection}: {needsNewConnection: boolean},
           observer: ExchangeObserver,
         ) => {
-          const exchange = {observer, isCancelled: false};
+          const exchange = {
+            key,
+            observer,
+            isCancelled: false,
+            needsNewConnection,
+          };
           bench.exchanges.push(exchange);
           return {
             cancel: () => (exchange.isCancelled = true),
