Place models by software version only when no release runs

Change: the rank has no effect for 5 s after the last upstream joined that was not there before. Restarts do not count, since they do not come with a release. The test "chooses by cost alone during a release" fails without it.

--- a/packages/model-orders/src/placement-controller.ts
+++ b/packages/model-orders/src/placement-controller.ts
@@ -93,6 +93,12 @@
  * that use a model to unload, in milliseconds.
  */
 const UNLOAD_MAX_WAIT_MS = 4_000;
+/**
+ * A release is taken to be over this long after the last upstream joined.
+ * Upstreams of a release follow each other within about a second, and each takes
+ * a second or two to start.
+ */
+const RELEASE_SETTLE_MS = 5_000;
 /** Time for all gateways to learn of an eviction before the unload order. */
 const EVICTION_NOTICE_MS = 25;
 
@@ -111,6 +117,8 @@
   const reading = new Set<UpstreamInventory>();
   const failingIds = new Set<string>();
   let lastInput: PlacementInput | undefined;
+  /** When an upstream that was not there before joined, restarts left out. */
+  let joinedAtMs = -Infinity;
   const adapterLoader = createAdapterLoader({
     sender,
     clock,
@@ -132,6 +140,7 @@
         known.applyRegistration(upstream, nowMs);
         next.set(upstream.id, known);
       } else {
+        if (known === undefined) joinedAtMs = nowMs;
         next.set(upstream.id, createUpstreamInventory(upstream, nowMs));
       }
     }
@@ -338,6 +347,7 @@
       demand: input.demand,
       openPerCopy: options.openPerCopy,
       storeLoadsLeft: budget.countLeft(engine, nowMs),
+      isReleaseRunning: nowMs - joinedAtMs < RELEASE_SETTLE_MS,
     });
     for (const change of changes) {
       const inventory = inventories.get(change.upstream);
--- a/packages/model-orders/src/plan-placement-changes.test.ts
+++ b/packages/model-orders/src/plan-placement-changes.test.ts
@@ -75,6 +75,7 @@
     demand: [],
     openPerCopy: 8,
     storeLoadsLeft: 3,
+    isReleaseRunning: false,
     ...changes,
   });
 }
@@ -216,6 +217,22 @@
       expect(listTargets(alike)).toEqual(['b']);
     });
 
+    // Guards against loads on upstreams that a release is about to replace.
+    it('chooses by cost alone during a release', () => {
+      const changes = plan({
+        upstreams: [
+          makeUpstream('a', ['hot', 'small'], OLD),
+          makeUpstream('b', ['small'], NEW),
+          makeUpstream('c', ['idle', 'rare'], OLD),
+        ],
+        demand: [HOT_DEMAND],
+        isReleaseRunning: true,
+      });
+      expect(changes).toContainEqual(
+        expect.objectContaining({upstream: 'b', load: 'hot'}),
+      );
+    });
+
     it('adds a replica at another version rather than none', () => {
       const changes = plan({
         upstreams: [
--- a/packages/model-orders/src/plan-placement-changes.ts
+++ b/packages/model-orders/src/plan-placement-changes.ts
@@ -36,6 +36,8 @@
   openPerCopy: number;
   /** Loads from the weight store that may begin now. */
   storeLoadsLeft: number;
+  /** Whether upstreams may be replaced by ones of another version now. */
+  isReleaseRunning: boolean;
 }
 
 /** One model to load on an upstream after the evictions. */
@@ -127,7 +129,11 @@
       replicaCounts.set(model, (replicaCounts.get(model) ?? 0) + 1);
     }
   }
-  const replicaVersions = createReplicaVersions(upstreams);
+  // A copy at a version that is being replaced is soon lost, so that a release
+  // would cost loads.
+  const replicaVersions = createReplicaVersions(
+    input.isReleaseRunning ? [] : upstreams,
+  );
   const usedUpstreams = new Set<string>();
   let storeLoadsLeft = input.storeLoadsLeft;
 
