--- a/packages/model-orders/src/plan-placement-changes.ts
+++ b/packages/model-orders/src/plan-placement-changes.ts
@@ -38,6 +38,8 @@
   lastVersions: ReadonlyMap<string, string>;
   /** Loads from the weight store that may begin now. */
   storeLoadsLeft: number;
+  /** Whether upstreams may be replaced by ones of another version now. */
+  isReleaseRunning: boolean;
 }
 
 /** One model to load on an upstream after the evictions. */
@@ -129,7 +131,11 @@
       replicaCounts.set(model, (replicaCounts.get(model) ?? 0) + 1);
     }
   }
-  const replicaVersions = createReplicaVersions(upstreams);
+  // A copy at a version that is being replaced is soon lost, so that a release
+  // would cost loads.
+  const replicaVersions = createReplicaVersions(
+    input.isReleaseRunning ? [] : upstreams,
+  );
   const usedUpstreams = new Set<string>();
   let storeLoadsLeft = input.storeLoadsLeft;
 
@@ -176,7 +182,8 @@
   ): number => {
     const lastVersion = input.lastVersions.get(model) ?? softwareVersion;
     const isLost = (replicaCounts.get(model) ?? 0) === 0;
-    if (!isLost || lastVersion === softwareVersion) return 0;
+    if (input.isReleaseRunning || !isLost) return 0;
+    if (lastVersion === softwareVersion) return 0;
     const {averageOpen = 0, waitingCount = 0} = demandByModel.get(model) ?? {};
     return averageOpen + waitingCount;
   };
