Begin a generation under the id of its attempt

What callers saw: on the own interface (entry, side), events of two starts of an engine, and so of two of its software versions, could be joined in one stream; and a repeated request ended with an error when the attempt before it, given up since, was cancelled at the engine. Cause: all attempts of a request gave the engine the request's id as generation id. An earlier attempt that reached a restarted engine late began a generation under the same id there, and the later attempt, interrupted by the restart, resumed that one. Cancelling one attempt deleted the generation of all. Change: the generation id is the attempt's id. A side process sends an attempt once, so an engine process knows the id only if it began the generation; a restarted one answers 404, and the stream ends with an error. The status of the engine names its start too, but lags by up to 15 s, so it can't decide this. The event for a resumed generation names the attempt as well. The test of a caller's cancel expected the request's id and now expects the attempt's. The fake engine now answers 404 for generations that it did not begin since its start, as the stand-in does.

--- a/packages/entry/src/requests/types.ts
+++ b/packages/entry/src/requests/types.ts
@@ -5,7 +5,7 @@
 
 /** A checked request with all that decides where and how it runs. */
 export interface CallerRequest {
-  /** Unique; the engine uses it as the generation id. */
+  /** Unique; the same for all attempts. */
   requestId: string;
   /** Undefined on routes that need no key. */
   identity: CallerIdentity | undefined;
--- a/packages/messages/src/types.ts
+++ b/packages/messages/src/types.ts
@@ -47,9 +47,12 @@
 
 const requestOpenSchema = z.strictObject({
   type: z.literal(MessageType.RequestOpen),
-  /** Unique for each attempt, over all entry hosts and for all time. */
+  /**
+   * Unique for each attempt, over all entry hosts and for all time; the
+   * generation id.
+   */
   attemptId: attemptIdSchema,
-  /** The same for all attempts of one caller request; the generation id. */
+  /** The same for all attempts of one caller request. */
   requestId: z.string().min(1).max(64),
   /** Opaque name of the client account; never its key. */
   accountTag: z.string(),
--- a/packages/side/src/engine-control.test.ts
+++ b/packages/side/src/engine-control.test.ts
@@ -73,6 +73,42 @@
     expect(body.match(/"n":\d/g)).toEqual(['"n":0', '"n":1', '"n":2']);
   });
 
+  // Guards against a response joined from what two versions of an engine wrote.
+  it('ends a stream whose generation a restarted engine began anew', async () => {
+    const {engine, entry, open, waitForEnd} = await startBench();
+    await waitForEnd(open('a'));
+    const requestId = 'request';
+    engine.state.isStreamInterrupted = true;
+    engine.state.isResumeBroken = true;
+    const attemptId = open('a', undefined, {requestId});
+    await vi.waitFor(() => expect(engine.offsets).toEqual(['2']));
+    const models = [...engine.models];
+    engine.restart();
+    for (const [key, version] of models) engine.models.set(key, version);
+    // An earlier attempt of the request, delayed, reaches the new engine.
+    await waitForEnd(open('a', undefined, {requestId}));
+    engine.state.isResumeBroken = false;
+    const end = await waitForEnd(attemptId);
+    expect(entry.readBody(attemptId)).not.toContain('"start":2');
+    expect(end.error).toBe('engine cannot resume the generation: 404');
+  });
+
+  // Guards against a repeated request that ends when the former attempt is cancelled.
+  it('cancels only the generation of the cancelled attempt', async () => {
+    const {engine, entry, open, waitForEnd} = await startBench();
+    await waitForEnd(open('a'));
+    engine.begun.clear();
+    engine.state.isResponseHeld = true;
+    const [cancelled, kept] = [0, 1].map(() =>
+      open('a', undefined, {requestId: 'request'}),
+    );
+    await vi.waitFor(() => expect(engine.held).toHaveLength(2));
+    entry.link.send({type: MessageType.Cancel, attemptId: cancelled});
+    await vi.waitFor(() => expect(engine.cancelled).toHaveLength(1));
+    expect(engine.begun).toEqual(new Set([cancelled, kept]));
+    expect(engine.cancelled).toEqual([`/v1/generations/${cancelled}`]);
+  });
+
   // A caller that disconnected must not keep the accelerator busy.
   it('cancels the generation when the caller cancels', async () => {
     const {engine, entry, open, waitForEnd} = await startBench();
@@ -82,9 +118,7 @@
     await vi.waitFor(() => expect(engine.held).toHaveLength(1));
     entry.link.send({type: MessageType.Cancel, attemptId});
     await vi.waitFor(() =>
-      expect(engine.cancelled).toEqual([
-        `/v1/generations/request-${attemptId}`,
-      ]),
+      expect(engine.cancelled).toEqual([`/v1/generations/${attemptId}`]),
     );
   });
 
--- a/packages/side/src/handover/runner.ts
+++ b/packages/side/src/handover/runner.ts
@@ -71,7 +71,9 @@
   const headers = {
     ...filterRequestHeaders(open.headers),
     ...(isGeneration && {
-      'x-request-id': open.requestId,
+      // Unlike the request's id, the attempt's reaches one engine process only:
+      // a restarted one, maybe of another version, can't know its generation.
+      'x-request-id': open.attemptId,
       'x-priority': open.priority,
       'x-account-tag': open.accountTag,
     }),
@@ -99,7 +101,7 @@
   }
   // The engine may still be running the request although it is refused.
   if (isGeneration && failure.isHandedOver) {
-    await client.cancelGeneration(open.requestId);
+    await client.cancelGeneration(open.attemptId);
   }
   span.end(failure.message);
   return {refusal: makeRefusal(attempt, failure)};
@@ -164,7 +166,7 @@
     }
   }
   if (error !== undefined && isGeneration) {
-    await client.cancelGeneration(open.requestId);
+    await client.cancelGeneration(open.attemptId);
   }
   if (abort.signal.aborted && error !== undefined) {
     error = attempt.cancelCode ?? 'cancelled';
@@ -183,7 +185,7 @@
   context: RunnerContext,
 ): Promise<string | undefined> {
   const {client, clock, random, logger} = context;
-  const {requestId} = attempt.open;
+  const {attemptId, requestId} = attempt.open;
   const {signal} = attempt.abort;
   let error: string | undefined = 'upstream broke off';
   for (let tries = 0; tries < constants.MAX_ENGINE_RESUMES; tries += 1) {
@@ -199,7 +201,7 @@
     const offset = reader.getNextOffset();
     const headers = {traceparent: attempt.span.traceparent};
     const resumed = await client.resumeGeneration(
-      requestId,
+      attemptId,
       offset,
       headers,
       signal,
@@ -211,7 +213,11 @@
       await response.drain();
       return `engine cannot resume the generation: ${response.status}`;
     }
-    logger.log(events.GENERATION_RESUMED, {requestId, offset});
+    logger.log(events.GENERATION_RESUMED, {
+      attemptId,
+      requestId,
+      offset,
+    });
     error = await relayBody(response.body);
     if (error === undefined) return undefined;
   }
--- a/packages/side/src/testing/engine-bench.ts
+++ b/packages/side/src/testing/engine-bench.ts
@@ -37,6 +37,8 @@
   const adapters = new Map<string, string>();
   const offsets: string[] = [];
   const cancelled: string[] = [];
+  /** Ids of the generations since the start. */
+  const begun = new Set<string>();
   const held: http.ServerResponse[] = [];
   const state = {
     generation: 1,
@@ -46,6 +48,8 @@
     failedLoads: 0,
     isStreamInterrupted: false,
     isResponseHeld: false,
+    /** Breaks the connections of requests to resume. */
+    isResumeBroken: false,
     /** Base duration of a generation. */
     delayMs: 0,
     statusCalls: 0,
@@ -104,7 +108,8 @@
   const sendEvents = (response: http.ServerResponse, from: number): void => {
     response.writeHead(200, {'content-type': 'text/event-stream'});
     for (let id = from; id < 3; id += 1) {
-      response.write(`id: ${id}\ndata: {"n":${id}}\n\n`);
+      const event = {n: id, start: state.generation};
+      response.write(`id: ${id}\ndata: ${JSON.stringify(event)}\n\n`);
       if (id === 1 && state.isStreamInterrupted) {
         state.isStreamInterrupted = false;
         response.write('id: 2\ndata: {"n"', () => response.destroy());
@@ -149,11 +154,16 @@
         cancelled.push(url);
         response.end();
       } else if (url.startsWith('/v1/generations')) {
-        const offset = url.split('offset=')[1];
+        const [id, offset] = url.split('/')[3].split('?offset=');
         offsets.push(offset);
-        sendEvents(response, Number(offset));
-      } else if (state.isResponseHeld) held.push(response);
-      else {
+        if (state.isResumeBroken) response.destroy();
+        else if (!begun.has(id)) response.writeHead(404).end();
+        else sendEvents(response, Number(offset));
+      } else if (state.isResponseHeld) {
+        begun.add(String(request.headers['x-request-id']));
+        held.push(response);
+      } else {
+        begun.add(String(request.headers['x-request-id']));
         // Different durations keep requests from ending at the same time.
         const delayMs = state.delayMs * (1 + (requestCount++ % 5) / 2);
         setTimeout(() => sendEvents(response, 0), delayMs);
@@ -172,6 +182,7 @@
       adapters,
       offsets,
       cancelled,
+      begun,
       held,
     },
     hasExecuted: (orderId: string): boolean => executed.has(orderId),
@@ -188,6 +199,7 @@
       executed.clear();
       models.clear();
       adapters.clear();
+      begun.clear();
     },
   };
 }
