Tell callers to return while a gateway does not know the upstreams

What callers saw: by reading, not observed in a play: a gateway that has read the stored origins of streams and not yet the upstreams refused a resumed stream with 503 version-not-served and no Retry-After, although its version was served. Cause: the check whether the version is served took an empty list for one without the version. Change: without any upstream of the service the refusal is no-upstream with a Retry-After of 200 ms, as while the origins are read. Evidence: the new test of resumed-streams got version-not-served before.

--- a/packages/gateway/src/resumed-streams.test.ts
+++ b/packages/gateway/src/resumed-streams.test.ts
@@ -58,6 +58,11 @@
     });
   });
 
+  // Guards against a final refusal by a gateway that has not read the upstreams yet.
+  it('is refused with a delay while no upstream is known', () => {
+    expect(resolve(known)).toEqual({code: 'no-upstream', retryAfterMs: 200});
+  });
+
   it('is refused when it is not known, with a delay only while it may become so', () => {
     const unknown: OriginVerdict = {type: OriginVerdictType.Unknown};
     expect(resolve(unknown)).toEqual({code: 'origin-unknown'});
--- a/packages/gateway/src/resumed-streams.ts
+++ b/packages/gateway/src/resumed-streams.ts
@@ -9,7 +9,7 @@
 import type {Refusal} from './refusals';
 import type {StreamOrigins} from './stream-origins';
 
-/** Retry-After while the stored origins of streams are read. */
+/** Retry-After while the stored origins of streams, or the upstreams, are read. */
 const LOADING_RETRY_MS = 200;
 
 /**
@@ -40,9 +40,15 @@
       return Left({code: RefusalCode.VersionNotServed});
     case OriginVerdictType.Known: {
       const {service, softwareVersion} = verdict.origin;
-      const isServed = upstreams
-        .listServiceUpstreams(service)
-        .some(({upstream}) => upstream.softwareVersion === softwareVersion);
+      const entries = upstreams.listServiceUpstreams(service);
+      // The process may have started just now.
+      if (entries.length === 0) {
+        const retryAfterMs = LOADING_RETRY_MS;
+        return Left({code: RefusalCode.NoUpstream, retryAfterMs});
+      }
+      const isServed = entries.some(
+        ({upstream}) => upstream.softwareVersion === softwareVersion,
+      );
       return isServed
         ? Right({...target, service, softwareVersion})
         : Left({code: RefusalCode.VersionNotServed});
