Remove the stored origins of a gateway that is gone although the store is silent

What callers saw: by reading, not observed in a play: once the record of a gateway that does not return had stayed in the store, each gateway took the software versions that it names for recent ones for 60 s after its own start, and refused resumed streams of unknown origin (503 origin-unknown) that it could go on with. Cause: the record was removed by one call after the removal of the registration, and never again if the store did not answer it. Change: the calls are repeated until one succeeds, the record is gone, or the gateway has written it again. Evidence: the new test of stream-origins found the record in the store before. Open: a registration whose removal was applied although its reply was lost, or a gateway killed between the two removals, still leaves the record.

--- a/packages/gateway/src/origin-store.ts
+++ b/packages/gateway/src/origin-store.ts
@@ -30,7 +30,7 @@
   isLoaded(): boolean;
   /** Writes the record of this gateway when the period has passed. */
   requestWrite(): void;
-  /** Removes the record of a gateway that is gone. */
+  /** Removes the record of a gateway that is gone, also if calls fail at first. */
   removeRecord(gateway: string): Promise<void>;
 }
 
@@ -136,13 +136,25 @@
     isLoaded: () => isLoaded,
     requestWrite,
     removeRecord: async gateway => {
-      const listed = await objects.listObjects(STREAM_ORIGINS_KIND);
-      const object = listed
-        .toMaybe()
-        .extract()
-        ?.items.find(({name}) => name === gateway);
-      if (object === undefined) return;
-      await objects.deleteObject(STREAM_ORIGINS_KIND, gateway, object.revision);
+      let removedRevision: number | undefined;
+      while (!isStopped) {
+        const listed = await objects.listObjects(STREAM_ORIGINS_KIND);
+        const items = listed.toMaybe().extract()?.items;
+        if (items !== undefined) {
+          const object = items.find(({name}) => name === gateway);
+          if (object === undefined) return;
+          removedRevision ??= object.revision;
+          // The gateway has returned and written it again.
+          if (object.revision !== removedRevision) return;
+          const removed = await objects.deleteObject(
+            STREAM_ORIGINS_KIND,
+            gateway,
+            removedRevision,
+          );
+          if (removed.isRight()) return;
+        }
+        await clock.waitMs(options.retryDelayMs);
+      }
     },
   };
 }
--- a/packages/gateway/src/stream-origins.test.ts
+++ b/packages/gateway/src/stream-origins.test.ts
@@ -1,3 +1,4 @@
+import {StoreFailureCode} from '@siskinplank/directory';
 import {createManualClock, waitForPoll} from '@siskinplank/foundation';
 import type {Logger} from '@siskinplank/foundation';
 import type {Message} from '@siskinplank/messages';
@@ -6,6 +7,7 @@
 import {ORIGIN_KEEP_MS, OriginVerdictType} from '@siskinplank/stream-origins';
 import type {OriginVerdict} from '@siskinplank/stream-origins';
 import {MemorySharedObjectStore} from '@siskinplank/testing';
+import {Left} from 'purify-ts';
 import {beforeEach, describe, expect, it} from 'vitest';
 import type {AdmittedTarget} from './admission';
 import {STREAM_ORIGINS_KIND} from './origin-store';
@@ -244,6 +246,25 @@
     expect(find(restarted, 'a')).toEqual(known('1'));
   });
 
+  // Guards against a record that no gateway removes any more.
+  it('are removed with their gateway also when the store is silent at first', async () => {
+    startGateway('gone', ['1']);
+    await run();
+    killAll();
+    const origins = startGateway('g1', ['2']);
+    const listObjects = objects.listObjects.bind(objects);
+    objects.listObjects = () =>
+      Promise.resolve(
+        Left({code: StoreFailureCode.NoAnswer, reason: 'silent'}),
+      );
+    origins.removeGateway('gone');
+    await run();
+    objects.listObjects = listObjects;
+    await run();
+    const listed = await objects.listObjects(STREAM_ORIGINS_KIND);
+    expect(listed.unsafeCoerce().items.map(({name}) => name)).toEqual(['g1']);
+  });
+
   it('are not asked for by requests that resume no stream', async () => {
     const origins = startGateway('g1', ['1', '2']);
     await run();
