Keep connections open that were idle when the idle timeout was raised

Callers saw: beside a change that raises the idle timeout, a request on a connection that had been idle for longer than the former timeout, but not longer than the new one, met a closed connection: neither an answer nor a refusal. The same after the start of a gateway, where the timeout of Node.js (5 s) holds for connections that were used before the first configuration.

Cause: Node.js sets the timer of an idle connection when its response ends. A later `keepAliveTimeout` holds for later responses only. Class: a limit that is copied where it is first needed and does not follow its source.

Change: `IdleConnections.setTimeoutMs` sets the timeout of the listener and starts the timer of idle connections anew if it is shorter.

--- a/packages/gateway/src/caller-listener.ts
+++ b/packages/gateway/src/caller-listener.ts
@@ -73,7 +73,7 @@
   return {
     arrivals,
     applyLimits: limits => {
-      server.keepAliveTimeout = limits.idleTimeoutMs;
+      idle.setTimeoutMs(limits.idleTimeoutMs);
       server.headersTimeout = limits.headerTimeoutMs;
     },
     start: handle => {
--- a/packages/gateway/src/idle-connections.ts
+++ b/packages/gateway/src/idle-connections.ts
@@ -8,6 +8,11 @@
 
 /** Closes the idle connections of one listener. */
 export interface IdleConnections {
+  /**
+   * Sets the idle timeout of the listener. Connections that are idle now stay
+   * open at least as long, since their callers may reuse them until then.
+   */
+  setTimeoutMs(timeoutMs: number): void;
   /**
    * Resolves when everything that has arrived is read. Under processor load,
    * connections and requests may have arrived that the process has not read
@@ -137,6 +142,14 @@
   };
 
   return {
+    setTimeoutMs: timeoutMs => {
+      server.keepAliveTimeout = timeoutMs;
+      for (const socket of uses.keys()) {
+        // Node.js sets a timeout only while no request is open.
+        const {timeout = 0} = socket;
+        if (timeout > 0 && timeout < timeoutMs) socket.setTimeout(timeoutMs);
+      }
+    },
     readArrived,
     closeIdle,
     closeWhenAnswered: socket => {
