Let resumed streams wait for a gateway that has just started

What callers saw: after a kill of all gateways, streams that they resumed in the first second were refused with not-ready and a Retry-After of 500 ms; a caller may have one attempt only. Hypotheses: (1) the gateway is ready within the caller's patience, so that waiting answers rightly; then refusals end soon after the configuration was applied; (2) it is not, since the store does not answer; then they go on. Change: a request with the last event of a stream that finds the configuration unconfirmed or the stored origins unread is tried again each 50 ms, for 1 s after its arrival at most and only in the first 3 s of the process. All others are refused at once as before, as is an origin that the stored ones do not have. Evidence: tests 'waits until a process that starts ...' fail without the change (503 for 429).

--- a/packages/gateway/src/refusals.ts
+++ b/packages/gateway/src/refusals.ts
@@ -1,4 +1,5 @@
 /** Error responses that the gateway sends itself. */
+import {BufferFault} from '@siskinplank/receive-buffers';
 
 /** Why the gateway refuses a request. */
 export enum RefusalCode {
@@ -74,3 +75,15 @@
   [RefusalCode.OutcomeUnknown]: 502,
   [RefusalCode.TimedOut]: 504,
 };
+
+/** Retry-After of requests whose bodies found no memory. */
+const MEMORY_RETRY_MS = 200;
+
+/** Refusals of requests whose bodies could not be kept. */
+export const BODY_REFUSALS: Readonly<Record<BufferFault, Refusal>> = {
+  [BufferFault.TooLong]: {code: RefusalCode.BodyTooLarge},
+  [BufferFault.Evicted]: {
+    code: RefusalCode.MemoryShort,
+    retryAfterMs: MEMORY_RETRY_MS,
+  },
+};
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -3,14 +3,12 @@
 import {
   LATE_START_RETRY_MS,
   SHUTDOWN_RETRY_AFTER_MS,
-  computeTokenWaitMs,
   shouldRefuseLateStart,
 } from '@siskinplank/dispatch';
 import type {RetryBudgetOptions, UpstreamTable} from '@siskinplank/dispatch';
 import {waitForPoll} from '@siskinplank/foundation';
 import type {Clock, Logger, Random} from '@siskinplank/foundation';
 import type {ConnectionPool} from '@siskinplank/http-exchange';
-import {BufferFault} from '@siskinplank/receive-buffers';
 import {canRepeat, isResumingStream} from '@siskinplank/serving';
 import type {LimitReadings} from '@siskinplank/token-shares';
 import type {CallerRequest, ExchangeFormat} from '@siskinplank/serving';
@@ -30,7 +28,7 @@
 import {RESPONSE_UNSENT} from './events';
 import type {GatewayMetrics} from './gateway-metrics';
 import type {RequestGuard} from './request-guard';
-import {REFUSAL_STATUSES, RefusalCode} from './refusals';
+import {BODY_REFUSALS, REFUSAL_STATUSES, RefusalCode} from './refusals';
 import type {Refusal} from './refusals';
 import {createRequestDurations} from './request-durations';
 import type {ShutdownTimes} from './request-durations';
@@ -38,7 +36,8 @@
 import {createRequestSession} from './request-session';
 import {createServiceBudgets} from './service-budgets';
 import type {RequestSession, SessionOutcome} from './session-types';
-import {resolveTarget} from './resumed-streams';
+import {computePatienceMs, resolveTarget} from './resumed-streams';
+import {createStartWait} from './start-wait';
 import type {StreamOrigins} from './stream-origins';
 import type {UpstreamBackoffs} from './upstream-backoffs';
 import type {UpstreamLimits} from './upstream-limits';
@@ -89,8 +88,6 @@
 
 /** Callers may have left a request that waited at least this long. */
 const LATE_READ_MS = 150;
-/** Retry-After of requests whose bodies found no memory. */
-const MEMORY_RETRY_MS = 200;
 
 /** Creates the handler. */
 export function createRequestHandler(
@@ -100,6 +97,7 @@
   const requestAdmission = createAdmission(options);
   const budgets = createServiceBudgets(options);
   const durations = createRequestDurations();
+  const awaitStart = createStartWait(options);
   const sessions = new Set<RequestSession>();
   const connections = createCallerConnections(options.isLeaving);
   const openRequests = new Set<() => void>();
@@ -320,6 +318,19 @@
     const hasCallerLeft = (): boolean =>
       hasEnded() || socket.readableEnded || connections.isClosing(socket);
 
+    /** Refuses a request, or tries it again if this process just started. */
+    const refuseUnlessStarting = (
+      request: CallerRequest,
+      refusal: Refusal,
+      admission: Partial<AdmittedTarget>,
+      retry: () => void,
+    ): void => {
+      const isWaiting = awaitStart({request, refusal, arrivedAtMs}, () => {
+        if (!hasCallerLeft()) retry();
+      });
+      if (!isWaiting) refuse(refusal, admission);
+    };
+
     const start = (
       request: CallerRequest,
       admitted: AdmittedTarget,
@@ -335,7 +346,10 @@
       }
       const nowMs = clock.getNowMs();
       resolveTarget(options, request, admitted, nowMs).caseOf({
-        Left: refusal => refuse(refusal, admitted),
+        Left: refusal =>
+          refuseUnlessStarting(request, refusal, admitted, () =>
+            start(request, admitted, body),
+          ),
         Right: target => startAt(request, target, body),
       });
     };
@@ -351,13 +365,8 @@
         run(request, admission, body, 0);
         return;
       }
-      const patienceMs = computeTokenWaitMs({
-        ...route,
-        isResuming: isResumingStream(request, route),
-        arrivedAtMs,
-        deadlineAtMs: computeDeadlineAtMs(request, route, arrivedAtMs),
-        nowMs: clock.getNowMs(),
-      });
+      const nowMs = clock.getNowMs();
+      const patienceMs = computePatienceMs(request, route, arrivedAtMs, nowMs);
       options.limiter.take(account, request, patienceMs, taken => {
         if (hasEnded()) {
           taken.ifRight(tokens => options.limiter.refund(account, tokens));
@@ -373,49 +382,45 @@
       });
     };
 
-    decoded
-      .mapLeft((): Refusal => ({code: RefusalCode.BadRequest}))
-      .chain(request =>
-        requestAdmission.admit(request, readAtMs).map(admission => ({
-          request,
-          admission,
-        })),
-      )
-      .caseOf({
-        Left: refusal => refuse(refusal),
-        Right: ({request, admission}) => {
-          const maxBytes =
-            configuration.getTable()?.configuration.limits.maxBodyBytes ?? 0;
-          const onBody = (body: Buffer | undefined): void => {
-            if (unreadMs < LATE_READ_MS) {
-              start(request, admission, body);
-              return;
-            }
-            // The caller of a request that waited may have left since. Its
-            // close is read in the poll after the one that read the request.
-            void waitForPoll()
-              .then(waitForPoll)
-              .then(() => start(request, admission, body));
-          };
-          dropBody = receiveBody({
-            incoming,
-            maxBytes,
-            receiveBudget: options.pool.receiveBudget,
-            source: `caller ${admission.account?.name ?? admission.route.name}`,
-            onBody,
-            onFault: fault =>
-              refuse(
-                fault === BufferFault.TooLong
-                  ? {code: RefusalCode.BodyTooLarge}
-                  : {
-                      code: RefusalCode.MemoryShort,
-                      retryAfterMs: MEMORY_RETRY_MS,
-                    },
-                admission,
-              ),
-          });
-        },
+    const receive = (
+      request: CallerRequest,
+      admission: AdmittedTarget,
+    ): void => {
+      const maxBytes =
+        configuration.getTable()?.configuration.limits.maxBodyBytes ?? 0;
+      const onBody = (body: Buffer | undefined): void => {
+        if (unreadMs < LATE_READ_MS) {
+          start(request, admission, body);
+          return;
+        }
+        // The caller of a request that waited may have left since. Its
+        // close is read in the poll after the one that read the request.
+        void waitForPoll()
+          .then(waitForPoll)
+          .then(() => start(request, admission, body));
+      };
+      dropBody = receiveBody({
+        incoming,
+        maxBytes,
+        receiveBudget: options.pool.receiveBudget,
+        source: `caller ${admission.account?.name ?? admission.route.name}`,
+        onBody,
+        onFault: fault => refuse(BODY_REFUSALS[fault], admission),
       });
+    };
+
+    const admit = (request: CallerRequest): void => {
+      requestAdmission.admit(request, clock.getNowMs()).caseOf({
+        Left: refusal =>
+          refuseUnlessStarting(request, refusal, {}, () => admit(request)),
+        Right: admission => receive(request, admission),
+      });
+    };
+
+    decoded.caseOf({
+      Left: () => refuse({code: RefusalCode.BadRequest}),
+      Right: admit,
+    });
   };
 
   return {
--- a/packages/gateway/src/resumed-streams.test.ts
+++ b/packages/gateway/src/resumed-streams.test.ts
@@ -5,6 +5,7 @@
 import {createSystemClock} from '@siskinplank/foundation';
 import {createReceiveBudget} from '@siskinplank/receive-buffers';
 import {RequestKind} from '@siskinplank/serving';
+import {OriginVerdictType} from '@siskinplank/stream-origins';
 import {Left, Right} from 'purify-ts';
 import {afterEach, describe, expect, it} from 'vitest';
 import {RefusalCode} from './refusals';
@@ -26,8 +27,13 @@
    */
   const runRequest = async (
     lastEventId?: string,
+    {unreadMs = UNREAD_MS, readyAfterMs = 0, loadedAfterMs = 0} = {},
   ): Promise<{status: number; patienceMs: number}> => {
     let patienceMs = 0;
+    const clock = createSystemClock();
+    const startedAtMs = clock.getNowMs();
+    const hasPassed = (delayMs: number): boolean =>
+      clock.getNowMs() >= startedAtMs + delayMs;
     const route = {
       name: 'r',
       services: [{service: 's', weight: 1}],
@@ -40,7 +46,7 @@
     const handler = createRequestHandler({
       configuration: {
         getAgeMs: () => 0,
-        mayBeLost: () => false,
+        mayBeLost: () => !hasPassed(readyAfterMs),
         getTable: () => ({
           configuration: {
             version: 1,
@@ -62,16 +68,22 @@
           onTaken(Left({code: RefusalCode.OverLimit, retryAfterMs: 100}));
         },
       },
-      origins: {findOrigin: () => undefined},
+      origins: {
+        findOrigin: () =>
+          lastEventId === undefined || hasPassed(loadedAfterMs)
+            ? undefined
+            : {type: OriginVerdictType.Unknown},
+        isLoaded: () => hasPassed(loadedAfterMs),
+      },
       pool: {receiveBudget: createReceiveBudget({maxBytes: 1_000_000})},
       format: {
         decodeRequest: () => Right({key: 'k', attemptId: 'i', lastEventId}),
         encodeGatewayHeaders: () => [],
       },
       maxConfigurationAgeMs: 1_000,
-      clock: createSystemClock(),
+      clock: {...clock, getStartedMs: () => startedAtMs},
       arrivals: {
-        takeArrivalMs: (_socket: unknown, nowMs: number) => nowMs - UNREAD_MS,
+        takeArrivalMs: (_socket: unknown, nowMs: number) => nowMs - unreadMs,
       },
       random: {getNext: () => 0.5},
       logger: {log: () => undefined},
@@ -101,4 +113,13 @@
   it('may wait for tokens for a second', async () => {
     expect((await runRequest('3')).patienceMs).toBe(1_000);
   });
+
+  // Callers come back in the second in which all gateways start.
+  it.each([
+    ['knows its configuration', {readyAfterMs: 300}],
+    ['has read the stored origins', {loadedAfterMs: 300}],
+  ])('waits until a process that starts %s', async (_, times) => {
+    const options = {unreadMs: 0, ...times};
+    expect((await runRequest('3', options)).status).toBe(429);
+  });
 });
--- a/packages/gateway/src/resumed-streams.ts
+++ b/packages/gateway/src/resumed-streams.ts
@@ -1,9 +1,12 @@
-/** Where a request runs that resumes a stream. */
+/** Where a request runs that resumes a stream, and how long it may wait. */
+import {computeTokenWaitMs} from '@siskinplank/dispatch';
 import type {UpstreamTable} from '@siskinplank/dispatch';
-import type {CallerRequest} from '@siskinplank/serving';
+import {isResumingStream} from '@siskinplank/serving';
+import type {CallerRequest, Route} from '@siskinplank/serving';
 import {OriginVerdictType} from '@siskinplank/stream-origins';
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
+import {computeDeadlineAtMs} from './admission';
 import type {AdmittedTarget} from './admission';
 import {RefusalCode} from './refusals';
 import type {Refusal} from './refusals';
@@ -49,3 +52,19 @@
     }
   }
 }
+
+/** Longest time for which a request waits for tokens of its account from now. */
+export function computePatienceMs(
+  request: CallerRequest,
+  route: Route,
+  arrivedAtMs: number,
+  nowMs: number,
+): number {
+  return computeTokenWaitMs({
+    ...route,
+    isResuming: isResumingStream(request, route),
+    arrivedAtMs,
+    deadlineAtMs: computeDeadlineAtMs(request, route, arrivedAtMs),
+    nowMs,
+  });
+}
