Tell the services of a route apart when a stream is resumed

Cause: a stream without a record counted as one of the service that the route chose for the resumed request, at that service's only version. With one version each, gateways exchanged and stored no records. A stream without a record goes on only if all these services together have one version; while a route has several services, their records are sent and stored as those of two versions. Evidence: two new tests of gateway's stream-origins; they fail when no route is observed, and the first one's former shape got 'known' for an unknown attempt.

--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -137,6 +137,7 @@
   const applyConfiguration = ({configuration}: RouteTable): void => {
     callers.applyLimits(configuration.limits);
     limits.setAccounts(configuration.accounts ?? []);
+    origins.observeRoutes(configuration.routes, clock.getNowMs());
   };
 
   const storeHealth = createStoreHealth(
@@ -384,6 +385,8 @@
     // Responses may have arrived that were not read yet.
     void waitForPoll().then(handler.checkProgress);
     origins.observeUpstreams(view.listUsable(), clock.getNowMs());
+    const routes = configuration.getTable()?.configuration.routes;
+    origins.observeRoutes(routes ?? [], clock.getNowMs());
     limits.updateMembers();
     limits.sendAccrued();
     pool.closeExpired(clock.getNowMs());
--- a/packages/gateway/src/stream-origins.test.ts
+++ b/packages/gateway/src/stream-origins.test.ts
@@ -23,14 +23,17 @@
   withFields: () => SILENT_LOGGER,
 };
 
-const target = {
-  service: SERVICE,
-  route: {
+function makeTarget(...services: string[]): AdmittedTarget {
+  const route = {
+    name: 'r',
     kind: RequestKind.Stream,
     isResumable: true,
-    services: [{service: SERVICE, weight: 1}],
-  },
-} as unknown as AdmittedTarget;
+    services: services.map(service => ({service, weight: 1})),
+  };
+  return {service: services[0], route} as unknown as AdmittedTarget;
+}
+
+const target = makeTarget(SERVICE);
 
 function makeRequest(
   attemptId: string,
@@ -109,6 +112,17 @@
     return origins;
   };
 
+  /** Shows the route, and another service with a version of its own. */
+  const observeOther = (
+    origins: StreamOrigins,
+    {route}: AdmittedTarget,
+  ): void => {
+    const other = {...listUpstreams(['2'])[0], service: 'other'};
+    const usable = [...listUpstreams(['1']), other];
+    origins.observeUpstreams(usable, clock.getNowMs());
+    origins.observeRoutes([route], clock.getNowMs());
+  };
+
   const killAll = (): void => {
     for (const origins of gateways.values()) origins.stop();
     gateways.clear();
@@ -127,10 +141,11 @@
   const find = (
     origins: StreamOrigins,
     resumedAttemptId: string,
+    chosen = target,
   ): OriginVerdict | undefined =>
     origins.findOrigin(
       makeRequest('later', resumedAttemptId),
-      target,
+      chosen,
       clock.getNowMs(),
     );
 
@@ -246,6 +261,33 @@
     expect(find(restarted, 'a')).toEqual(known('1'));
   });
 
+  // Guards against streams joined from two services of a route, one version each.
+  it('are known among the services of a split route, or unknown', async () => {
+    const split = makeTarget(SERVICE, 'other');
+    const [first, second] = ['g1', 'g2'].map(name => startGateway(name, ['1']));
+    for (const origins of [first, second]) observeOther(origins, split);
+    await run();
+    begin(first, 'a', '1');
+    await run(200);
+    gateways.delete('g1');
+    const chosen = {...split, service: 'other'};
+    expect(find(second, 'a', chosen)).toEqual(known('1'));
+    expect(find(second, 'c', chosen)).toEqual(unknown);
+  });
+
+  // Guards against a stream that goes on where its route has been moved to.
+  it('are not taken for those of the service to which the route was moved', async () => {
+    const moved = makeTarget('other');
+    for (let kills = 0; kills < 2; kills += 1) {
+      const origins = startGateway('g1', ['1']);
+      if (kills === 0) observeOther(origins, target);
+      observeOther(origins, moved);
+      await run();
+      expect(find(origins, 'c', moved)).toEqual(unknown);
+      killAll();
+    }
+  });
+
   // Guards against a record that no gateway removes any more.
   it('are removed with their gateway also when the store is silent at first', async () => {
     startGateway('gone', ['1']);
--- a/packages/gateway/src/stream-origins.ts
+++ b/packages/gateway/src/stream-origins.ts
@@ -8,7 +8,7 @@
 import {MessageType} from '@siskinplank/messages';
 import type {Message, MessageOf} from '@siskinplank/messages';
 import {RequestKind, canRepeat} from '@siskinplank/serving';
-import type {CallerRequest, Upstream} from '@siskinplank/serving';
+import type {CallerRequest, Route, Upstream} from '@siskinplank/serving';
 import {
   createOriginTable,
   createVersionHistory,
@@ -51,6 +51,8 @@
   stop(): void;
   /** Notes the versions that serve now. */
   observeUpstreams(usable: readonly Upstream[], nowMs: number): void;
+  /** Notes the services to which the routes lead now. */
+  observeRoutes(routes: readonly Route[], nowMs: number): void;
   /** Notes a stream that this gateway begins or goes on with. */
   recordBegun(request: CallerRequest, origin: StreamOrigin): void;
   /** Notes that the caller was sent the whole stream. */
@@ -79,6 +81,11 @@
 /** New origins are collected for this time before they are sent. */
 const MESSAGE_DELAY_MS = 10;
 
+/** Whether callers may resume the streams of a route. */
+function isResumable(route: Route): boolean {
+  return route.kind === RequestKind.Stream && canRepeat(route);
+}
+
 /** Creates origins that are neither read nor sent before `start`. */
 export function createStreamOrigins(
   options: StreamOriginsOptions,
@@ -86,7 +93,9 @@
   const {clock, logger} = options;
   const table = createOriginTable();
   const history = createVersionHistory();
+  const routeHistory = createVersionHistory();
   let loggedVersions = '{}';
+  let loggedRoutes = '{}';
   /** Own origins before this time were sent to all. */
   let sentUntilMs = -Infinity;
   let sentAtMs = -Infinity;
@@ -100,12 +109,39 @@
     options.isStoreConfirmed(nowMs) ||
     options.getFleet().peers.listResponsive(nowMs).length > 0;
 
-  /** Leaves out streams of services in which all began by one version. */
+  /** Services whose streams can't be told from those of another origin. */
+  const listMixedServices = (nowMs: number): ReadonlySet<string> => {
+    const versions = Object.entries(history.describe(nowMs));
+    const routes = Object.values(routeHistory.describe(nowMs));
+    return new Set([
+      ...versions
+        .filter(([, recent]) => recent.length > 1)
+        .map(([service]) => service),
+      ...routes.filter(services => services.length > 1).flat(),
+    ]);
+  };
+
+  /** Leaves out streams of which a gateway knows the origin by their route. */
   const selectMixed = (
     origins: ReadonlyArray<[string, StreamOrigin]>,
     nowMs: number,
-  ): Array<[string, StreamOrigin]> =>
-    origins.filter(([, {service}]) => history.isMixed(service, nowMs));
+  ): Array<[string, StreamOrigin]> => {
+    const services = listMixedServices(nowMs);
+    return origins.filter(([, {service}]) => services.has(service));
+  };
+
+  /** Lists where streams of a route may have begun. */
+  const listRecentOrigins = (route: Route, nowMs: number): StreamOrigin[] => {
+    const services = new Set([
+      ...route.services.map(({service}) => service),
+      ...routeHistory.listRecent(route.name, nowMs),
+    ]);
+    return [...services].flatMap(service =>
+      history
+        .listRecent(service, nowMs)
+        .map(softwareVersion => ({service, softwareVersion})),
+    );
+  };
 
   const makeMessage = (
     sinceMs: number,
@@ -136,12 +172,13 @@
 
   const checkVersions = (nowMs: number): void => {
     const versions = JSON.stringify(history.describe(nowMs));
-    if (versions === loggedVersions) return;
+    const routes = JSON.stringify(routeHistory.describe(nowMs));
+    if (versions === loggedVersions && routes === loggedRoutes) return;
     loggedVersions = versions;
-    logger.log(VERSIONS_CHANGED, {versions});
+    loggedRoutes = routes;
+    logger.log(VERSIONS_CHANGED, {versions, routes});
     store.requestWrite();
-    const services = Object.keys(history.describe(nowMs));
-    if (!services.some(service => history.isMixed(service, nowMs))) return;
+    if (listMixedServices(nowMs).size === 0) return;
     // The others do not know the streams that began before.
     sentUntilMs = -Infinity;
     scheduleMessage();
@@ -152,6 +189,7 @@
     getPeriodMs: () => planSchedule().storePeriodMs,
     collectRecord: nowMs => ({
       versions: history.describe(nowMs),
+      routes: routeHistory.describe(nowMs),
       origins: selectMixed(table.listOwnOpen(nowMs), nowMs),
     }),
     onLoaded: (records, nowMs) => {
@@ -170,12 +208,17 @@
 
   const recordStored = (
     gateway: string,
-    {versions, origins}: OriginRecord,
+    {versions, routes, origins}: OriginRecord,
     nowMs: number,
   ): void => {
     for (const [service, recent] of Object.entries(versions)) {
       for (const version of recent) history.observe(service, version, nowMs);
     }
+    for (const [route, services] of Object.entries(routes)) {
+      for (const service of services) {
+        routeHistory.observe(route, service, nowMs);
+      }
+    }
     for (const [attemptId, origin] of origins) {
       // Those of an earlier process of this host have no other owner.
       if (gateway === options.ownName) table.addOwn(attemptId, origin, nowMs);
@@ -195,6 +238,15 @@
       }
       checkVersions(nowMs);
     },
+    observeRoutes: (routes, nowMs) => {
+      for (const route of routes) {
+        if (!isResumable(route)) continue;
+        for (const {service} of route.services) {
+          routeHistory.observe(route.name, service, nowMs);
+        }
+      }
+      checkVersions(nowMs);
+    },
     recordBegun: ({attemptId, resumedAttemptId}, origin) => {
       const nowMs = clock.getNowMs();
       const {service, softwareVersion} = origin;
@@ -204,23 +256,21 @@
         table.addOwn(resumedAttemptId, origin, nowMs);
       }
       checkVersions(nowMs);
-      if (!history.isMixed(service, nowMs)) return;
+      if (!listMixedServices(nowMs).has(service)) return;
       scheduleMessage();
       store.requestWrite();
     },
     recordCompleted: attemptId => table.complete(attemptId, clock.getNowMs()),
-    findOrigin: (request, {route, service}, nowMs) => {
+    findOrigin: (request, {route}, nowMs) => {
       const {lastEventId, resumedAttemptId} = request;
-      const isResumable = route.kind === RequestKind.Stream && canRepeat(route);
-      if (lastEventId === undefined || !isResumable) return undefined;
+      if (lastEventId === undefined || !isResumable(route)) return undefined;
       return resolveOrigin({
         origin:
           resumedAttemptId === undefined
             ? undefined
             : table.find(resumedAttemptId, nowMs),
-        service,
-        routeServices: route.services.map(candidate => candidate.service),
-        recentVersions: history.listRecent(service, nowMs),
+        routeServices: route.services.map(({service}) => service),
+        recentOrigins: listRecentOrigins(route, nowMs),
         isInformed: store.isLoaded() && isConnected(nowMs),
       });
     },
--- a/packages/stream-origins/src/origin-record.ts
+++ b/packages/stream-origins/src/origin-record.ts
@@ -11,6 +11,8 @@
 export interface OriginRecord {
   /** Versions that served each service lately, as the gateway saw. */
   versions: Record<string, string[]>;
+  /** Services to which each route led lately. */
+  routes: Record<string, string[]>;
   /** Attempts whose streams callers may resume. */
   origins: Array<[string, StreamOrigin]>;
 }
@@ -23,6 +25,7 @@
 const textSchema = z.string().max(MAX_TEXT_LENGTH);
 const recordSchema = z.object({
   versions: z.record(textSchema, z.array(textSchema)),
+  routes: z.record(textSchema, z.array(textSchema)).default({}),
   origins: z.record(textSchema, z.record(textSchema, z.array(textSchema))),
 });
 
@@ -63,6 +66,7 @@
 export function encodeOriginRecord(record: OriginRecord): unknown {
   return {
     versions: record.versions,
+    routes: record.routes,
     origins: collectOrigins(record.origins.slice(-MAX_STORED_ORIGINS)),
   };
 }
@@ -73,6 +77,6 @@
 ): Either<string, OriginRecord> {
   const parsed = recordSchema.safeParse(content);
   if (!parsed.success) return Left(z.prettifyError(parsed.error));
-  const {versions, origins} = parsed.data;
-  return Right({versions, origins: listOrigins(origins)});
+  const {versions, routes, origins} = parsed.data;
+  return Right({versions, routes, origins: listOrigins(origins)});
 }
--- a/packages/stream-origins/src/resolve-origin.ts
+++ b/packages/stream-origins/src/resolve-origin.ts
@@ -8,13 +8,12 @@
 export interface OriginInput {
   /** Origin of the stream; undefined if this gateway does not know it. */
   origin: StreamOrigin | undefined;
-  /** Service that the route chose, and those that it may choose. */
-  service: string;
+  /** Services that the route may choose. */
   routeServices: readonly string[];
-  /** Versions by which streams of `service` may have begun. */
-  recentVersions: readonly string[];
+  /** Services and versions by which streams of the route may have begun. */
+  recentOrigins: readonly StreamOrigin[];
   /**
-   * Whether `recentVersions` is complete: what earlier gateways have stored was
+   * Whether `recentOrigins` is complete: what earlier gateways have stored was
    * read, and a new version would be known.
    */
   isInformed: boolean;
@@ -38,19 +37,15 @@
 
 /** Resolves where the stream goes on. */
 export function resolveOrigin(input: OriginInput): OriginVerdict {
-  const {origin, service, recentVersions} = input;
-  if (origin !== undefined) {
-    return input.routeServices.includes(origin.service)
-      ? {type: OriginVerdictType.Known, origin}
-      : {type: OriginVerdictType.NotServed};
-  }
-  // Without a second version, each stream began by the only one.
-  if (!input.isInformed || recentVersions.length !== 1) {
-    return {type: OriginVerdictType.Unknown};
-  }
-  const [softwareVersion] = recentVersions;
-  return {
-    type: OriginVerdictType.Known,
-    origin: {service, softwareVersion},
-  };
+  const {recentOrigins} = input;
+  // Without a second version or service, each stream began by the only one.
+  const only =
+    input.isInformed && recentOrigins.length === 1
+      ? recentOrigins[0]
+      : undefined;
+  const origin = input.origin ?? only;
+  if (origin === undefined) return {type: OriginVerdictType.Unknown};
+  return input.routeServices.includes(origin.service)
+    ? {type: OriginVerdictType.Known, origin}
+    : {type: OriginVerdictType.NotServed};
 }
--- a/packages/stream-origins/src/stream-origins.test.ts
+++ b/packages/stream-origins/src/stream-origins.test.ts
@@ -8,6 +8,7 @@
 
 const OLD: StreamOrigin = {service: 's', softwareVersion: '1'};
 const NEW: StreamOrigin = {service: 's', softwareVersion: '2'};
+const OTHER: StreamOrigin = {service: 'other', softwareVersion: '1'};
 /** Within it, a caller may not have read the end of a stream that it was sent. */
 const COMPLETED_MS = 2_000;
 
@@ -53,12 +54,13 @@
       ['a', OLD],
       ['b', {service: '__proto__', softwareVersion: 'constructor'}],
     ];
-    const record = {versions: {s: ['1', '2']}, origins};
+    const record = {versions: {s: ['1', '2']}, routes: {r: ['s']}, origins};
     const stored: unknown = JSON.parse(
       JSON.stringify(encodeOriginRecord(record)),
     );
     expect(decodeOriginRecord(stored).extract()).toMatchObject({
       versions: record.versions,
+      routes: record.routes,
       origins: expect.arrayContaining([['a', OLD]]),
     });
     for (const odd of [null, [], {}, {versions: [], origins: 1}]) {
@@ -97,14 +99,13 @@
 describe('place where a resumed stream goes on', () => {
   const input = {
     origin: undefined,
-    service: 's',
     routeServices: ['s'],
-    recentVersions: ['1'],
+    recentOrigins: [OLD],
     isInformed: true,
   };
 
   it('is the version that began it, whatever serves now', () => {
-    const known = {...input, origin: OLD, recentVersions: ['2']};
+    const known = {...input, origin: OLD, recentOrigins: [NEW]};
     expect(resolveOrigin(known)).toEqual({
       type: OriginVerdictType.Known,
       origin: OLD,
@@ -119,9 +120,10 @@
   });
 
   it.each([
-    ['two versions may have begun it', {recentVersions: ['1', '2']}],
+    ['two versions may have begun it', {recentOrigins: [OLD, NEW]}],
+    ['two services may have begun it', {recentOrigins: [OLD, OTHER]}],
     ['a version may have come or gone unseen', {isInformed: false}],
-    ['no upstream was seen yet', {recentVersions: []}],
+    ['no upstream was seen yet', {recentOrigins: []}],
   ])('is unknown if %s', (_case, change) => {
     expect(resolveOrigin({...input, ...change})).toEqual({
       type: OriginVerdictType.Unknown,
@@ -131,6 +133,8 @@
   it('is none if the route leads to other services now', () => {
     const moved = {...input, origin: OLD, routeServices: ['other']};
     expect(resolveOrigin(moved)).toEqual({type: OriginVerdictType.NotServed});
+    const unknown = {...input, recentOrigins: [OTHER]};
+    expect(resolveOrigin(unknown)).toEqual({type: OriginVerdictType.NotServed});
   });
 });
 
--- a/packages/stream-origins/src/version-history.ts
+++ b/packages/stream-origins/src/version-history.ts
@@ -1,4 +1,7 @@
-/** Software versions that have served each service lately. */
+/**
+ * Software versions that have served each service lately; likewise the services
+ * to which each route has led.
+ */
 import {ORIGIN_KEEP_MS} from './origin-table';
 
 /** The versions, by service. */
