--- a/packages/gateway/src/stream-origins.ts
+++ b/packages/gateway/src/stream-origins.ts
@@ -7,7 +7,7 @@
 import type {Clock, Logger, Timer} from '@siskinplank/foundation';
 import {MessageType} from '@siskinplank/messages';
 import type {Message, MessageOf} from '@siskinplank/messages';
-import {RequestKind, canRepeat} from '@siskinplank/serving';
+import {RequestKind, canRepeat, isResumingStream} from '@siskinplank/serving';
 import type {CallerRequest, Route, Upstream} from '@siskinplank/serving';
 import {
   createOriginTable,
@@ -262,8 +262,8 @@
     },
     recordCompleted: attemptId => table.complete(attemptId, clock.getNowMs()),
     findOrigin: (request, {route}, nowMs) => {
-      const {lastEventId, resumedAttemptId} = request;
-      if (lastEventId === undefined || !isResumable(route)) return undefined;
+      const {resumedAttemptId} = request;
+      if (!isResumingStream(request, route)) return undefined;
       return resolveOrigin({
         origin:
           resumedAttemptId === undefined
--- a/packages/model-orders/src/plan-placement-changes.test.ts
+++ b/packages/model-orders/src/plan-placement-changes.test.ts
@@ -74,7 +74,9 @@
     models: MODELS,
     demand: [],
     openPerCopy: 8,
+    lastVersions: new Map(),
     storeLoadsLeft: 3,
+    isReleaseRunning: false,
     ...changes,
   });
 }
@@ -216,6 +218,22 @@
       expect(listTargets(alike)).toEqual(['b']);
     });
 
+    // Guards against loads on upstreams that a release is about to replace.
+    it('chooses by cost alone during a release', () => {
+      const changes = plan({
+        upstreams: [
+          makeUpstream('a', ['hot', 'small'], OLD),
+          makeUpstream('b', ['small'], NEW),
+          makeUpstream('c', ['idle', 'rare'], OLD),
+        ],
+        demand: [HOT_DEMAND],
+        isReleaseRunning: true,
+      });
+      expect(changes).toContainEqual(
+        expect.objectContaining({upstream: 'b', load: 'hot'}),
+      );
+    });
+
     it('adds a replica at another version rather than none', () => {
       const changes = plan({
         upstreams: [
@@ -246,6 +264,23 @@
       });
     });
 
+    // Guards against streams that wait for their model at another version.
+    it('loads a lost model at the version that held it', () => {
+      const listTargets = (lastVersion: string): string[] =>
+        plan({
+          upstreams: [
+            makeUpstream('a', ['small'], OLD),
+            makeUpstream('b', ['small'], NEW),
+          ],
+          lastVersions: new Map([['hot', lastVersion]]),
+          demand: [makeDemand('hot', {averageOpen: 4, waitingCount: 4})],
+        })
+          .filter(({load}) => load === 'hot')
+          .map(({upstream}) => upstream);
+      expect(listTargets('1')).toEqual(['a']);
+      expect(listTargets('2')).toEqual(['b']);
+    });
+
     it('plans no change only to bring replicas to one version', () => {
       const changes = plan({
         models: makeModels({hot: BIG_MB, idle: BIG_MB}),
--- a/packages/model-orders/src/plan-placement-changes.ts
+++ b/packages/model-orders/src/plan-placement-changes.ts
@@ -34,8 +34,12 @@
   demand: readonly ModelDemand[];
   /** Open requests that one replica of a model serves without slowing down. */
   openPerCopy: number;
+  /** Software version of the last replica of each model that was ever held. */
+  lastVersions: ReadonlyMap<string, string>;
   /** Loads from the weight store that may begin now. */
   storeLoadsLeft: number;
+  /** Whether upstreams may be replaced by ones of another version now. */
+  isReleaseRunning: boolean;
 }
 
 /** One model to load on an upstream after the evictions. */
@@ -127,7 +131,11 @@
       replicaCounts.set(model, (replicaCounts.get(model) ?? 0) + 1);
     }
   }
-  const replicaVersions = createReplicaVersions(upstreams);
+  // A copy at a version that is being replaced is soon lost, so that a release
+  // would cost loads.
+  const replicaVersions = createReplicaVersions(
+    input.isReleaseRunning ? [] : upstreams,
+  );
   const usedUpstreams = new Set<string>();
   let storeLoadsLeft = input.storeLoadsLeft;
 
@@ -164,6 +172,22 @@
     UPSTREAM_LOSSES_PER_SECOND *
     HORIZON_SECONDS;
 
+  /**
+   * Estimates the streams that can't go on since the last replica was lost and
+   * the next one is loaded at another version.
+   */
+  const estimateReloadCost = (
+    model: string,
+    {softwareVersion}: PlannedUpstream,
+  ): number => {
+    const lastVersion = input.lastVersions.get(model) ?? softwareVersion;
+    const isLost = (replicaCounts.get(model) ?? 0) === 0;
+    if (input.isReleaseRunning || !isLost) return 0;
+    if (lastVersion === softwareVersion) return 0;
+    const {averageOpen = 0, waitingCount = 0} = demandByModel.get(model) ?? {};
+    return averageOpen + waitingCount;
+  };
+
   const computeEvictionCost = (
     upstream: PlannedUpstream,
     model: string,
@@ -242,7 +266,9 @@
     return {
       upstream,
       evict: evictions.evict,
-      riskCost: estimateRiskCost(model.name, 1, upstream),
+      riskCost:
+        estimateRiskCost(model.name, 1, upstream) +
+        estimateReloadCost(model.name, upstream),
       isStoreLoad,
       cost:
         evictions.cost +
