Log bytes of callers on connections that were closed here

Event 6034 has the number of bytes and the time since the close. The test "logs a request that crossed the close of its connection" guards it; without the event it can't pass.

--- a/packages/gateway/src/caller-listener.test.ts
+++ b/packages/gateway/src/caller-listener.test.ts
@@ -1,7 +1,9 @@
 import {connect, createServer} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
 import {createSystemClock, createTurnMonitor} from '@siskinplank/foundation';
-import {afterEach, describe, expect, it} from 'vitest';
+import type {LogEvent, Logger} from '@siskinplank/foundation';
+import {BYTES_UNANSWERED} from './events';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 import {createCallerListener} from './caller-listener';
 import type {CallerListener} from './caller-listener';
 
@@ -11,9 +13,16 @@
 /** What Node.js adds to the idle timeout. */
 const IDLE_MARGIN_MS = 1_000;
 
+const logged: Array<[LogEvent, object | undefined]> = [];
+const logger: Logger = {
+  log: (event, fields) => void logged.push([event, fields]),
+  withFields: () => logger,
+};
 let listener: CallerListener | undefined;
 let socket: Socket | undefined;
 
+beforeEach(() => void logged.splice(0));
+
 afterEach(async () => {
   socket?.destroy();
   await listener?.close();
@@ -59,6 +68,7 @@
       },
     },
     clock: createSystemClock(),
+    logger,
     turns: createTurnMonitor({usualGapMs: 5}),
     onAcceptWait: () => undefined,
   });
@@ -97,4 +107,23 @@
     await wait(SHORT_MS + IDLE_MARGIN_MS + SHORT_MS);
     expect(await send(opened)).toContain('200 OK');
   });
+
+  it('logs a request that crossed the close of its connection', async () => {
+    const opened = await openConnection();
+    applyIdleTimeout(LONG_MS);
+    expect(await send(opened)).toContain('200 OK');
+    opened.pause();
+    listener?.endConnections();
+    opened.write(REQUEST);
+    await wait(SHORT_MS);
+    opened.resume();
+    await vi.waitFor(() =>
+      expect(logged).toEqual([
+        [
+          BYTES_UNANSWERED,
+          {bytes: REQUEST.length, closedAgoMs: expect.any(Number)},
+        ],
+      ]),
+    );
+  });
 });
--- a/packages/gateway/src/caller-listener.ts
+++ b/packages/gateway/src/caller-listener.ts
@@ -2,7 +2,7 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {computeBacklog} from '@siskinplank/dispatch';
-import type {Clock, TurnMonitor} from '@siskinplank/foundation';
+import type {Clock, Logger, TurnMonitor} from '@siskinplank/foundation';
 import type {CallerLimits} from '@siskinplank/serving';
 import type {GatewaySettings} from '@siskinplank/settings';
 import type {Either} from 'purify-ts';
@@ -10,6 +10,7 @@
 import {createArrivalTimes} from './arrival-times';
 import type {ArrivalTimes} from './arrival-times';
 import {handleCallerErrors} from './caller-errors';
+import {BYTES_UNANSWERED} from './events';
 import {createIdleConnections} from './idle-connections';
 import {installLingeringClose} from './lingering-close';
 import {startListening} from './listening';
@@ -18,6 +19,7 @@
 export interface CallerListenerOptions {
   settings: Pick<GatewaySettings, 'caller' | 'process'>;
   clock: Clock;
+  logger: Logger;
   turns: TurnMonitor;
   /** Called with each measured wait in the accept queue. */
   onAcceptWait(waitMs: number): void;
@@ -63,7 +65,15 @@
     maxHeaderSize: caller.maxHeaderBytes,
     requestTimeout: 0,
   });
-  const lingering = installLingeringClose(server, clock);
+  const lingering = installLingeringClose(
+    server,
+    clock,
+    ({bytes, closedAgoMs}) =>
+      options.logger.log(BYTES_UNANSWERED, {
+        bytes,
+        closedAgoMs: Math.round(closedAgoMs),
+      }),
+  );
   const idle = createIdleConnections(server);
   handleCallerErrors(server, idle);
   server.on('connection', socket =>
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -52,6 +52,11 @@
   LogLevel.Info,
   'connection of the caller ended before the response was written',
 );
+export const BYTES_UNANSWERED = defineEvent(
+  6034,
+  LogLevel.Info,
+  'caller sent bytes on a connection that was closed here; they are not answered',
+);
 export const ATTEMPT_ENDED = defineEvent(
   6031,
   LogLevel.Info,
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -321,6 +321,7 @@
   const callers = createCallerListener({
     settings,
     clock,
+    logger,
     turns,
     onAcceptWait: waitMs => {
       gatewayMetrics.recordAcceptWait(waitMs);
--- a/packages/gateway/src/lingering-close.ts
+++ b/packages/gateway/src/lingering-close.ts
@@ -20,17 +20,24 @@
   count(): number;
 }
 
-function skipData(): void {
-  // What arrives now is not answered any more.
+/** What a caller sent after its connection was closed here. */
+export interface UnansweredBytes {
+  bytes: number;
+  /** Time from the close until the first of them was read. */
+  closedAgoMs: number;
 }
 
 /**
  * Replaces `destroySoon`, by which Node.js ends connections with their last
  * responses, for the connections of a listener that has none yet.
+ *
+ * @param onUnanswered called when a connection ends on which bytes arrived
+ *     after its close, such as a request that crossed it.
  */
 export function installLingeringClose(
   server: Server,
   clock: Clock,
+  onUnanswered: (unanswered: UnansweredBytes) => void = () => undefined,
 ): LingeringConnections {
   const sockets = new Set<Socket>();
   const lingering = new Set<Socket>();
@@ -38,7 +45,17 @@
   const close = (socket: Socket): void => {
     if (socket.destroyed || lingering.has(socket)) return;
     lingering.add(socket);
-    socket.once('close', () => lingering.delete(socket));
+    const closedAtMs = clock.getNowMs();
+    let bytes = 0;
+    let closedAgoMs = 0;
+    const skipData = (data: Buffer): void => {
+      if (bytes === 0) closedAgoMs = clock.getNowMs() - closedAtMs;
+      bytes += data.length;
+    };
+    socket.once('close', () => {
+      lingering.delete(socket);
+      if (bytes > 0) onUnanswered({bytes, closedAgoMs});
+    });
     // The parser would pause the connection, and end it at what is no request.
     socket.removeAllListeners('data');
     socket.removeAllListeners('resume');
