Keep busy models at two upstreams of a version, and load those of a dead one elsewhere

Cause: (1) the replicas that a release left at different versions stayed so, since the plan made no load for it; (2) the plan counted an upstream that refuses connections as serving until its entry expires, so that nothing was loaded for the streams that wait, and they were refused at once; (3) a stream that broke off was refused by the time since its request arrived, not since its last event. Change: while two versions serve and no release runs, the plan counts the streams of a replica that is alone at its version as at risk for a minute, so that a further replica is loaded beside it where that outweighs the load; and it leaves out upstreams that refuse connections. A stream that broke off waits for such a load, as long as its caller waits after an event. Evidence: four new tests, of which 'adds a replica beside the only one of a version for many streams', 'counts the models ... as lost' and 'waits for a load when the only upstream with the model is down' failed before (the last two for want of the function and with a refusal).

--- a/packages/gateway/src/dispatcher.test.ts
+++ b/packages/gateway/src/dispatcher.test.ts
@@ -1,3 +1,4 @@
+import type {UpstreamTable} from '@siskinplank/dispatch';
 import {
   DispatchPolicyName,
   createDispatchPolicy,
@@ -58,6 +59,7 @@
   clock: ManualClock;
   dispatcher: Dispatcher;
   limits: UpstreamLimits;
+  table: UpstreamTable;
   /** Upstreams that requests got, in order. */
   chosen: string[];
   refused: Refused[];
@@ -103,6 +105,7 @@
     clock,
     dispatcher,
     limits,
+    table,
     chosen,
     refused,
     acquire: (tried = [], deadlineMs = 8_000, softwareVersion) =>
@@ -224,6 +227,17 @@
     expect(refused).toEqual([]);
   });
 
+  // The order leader counts its models as lost while two versions serve.
+  it('waits for a load when the only upstream with the model is down', () => {
+    const {acquire, chosen, refused, table} = createBench(
+      ['new1', 'newempty1', 'empty1'],
+      true,
+    );
+    table.recordUnreachable('new1', 0);
+    acquire(['new1'], 8_000, '2');
+    expect([chosen, refused]).toEqual([[], []]);
+  });
+
   it('waits only for upstreams of the version that want requests again', () => {
     const {acquire, backoffs, chosen, clock} = createBench(['new1', 'u1']);
     backoffs.record('new1/1', 1_000, 0);
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -131,10 +131,12 @@
   const mayPlanLoad = (
     {service, softwareVersion}: UpstreamSearch,
     model: string,
+    nowMs: number,
   ): boolean =>
     softwareVersion === undefined ||
     table
       .listServiceUpstreams(service)
+      .filter(entry => !entry.isUnreachable(nowMs))
       .every(
         ({modelState}) =>
           !modelState.models.has(model) && modelState.arriving?.model !== model,
@@ -329,7 +331,7 @@
         (search.model !== undefined &&
           !wasSentToAll &&
           (loadedAtMs !== undefined ||
-            (mayPlanLoad(search, search.model) &&
+            (mayPlanLoad(search, search.model, nowMs) &&
               options.canLoad(search.service, search.model)))),
       nowMs,
     });
--- a/packages/gateway/src/order-manager.ts
+++ b/packages/gateway/src/order-manager.ts
@@ -284,6 +284,12 @@
     collectDemand(nowMs);
     const demand = demandTracker.listDemand(nowMs);
     const open = table.countOpenRequests();
+    const unreachableIds = new Set(
+      options
+        .listUpstreams()
+        .map(({id}) => id)
+        .filter(id => table.getEntry(id)?.isUnreachable(nowMs) === true),
+    );
     for (const {name, engine} of routes.configuration.services.values()) {
       if (engine === undefined) continue;
       ensureController(name).tick(
@@ -293,6 +299,7 @@
             .listUpstreams()
             .filter(({service}) => service === name),
           demand,
+          unreachableIds,
           open,
         },
         nowMs,
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -260,7 +260,8 @@
             promptTokens,
             isResumable: route.kind === RequestKind.Stream && canRepeat(route),
             ...target,
-            arrivedAtMs,
+            // A caller waits from the last event of a stream that has begun.
+            arrivedAtMs: response.hasStarted() ? clock.getNowMs() : arrivedAtMs,
             deadlineAtMs,
             targetLatencyMs: route.targetLatencyMs,
             targetPauseMs: route.targetPauseMs,
--- a/packages/model-orders/src/placement-controller.test.ts
+++ b/packages/model-orders/src/placement-controller.test.ts
@@ -201,6 +201,7 @@
               waitingCount: 1,
               oldestWaitMs: 0,
             })),
+            unreachableIds: new Set(),
             open: new Map(),
           },
           clock.getNowMs(),
--- a/packages/model-orders/src/placement-controller.ts
+++ b/packages/model-orders/src/placement-controller.ts
@@ -16,7 +16,7 @@
 import {createLoadBudget} from './load-budget';
 import type {LoadReservation} from './load-budget';
 import {createOrderSender} from './order-sender';
-import {planPlacementChanges} from './plan-placement-changes';
+import {filterReachable, planPlacementChanges} from './plan-placement-changes';
 import type {PlacementChange, PlannedUpstream} from './plan-placement-changes';
 import {ResidencyState, createUpstreamInventory} from './upstream-inventory';
 import type {UpstreamInventory} from './upstream-inventory';
@@ -44,6 +44,8 @@
   /** Upstreams of the engine's service. */
   upstreams: readonly Upstream[];
   demand: readonly ModelDemand[];
+  /** Upstreams that refuse connections. */
+  unreachableIds: ReadonlySet<string>;
   /** Open requests by upstream and by model or `model/adapter`. */
   open: ReadonlyMap<string, ReadonlyMap<string, number>>;
 }
@@ -346,9 +348,12 @@
     if (options.getToken(nowMs) === undefined) return;
     const {engine} = input;
     const changes = planPlacementChanges({
-      upstreams: [...inventories.values()]
-        .filter(inventory => inventory.isReady())
-        .map(inventory => describeUpstream(inventory, input)),
+      upstreams: filterReachable(
+        [...inventories.values()]
+          .filter(inventory => inventory.isReady())
+          .map(inventory => describeUpstream(inventory, input)),
+        input.unreachableIds,
+      ),
       models: engine.models,
       demand: input.demand,
       openPerCopy: options.openPerCopy,
--- a/packages/model-orders/src/plan-placement-changes.test.ts
+++ b/packages/model-orders/src/plan-placement-changes.test.ts
@@ -1,7 +1,7 @@
 import type {ModelSpec} from '@siskinplank/serving';
 import {describe, expect, it} from 'vitest';
 import type {ModelDemand} from './demand-tracker';
-import {planPlacementChanges} from './plan-placement-changes';
+import {filterReachable, planPlacementChanges} from './plan-placement-changes';
 import type {PlanInput, PlannedUpstream} from './plan-placement-changes';
 
 const BIG_MB = 34_300;
@@ -281,13 +281,55 @@
       expect(listTargets('2')).toEqual(['b']);
     });
 
-    it('plans no change only to bring replicas to one version', () => {
+    // Guards against the loss of all streams of a model with one upstream, though
+    // its other replicas serve at another version.
+    it('adds a replica beside the only one of a version for many streams', () => {
+      const listChanges = (averageOpen: number): unknown[] =>
+        plan({
+          models: makeModels({hot: BIG_MB, idle: BIG_MB}),
+          upstreams: [
+            makeUpstream('a', ['hot'], NEW),
+            makeUpstream('b', ['hot'], OLD),
+            makeUpstream('c', ['idle'], OLD),
+            makeUpstream('d', ['idle'], NEW),
+          ],
+          demand: [makeDemand('hot', {requestsPerSecond: 8, averageOpen})],
+        });
+      expect(listChanges(15)).toMatchObject([{load: 'hot'}]);
+      expect(listChanges(3)).toEqual([]);
+    });
+
+    // Guards against streams that wait for the entry of a dead upstream to expire.
+    it('counts the models of an upstream that refuses connections as lost', () => {
+      const upstreams = [
+        makeUpstream('a', ['hot'], NEW),
+        makeUpstream('b', ['small'], OLD),
+        makeUpstream('c', ['small'], NEW),
+      ];
+      const down = new Set(['a']);
+      const reachable = filterReachable(upstreams, down);
+      const changes = plan({
+        upstreams: reachable,
+        lastVersions: new Map([['hot', NEW.softwareVersion]]),
+        demand: [{...HOT_DEMAND, waitingCount: 4}],
+      });
+      expect(changes).toContainEqual(
+        expect.objectContaining({upstream: 'c', load: 'hot'}),
+      );
+      const alike = upstreams.map(upstream => ({...upstream, ...OLD}));
+      expect(filterReachable(alike, down)).toEqual(alike);
+    });
+
+    it('adds no further replica where each version has two', () => {
       const changes = plan({
         models: makeModels({hot: BIG_MB, idle: BIG_MB}),
         upstreams: [
           makeUpstream('a', ['hot'], NEW),
           makeUpstream('b', ['hot'], OLD),
-          makeUpstream('c', ['idle'], OLD),
+          makeUpstream('c', ['hot'], OLD),
+          makeUpstream('d', ['hot'], NEW),
+          makeUpstream('e', ['idle'], OLD),
+          makeUpstream('f', ['idle'], NEW),
         ],
         demand: [makeDemand('hot', {requestsPerSecond: 8, averageOpen: 15})],
       });
--- a/packages/model-orders/src/plan-placement-changes.ts
+++ b/packages/model-orders/src/plan-placement-changes.ts
@@ -61,6 +61,11 @@
  * demand shifts to other models.
  */
 const HORIZON_SECONDS = 8;
+/**
+ * Time for which two software versions serve side by side, in seconds: a release
+ * that stops halfway is looked at for a minute or more.
+ */
+const VERSIONS_HORIZON_SECONDS = 60;
 /** Cost of a load from the weight store, in requests. */
 const LOAD_COST = 0.7;
 /** Demand assumed for models without requests, in requests per second. */
@@ -80,11 +85,10 @@
   upstream: PlannedUpstream;
   evict: string[];
   cost: number;
-  /**
-   * Streams at risk after the change, in requests. It only ranks candidates, so
-   * that two software versions do not lead to further loads.
-   */
+  /** Streams at risk after the change, and those that it leaves so, in requests. */
   riskCost: number;
+  /** Streams that are no longer at risk, in requests. */
+  riskGain: number;
   isStoreLoad: boolean;
 }
 
@@ -116,6 +120,22 @@
   return model.storeLoadMs;
 }
 
+/**
+ * Leaves out upstreams that refuse connections, so that their models count as
+ * lost while two software versions serve. With one version, their streams go on
+ * elsewhere, and they may be back before a load ends.
+ */
+export function filterReachable(
+  upstreams: readonly PlannedUpstream[],
+  unreachableIds: ReadonlySet<string>,
+): readonly PlannedUpstream[] {
+  const versions = new Set(
+    upstreams.map(({softwareVersion}) => softwareVersion),
+  );
+  if (versions.size < 2) return upstreams;
+  return upstreams.filter(({id}) => !unreachableIds.has(id));
+}
+
 /**
  * Plans changes in descending order of their benefit, at most one for each
  * upstream.
@@ -159,8 +179,8 @@
     );
 
   /**
-   * Estimates the streams that are lost over the horizon since their upstream
-   * ends and no other one of its version has the model.
+   * Estimates the streams that are lost while two versions serve, since their
+   * upstream ends and no other one of its version has the model.
    */
   const estimateRiskCost = (
     model: string,
@@ -170,7 +190,7 @@
     replicaVersions.computeLoneFraction(model, change, softwareVersion) *
     (demandByModel.get(model)?.averageOpen ?? 0) *
     UPSTREAM_LOSSES_PER_SECOND *
-    HORIZON_SECONDS;
+    VERSIONS_HORIZON_SECONDS;
 
   /**
    * Estimates the streams that can't go on since the last replica was lost and
@@ -263,12 +283,13 @@
     let open = 0;
     for (const count of upstream.openByModel.values()) open += count;
     const openRequestCost = (open / openPerCopy) * LOAD_COST;
+    const riskCost = estimateRiskCost(model.name, 1, upstream);
+    const riskGain = estimateRiskCost(model.name, 0, upstream) - riskCost;
     return {
       upstream,
       evict: evictions.evict,
-      riskCost:
-        estimateRiskCost(model.name, 1, upstream) +
-        estimateReloadCost(model.name, upstream),
+      riskCost: riskCost + estimateReloadCost(model.name, upstream),
+      riskGain: Math.max(0, riskGain),
       isStoreLoad,
       cost:
         evictions.cost +
@@ -283,20 +304,18 @@
     gain: number,
   ): PlacementChange | undefined => {
     const isUrgent = (replicaCounts.get(model.name) ?? 0) === 0 && gain > 0;
-    const isWorthwhile = ({cost, evict}: Candidate): boolean =>
-      gain - cost > 0 || (isUrgent && evict.length === 0);
-    const candidates = upstreams
+    const isWorthwhile = ({riskGain, cost, evict}: Candidate): boolean =>
+      gain + riskGain - cost > 0 || (isUrgent && evict.length === 0);
+    const best = upstreams
       .map(upstream => scoreUpstream(upstream, model))
       .filter(candidate => candidate !== undefined)
-      .sort((left, right) => left.cost - right.cost);
-    if (candidates.length === 0 || !isWorthwhile(candidates[0]))
-      return undefined;
-    const [best] = candidates
       .filter(isWorthwhile)
       .sort(
         (left, right) =>
           left.cost + left.riskCost - right.cost - right.riskCost,
-      );
+      )
+      .at(0);
+    if (best === undefined) return undefined;
     usedUpstreams.add(best.upstream.id);
     if (best.isStoreLoad) storeLoadsLeft -= 1;
     const {softwareVersion} = best.upstream;
@@ -311,7 +330,7 @@
       load: model.name,
       evict: best.evict,
       isStoreLoad: best.isStoreLoad,
-      gain: gain - best.cost,
+      gain: gain + best.riskGain - best.cost,
     };
   };
 
@@ -324,7 +343,7 @@
         HORIZON_SECONDS;
       return {model, gain};
     })
-    .filter(({gain}) => gain > 0)
+    .filter(({model, gain}) => gain > 0 || replicaVersions.hasLone(model.name))
     .sort((left, right) => right.gain - left.gain);
   const changes: PlacementChange[] = [];
   for (const {model, gain} of modelsByGain) {
--- a/packages/model-orders/src/replica-versions.ts
+++ b/packages/model-orders/src/replica-versions.ts
@@ -14,6 +14,8 @@
 export interface ReplicaVersions {
   /** Adds replicas of a model; `change` may be negative. */
   add(model: string, softwareVersion: string, change: number): void;
+  /** Whether a replica of the model is the only one of its version. */
+  hasLone(model: string): boolean;
   /**
    * Computes which fraction of a model's replicas would be the only ones of
    * their version after `change` replicas were added at `softwareVersion`. Zero
@@ -49,19 +51,26 @@
     for (const model of serving) add(model, softwareVersion, 1);
   }
 
+  const computeLoneFraction: ReplicaVersions['computeLoneFraction'] = (
+    model,
+    change,
+    softwareVersion,
+  ) => {
+    if (versions.size < 2) return 0;
+    let replicas = 0;
+    let lone = 0;
+    for (const version of versions) {
+      const known = counts.get(model)?.get(version) ?? 0;
+      const count = known + (version === softwareVersion ? change : 0);
+      replicas += count;
+      if (count === 1) lone += 1;
+    }
+    return replicas === 0 ? 0 : lone / replicas;
+  };
+
   return {
     add,
-    computeLoneFraction: (model, change, softwareVersion) => {
-      if (versions.size < 2) return 0;
-      let replicas = 0;
-      let lone = 0;
-      for (const version of versions) {
-        const known = counts.get(model)?.get(version) ?? 0;
-        const count = known + (version === softwareVersion ? change : 0);
-        replicas += count;
-        if (count === 1) lone += 1;
-      }
-      return replicas === 0 ? 0 : lone / replicas;
-    },
+    computeLoneFraction,
+    hasLone: model => computeLoneFraction(model, 0, '') > 0,
   };
 }
