Tell a gateway that connects of the versions, also without streams of one's own

What callers saw: nothing yet; found in review. A stream that began at the newer version could have been joined with text of the older one. Cause: when a link opens, the versions were sent only with origins of own streams. A gateway that can't reach the store, and whose link was closed when the second version came, counts as informed as soon as the link is open again, but knew one version until the peer began a stream and the period of messages had passed (100 ms up to 4 gateways, 1.7 s at 68). It sent each stream that it did not know to the version that it knew. Evidence: the test "are unknown to a gateway whose link was closed when the second version came" fails without the change (the verdict is the known version 1). Change: while any service has two versions, the message is sent to each gateway that connects. Links open in order, so it arrives before later origins. With one version nothing is sent, as before.

--- a/packages/gateway/src/stream-origins.test.ts
+++ b/packages/gateway/src/stream-origins.test.ts
@@ -175,6 +175,19 @@
     expect(find(second, 'a')).toEqual(known('1'));
   });
 
+  // Guards against a gateway that misses the message on the second version.
+  it('are unknown to a gateway whose link was closed when the second version came', async () => {
+    const first = startGateway('g1', ['1']);
+    const second = startGateway('g2', ['1']);
+    await run();
+    gateways.delete('g2');
+    first.observeUpstreams(listUpstreams(['1', '2']), clock.getNowMs());
+    await run();
+    gateways.set('g2', second);
+    first.handleConnected('g2');
+    expect(find(second, 'a')).toEqual(unknown);
+  });
+
   // All gateways are killed at once, twice, while the old version leaves.
   it('outlast all gateways, also when the old version has left', async () => {
     for (const name of ['g1', 'g2']) startGateway(name, ['1', '2']);
--- a/packages/gateway/src/stream-origins.ts
+++ b/packages/gateway/src/stream-origins.ts
@@ -134,14 +134,16 @@
     messageTimer = clock.startTimer(delayMs, sendNew);
   };
 
+  const isAnyMixed = (nowMs: number): boolean =>
+    Object.values(history.describe(nowMs)).some(({length}) => length > 1);
+
   const checkVersions = (nowMs: number): void => {
     const versions = JSON.stringify(history.describe(nowMs));
     if (versions === loggedVersions) return;
     loggedVersions = versions;
     logger.log(VERSIONS_CHANGED, {versions});
     store.requestWrite();
-    const services = Object.keys(history.describe(nowMs));
-    if (!services.some(service => history.isMixed(service, nowMs))) return;
+    if (!isAnyMixed(nowMs)) return;
     // The others do not know the streams that began before.
     sentUntilMs = -Infinity;
     scheduleMessage();
@@ -240,9 +242,8 @@
     },
     handleConnected: peer => {
       const nowMs = clock.getNowMs();
-      const message = makeMessage(-Infinity, nowMs);
-      if (Object.keys(message.origins).length > 0)
-        options.getFleet().sendTo(peer, message);
+      if (!isAnyMixed(nowMs)) return;
+      options.getFleet().sendTo(peer, makeMessage(-Infinity, nowMs));
     },
     removeGateway: name => void store.removeRecord(name),
     count: table.count,
