Remove the stored origins of one gateway once at a time

What callers saw: nothing; found in review. Cause: each removal lists the records until one call succeeds. Calls are priced and bounded by rate. Change: a removal that runs already is not started again.

--- a/packages/gateway/src/origin-store.ts
+++ b/packages/gateway/src/origin-store.ts
@@ -45,6 +45,8 @@
   let isWriting = false;
   let writtenAtMs = -Infinity;
   let timer: Timer | undefined;
+  /** Gateways whose records are being removed. */
+  const removing = new Set<string>();
   /** Revision to replace; undefined to create the record. */
   let revision: number | undefined;
 
@@ -120,6 +122,28 @@
     scheduleWrite();
   };
 
+  const removeUntilGone = async (gateway: string): Promise<void> => {
+    let removedRevision: number | undefined;
+    while (!isStopped) {
+      const listed = await objects.listObjects(STREAM_ORIGINS_KIND);
+      const items = listed.toMaybe().extract()?.items;
+      if (items !== undefined) {
+        const object = items.find(({name}) => name === gateway);
+        if (object === undefined) return;
+        removedRevision ??= object.revision;
+        // The gateway has returned and written it again.
+        if (object.revision !== removedRevision) return;
+        const removed = await objects.deleteObject(
+          STREAM_ORIGINS_KIND,
+          gateway,
+          removedRevision,
+        );
+        if (removed.isRight()) return;
+      }
+      await clock.waitMs(options.retryDelayMs);
+    }
+  };
+
   return {
     start: () => {
       objects.observeRestores(() => {
@@ -136,25 +160,10 @@
     isLoaded: () => isLoaded,
     requestWrite,
     removeRecord: async gateway => {
-      let removedRevision: number | undefined;
-      while (!isStopped) {
-        const listed = await objects.listObjects(STREAM_ORIGINS_KIND);
-        const items = listed.toMaybe().extract()?.items;
-        if (items !== undefined) {
-          const object = items.find(({name}) => name === gateway);
-          if (object === undefined) return;
-          removedRevision ??= object.revision;
-          // The gateway has returned and written it again.
-          if (object.revision !== removedRevision) return;
-          const removed = await objects.deleteObject(
-            STREAM_ORIGINS_KIND,
-            gateway,
-            removedRevision,
-          );
-          if (removed.isRight()) return;
-        }
-        await clock.waitMs(options.retryDelayMs);
-      }
+      if (removing.has(gateway)) return;
+      removing.add(gateway);
+      await removeUntilGone(gateway);
+      removing.delete(gateway);
     },
   };
 }
--- a/packages/gateway/src/stream-origins.test.ts
+++ b/packages/gateway/src/stream-origins.test.ts
@@ -278,6 +278,25 @@
     expect(listed.unsafeCoerce().items.map(({name}) => name)).toEqual(['g1']);
   });
 
+  // Guards against calls that add up while the store is silent.
+  it('of one gateway are removed once at a time', async () => {
+    const origins = startGateway('g1', ['1']);
+    await run();
+    let listCount = 0;
+    objects.listObjects = () => {
+      listCount += 1;
+      return Promise.resolve(
+        Left({code: StoreFailureCode.NoAnswer, reason: 'silent'}),
+      );
+    };
+    origins.removeGateway('gone');
+    await run();
+    const firstCount = listCount;
+    origins.removeGateway('gone');
+    await run();
+    expect(listCount).toBeLessThanOrEqual(firstCount * 2);
+  });
+
   it('are not asked for by requests that resume no stream', async () => {
     const origins = startGateway('g1', ['1', '2']);
     await run();
