Remove the stored origins of a gateway also when an answer was lost

What callers saw: nothing yet; found in review. After each start of a gateway, streams of other gateways that began in the last period of messages were refused (origin-unknown) for 60 s, although one version served. Cause: the stored origins of a gateway that is gone are removed after its registration, if that call succeeded. A call without an answer counted as failed, though the store may have carried it out; the registration then disappears, and nobody calls again. The record stays, and with it a version that has left: each gateway that starts counts it as just seen and tells the others. Evidence: the test "count as removed when the answer to the removal was lost" fails without the change (false for true). Change: a removal without an answer, with an unreadable one, or of a registration that is not there counts as done. If it was not carried out, it is repeated at the next check, and a living gateway writes its record again with its next stream or version. Open: a leader that is killed between the two calls leaves the record as well.

--- a/packages/fleet/src/gateway-registry.test.ts
+++ b/packages/fleet/src/gateway-registry.test.ts
@@ -1,9 +1,11 @@
+import {StoreFailureCode} from '@siskinplank/directory';
 import {
   LogLevel,
   createLogger,
   createManualClock,
 } from '@siskinplank/foundation';
 import {MemorySharedObjectStore} from '@siskinplank/testing';
+import {Left} from 'purify-ts';
 import {describe, expect, it} from 'vitest';
 import {listExpiredRegistrations} from './registration-expiry';
 import {createGatewayRegistry} from './gateway-registry';
@@ -62,6 +64,23 @@
     expect(second.listOthers()).toEqual([]);
   });
 
+  // Guards against data of the gateway that would stay in the store for good.
+  it('count as removed when the answer to the removal was lost', async () => {
+    const objects = new MemorySharedObjectStore();
+    const first = startRegistry(objects, 'stopped');
+    const second = startRegistry(objects, 'living');
+    await runPendingWork();
+    first.stop();
+    const deleteObject = objects.deleteObject.bind(objects);
+    objects.deleteObject = async (...call) => {
+      await deleteObject(...call);
+      return Left({code: StoreFailureCode.NoAnswer, reason: 'lost'});
+    };
+    expect(await second.removeRegistration('stopped')).toBe(true);
+    await runPendingWork();
+    expect(second.listOthers()).toEqual([]);
+  });
+
   it('are renewed with a higher revision by a running gateway', async () => {
     const objects = new MemorySharedObjectStore();
     const alive = startRegistry(objects, 'alive');
--- a/packages/fleet/src/gateway-registry.ts
+++ b/packages/fleet/src/gateway-registry.ts
@@ -1,5 +1,6 @@
 /** Registers this gateway and watches the registrations of all gateways. */
 import {
+  StoreFailureCode,
   createDirectoryWatcher,
   createObjectDirectory,
 } from '@siskinplank/directory';
@@ -52,10 +53,20 @@
   isKnownAt(revision: number): boolean;
   /** Whether a registration of this name existed before this process's. */
   hadPredecessor(): boolean;
-  /** Removes an expired registration; false if it failed or was unknown. */
+  /**
+   * Removes an expired registration; false if it is still stored or was unknown.
+   * Without an answer it counts as removed, since no one would call again.
+   */
   removeRegistration(name: string): Promise<boolean>;
 }
 
+/** Failures of a removal after which the object may be gone. */
+const MAYBE_REMOVED: ReadonlySet<StoreFailureCode> = new Set([
+  StoreFailureCode.NoAnswer,
+  StoreFailureCode.Malformed,
+  StoreFailureCode.NotFound,
+]);
+
 /** Creates a registry that does nothing before `start`. */
 export function createGatewayRegistry(
   options: GatewayRegistryOptions,
@@ -136,7 +147,10 @@
           Right: () => 'removed',
         }),
       });
-      return deleted.isRight();
+      return deleted.caseOf({
+        Left: ({code}) => MAYBE_REMOVED.has(code),
+        Right: () => true,
+      });
     },
   };
 }
