Load a lost model where it is ready soonest if its streams end before

What callers saw: nothing yet; found in review. Requests for a model would wait or be refused for 8 s longer than needed after its last upstream ended. Cause: while two versions serve, a lost model is loaded at the version that held it, at the cost of any load time that is shorter than the open and waiting streams are many. Callers wait 2 s for the next event, and a load from the weight store takes longer than that on most deployments, so that the streams are lost either way. Evidence: the test "loads a lost model where it is ready soonest if its streams have ended by then" fails without the change: with 10 open streams it chose a load of 8.6 s at the old version before one of 0.6 s at the new one. Change: another version costs streams only if an upstream of their version can load the model within 2 s. Nothing changes with one version.

--- a/packages/model-orders/src/plan-placement-changes.test.ts
+++ b/packages/model-orders/src/plan-placement-changes.test.ts
@@ -281,6 +281,22 @@
       expect(listTargets('2')).toEqual(['b']);
     });
 
+    // Guards against new requests that wait for a load that ends after callers left.
+    it('loads a lost model where it is ready soonest if its streams have ended by then', () => {
+      const models = makeModels({hot: BIG_MB});
+      const slow = {...(models.get('hot') as ModelSpec), storeLoadMs: 8_600};
+      const changes = plan({
+        upstreams: [
+          makeUpstream('a', [], OLD),
+          makeUpstream('b', [], {...NEW, inMemory: new Set(['hot'])}),
+        ],
+        models: new Map([['hot', slow]]),
+        lastVersions: new Map([['hot', '1']]),
+        demand: [makeDemand('hot', {requestsPerSecond: 5, averageOpen: 10})],
+      });
+      expect(changes).toMatchObject([{upstream: 'b', load: 'hot'}]);
+    });
+
     it('plans no change only to bring replicas to one version', () => {
       const changes = plan({
         models: makeModels({hot: BIG_MB, idle: BIG_MB}),
--- a/packages/model-orders/src/plan-placement-changes.ts
+++ b/packages/model-orders/src/plan-placement-changes.ts
@@ -67,6 +67,8 @@
 const MIN_REQUEST_RATE = 0.01;
 /** Cost per second of load time, in requests: times 1 + waiting requests. */
 const WAIT_COST = 1;
+/** Callers wait at least this long for the next event of a stream. */
+const RESUME_WAIT_MS = 2_000;
 /** Time in which an upstream unloads a model without requests: 0.3 to 0.5 s. */
 const EVICTION_SECONDS = 0.45;
 
@@ -174,17 +176,26 @@
 
   /**
    * Estimates the streams that can't go on since the last replica was lost and
-   * the next one is loaded at another version.
+   * the next one is loaded at another version; none if a load at their version
+   * would end too late.
    */
   const estimateReloadCost = (
-    model: string,
+    model: ModelSpec,
     {softwareVersion}: PlannedUpstream,
   ): number => {
-    const lastVersion = input.lastVersions.get(model) ?? softwareVersion;
-    const isLost = (replicaCounts.get(model) ?? 0) === 0;
+    const lastVersion = input.lastVersions.get(model.name) ?? softwareVersion;
+    const isLost = (replicaCounts.get(model.name) ?? 0) === 0;
     if (input.isReleaseRunning || !isLost) return 0;
     if (lastVersion === softwareVersion) return 0;
-    const {averageOpen = 0, waitingCount = 0} = demandByModel.get(model) ?? {};
+    const canGoOn = upstreams.some(
+      upstream =>
+        upstream.softwareVersion === lastVersion &&
+        upstream.canTakeOrder &&
+        estimateLoadMs(upstream, model) <= RESUME_WAIT_MS,
+    );
+    if (!canGoOn) return 0;
+    const {averageOpen = 0, waitingCount = 0} =
+      demandByModel.get(model.name) ?? {};
     return averageOpen + waitingCount;
   };
 
@@ -268,7 +279,7 @@
       evict: evictions.evict,
       riskCost:
         estimateRiskCost(model.name, 1, upstream) +
-        estimateReloadCost(model.name, upstream),
+        estimateReloadCost(model, upstream),
       isStoreLoad,
       cost:
         evictions.cost +
