Keep the origin of an attempt that a request names without a last event

What callers saw: nothing yet; found in review. Cause: a request that names an attempt, but no last event, starts from the beginning at any version. Its stream was recorded under the attempt that it names as well, so that a later request that resumes that attempt went on at a version that did not begin it. Evidence: the test "stay those of an attempt that a request names without a last event" fails without the change: version 2 for an attempt that version 1 began. Change: the named attempt is recorded only by a request that has a last event.

--- a/packages/gateway/src/stream-origins.test.ts
+++ b/packages/gateway/src/stream-origins.test.ts
@@ -153,6 +153,17 @@
     expect(find(second, 'c')).toEqual(unknown);
   });
 
+  // Guards against a record that a request replaces which starts from the beginning.
+  it('stay those of an attempt that a request names without a last event', async () => {
+    const origins = startGateway('g1', ['1', '2']);
+    await run();
+    begin(origins, 'a', '1');
+    const request = {...makeRequest('b', 'a'), lastEventId: undefined};
+    origins.recordBegun(request, {service: SERVICE, softwareVersion: '2'});
+    expect(find(origins, 'a')).toEqual(known('1'));
+    expect(find(origins, 'b')).toEqual(known('2'));
+  });
+
   // Guards against streams that are open when the second version comes.
   it('are sent also of streams that began before the second version', async () => {
     const first = startGateway('g1', ['1']);
--- a/packages/gateway/src/stream-origins.ts
+++ b/packages/gateway/src/stream-origins.ts
@@ -197,12 +197,12 @@
       }
       checkVersions(nowMs);
     },
-    recordBegun: ({attemptId, resumedAttemptId}, origin) => {
+    recordBegun: ({attemptId, resumedAttemptId, lastEventId}, origin) => {
       const nowMs = clock.getNowMs();
       const {service, softwareVersion} = origin;
       history.observe(service, softwareVersion, nowMs);
       table.addOwn(attemptId, origin, nowMs);
-      if (resumedAttemptId !== undefined) {
+      if (resumedAttemptId !== undefined && lastEventId !== undefined) {
         table.addOwn(resumedAttemptId, origin, nowMs);
       }
       checkVersions(nowMs);
