--- a/packages/gateway/src/stream-origins.test.ts
+++ b/packages/gateway/src/stream-origins.test.ts
@@ -168,6 +168,17 @@
     expect(find(second, 'c')).toEqual(unknown);
   });
 
+  // Guards against a record that a request replaces which starts from the beginning.
+  it('stay those of an attempt that a request names without a last event', async () => {
+    const origins = startGateway('g1', ['1', '2']);
+    await run();
+    begin(origins, 'a', '1');
+    const request = {...makeRequest('b', 'a'), lastEventId: undefined};
+    origins.recordBegun(request, {service: SERVICE, softwareVersion: '2'});
+    expect(find(origins, 'a')).toEqual(known('1'));
+    expect(find(origins, 'b')).toEqual(known('2'));
+  });
+
   // Guards against streams that are open when the second version comes.
   it('are sent also of streams that began before the second version', async () => {
     const first = startGateway('g1', ['1']);
@@ -190,6 +201,19 @@
     expect(find(second, 'a')).toEqual(known('1'));
   });
 
+  // Guards against a gateway that misses the message on the second version.
+  it('are unknown to a gateway whose link was closed when the second version came', async () => {
+    const first = startGateway('g1', ['1']);
+    const second = startGateway('g2', ['1']);
+    await run();
+    gateways.delete('g2');
+    first.observeUpstreams(listUpstreams(['1', '2']), clock.getNowMs());
+    await run();
+    gateways.set('g2', second);
+    first.handleConnected('g2');
+    expect(find(second, 'a')).toEqual(unknown);
+  });
+
   // All gateways are killed at once, twice, while the old version leaves.
   it('outlast all gateways, also when the old version has left', async () => {
     for (const name of ['g1', 'g2']) startGateway(name, ['1', '2']);
@@ -307,6 +331,25 @@
     expect(listed.unsafeCoerce().items.map(({name}) => name)).toEqual(['g1']);
   });
 
+  // Guards against calls that add up while the store is silent.
+  it('of one gateway are removed once at a time', async () => {
+    const origins = startGateway('g1', ['1']);
+    await run();
+    let listCount = 0;
+    objects.listObjects = () => {
+      listCount += 1;
+      return Promise.resolve(
+        Left({code: StoreFailureCode.NoAnswer, reason: 'silent'}),
+      );
+    };
+    origins.removeGateway('gone');
+    await run();
+    const firstCount = listCount;
+    origins.removeGateway('gone');
+    await run();
+    expect(listCount).toBeLessThanOrEqual(firstCount * 2);
+  });
+
   it('are not asked for by requests that resume no stream', async () => {
     const origins = startGateway('g1', ['1', '2']);
     await run();
--- a/packages/gateway/src/stream-origins.ts
+++ b/packages/gateway/src/stream-origins.ts
@@ -247,12 +247,12 @@
       }
       checkVersions(nowMs);
     },
-    recordBegun: ({attemptId, resumedAttemptId}, origin) => {
+    recordBegun: ({attemptId, resumedAttemptId, lastEventId}, origin) => {
       const nowMs = clock.getNowMs();
       const {service, softwareVersion} = origin;
       history.observe(service, softwareVersion, nowMs);
       table.addOwn(attemptId, origin, nowMs);
-      if (resumedAttemptId !== undefined) {
+      if (resumedAttemptId !== undefined && lastEventId !== undefined) {
         table.addOwn(resumedAttemptId, origin, nowMs);
       }
       checkVersions(nowMs);
@@ -291,9 +291,8 @@
     },
     handleConnected: peer => {
       const nowMs = clock.getNowMs();
-      const message = makeMessage(-Infinity, nowMs);
-      if (Object.keys(message.origins).length > 0)
-        options.getFleet().sendTo(peer, message);
+      if (listMixedServices(nowMs).size === 0) return;
+      options.getFleet().sendTo(peer, makeMessage(-Infinity, nowMs));
     },
     removeGateway: name => void store.removeRecord(name),
     count: table.count,
