Give stand-in servers a software version and callers resumed streams

What callers saw: nothing changes in the product. No test could tell from outside by which software version an event was written, nor resume a stream. A caller can resume a stream (Last-Event-Id, Resumes) and give one up after a silence. A fleet of gateways can be given the settings of its engines, and its gateways can be started again.

--- a/packages/soak/src/testing/gateway-fleet.ts
+++ b/packages/soak/src/testing/gateway-fleet.ts
@@ -10,7 +10,11 @@
   isReady,
   startStoreStandIn,
 } from '@siskinplank/platform-stand-ins';
-import type {CallRecord, StoreStandIn} from '@siskinplank/platform-stand-ins';
+import type {
+  CallRecord,
+  ResumedStream,
+  StoreStandIn,
+} from '@siskinplank/platform-stand-ins';
 import {TYPESCRIPT_ARGUMENTS, WORKSPACE_ROOT} from '@siskinplank/proof';
 import {getMonotonicMs} from '@siskinplank/stand-ins';
 import {createSoakGateway} from '../gateways';
@@ -24,7 +28,7 @@
   MODEL_MB,
   createSoakUpstream,
 } from '../upstreams';
-import type {SoakUpstream} from '../upstreams';
+import type {SoakUpstream, SoakUpstreamOptions} from '../upstreams';
 import {wait} from './single-gateway';
 
 export const HOST_NAME = 'fleet.example';
@@ -56,6 +60,8 @@
   engineCount: number;
   /** Plain upstreams; none by default. */
   deskCount?: number;
+  /** Settings of each engine; those of the soak by default. */
+  engines?: readonly SoakUpstreamOptions[];
   /** Arguments of node that start a gateway; its sources by default. */
   program?: readonly string[];
 }
@@ -68,6 +74,10 @@
   promptParts: readonly string[];
   /** Key of the account; the one of the first configuration by default. */
   key?: string;
+  /** Stream that the attempt resumes; none by default. */
+  resumed?: ResumedStream;
+  /** Time without bytes at which the caller gives a begun stream up. */
+  maxSilenceMs?: number;
 }
 
 /** One request to a plain upstream. */
@@ -90,6 +100,8 @@
   getNowMs(): number;
   /** Writes a version of the configuration with these keys of the account. */
   putKeys(version: number, keys: readonly string[]): void;
+  /** Starts gateways and waits until they are ready. */
+  startGateways(started: readonly SoakGateway[]): Promise<void>;
   /** Sends a stream on a connection of its own. */
   sendStream(input: StreamInput): Promise<CallRecord>;
   /** Sends a plain request on a connection of its own. */
@@ -135,6 +147,7 @@
       history,
       random,
       getMonotonicMs,
+      options.engines?.[index],
     );
     upstream.register();
     upstreams.push(upstream);
@@ -146,14 +159,19 @@
       await createSoakGateway(index, store.port, program, directory),
     );
   }
-  for (const gateway of gateways) gateway.start();
-  const endsAtMs = getMonotonicMs() + READY_TIMEOUT_MS;
-  for (const gateway of gateways) {
-    while (!(await isReady(gateway.readinessPort))) {
-      if (getMonotonicMs() > endsAtMs) break;
-      await wait(READY_POLL_MS);
+  const startGateways = async (
+    started: readonly SoakGateway[],
+  ): Promise<void> => {
+    for (const gateway of started) gateway.start();
+    const endsAtMs = getMonotonicMs() + READY_TIMEOUT_MS;
+    for (const gateway of started) {
+      while (!(await isReady(gateway.readinessPort))) {
+        if (getMonotonicMs() > endsAtMs) break;
+        await wait(READY_POLL_MS);
+      }
     }
-  }
+  };
+  await startGateways(gateways);
   await wait(SETTLE_MS);
 
   return {
@@ -164,29 +182,22 @@
     store,
     getNowMs: getMonotonicMs,
     putKeys,
-    sendStream: async ({
-      attemptId,
-      gateway,
-      model,
-      promptParts,
-      key = FLEET_KEY,
-    }) => {
+    startGateways,
+    sendStream: async ({gateway, key = FLEET_KEY, ...input}) => {
       const caller = createCaller({
         hostName: HOST_NAME,
         getNowMs: getMonotonicMs,
       });
       const record = await caller.call({
-        attemptId,
+        ...input,
         kind: CallKind.Stream,
         account: FleetAccount.Small,
         key,
-        model,
         promptTokens: PROMPT_TOKENS,
         outputTokens: OUTPUT_TOKENS,
         deadlineMs: DEADLINE_MS,
         gateway: gateway.name,
         port: gateway.port,
-        promptParts,
       });
       caller.close();
       return record;
--- a/packages/soak/src/upstreams.ts
+++ b/packages/soak/src/upstreams.ts
@@ -43,6 +43,7 @@
 /** Settings that a plan chooses; by default those of the other plans. */
 export interface SoakUpstreamOptions {
   eventIntervalMs?: number;
+  softwareVersion?: string;
   failureDomain?: string;
   slots?: number;
   /** Whether gateways reach it without its proxy, which costs less time. */
@@ -73,6 +74,7 @@
         })
       : undefined,
     eventIntervalMs: options.eventIntervalMs,
+    softwareVersion: options.softwareVersion,
     slots: options.slots ?? (isEngine ? ENGINE_SLOTS : PLAIN_SLOTS),
     random: random.getNext,
     getNowMs,
