--- a/scripts/build-gateway.mjs
+++ b/scripts/build-gateway.mjs
@@ -1,10 +1,11 @@
 /**
  * Builds the gateway for the users' platform: `target/gateway.cjs`, which loads
- * the bundle and its code cache beside it.
+ * the bundle and its code cache beside it. An argument names another directory
+ * than `target`, so that builds that run at the same time have one each.
  */
 import {execFileSync} from 'node:child_process';
 import {copyFileSync, mkdirSync} from 'node:fs';
-import {resolve} from 'node:path';
+import {join, resolve} from 'node:path';
 import process from 'node:process';
 import {build} from 'esbuild';
 
@@ -25,10 +26,11 @@
   },
 };
 
-mkdirSync('target', {recursive: true});
+const target = resolve(process.argv[2] ?? 'target');
+mkdirSync(target, {recursive: true});
 await build({
   entryPoints: ['packages/cli/src/gateway-main.ts'],
-  outfile: 'target/gateway-bundle.cjs',
+  outfile: join(target, 'gateway-bundle.cjs'),
   bundle: true,
   platform: 'node',
   target: 'node20',
@@ -38,9 +40,14 @@
   external: ['msgpackr-extract', 'bufferutil', 'utf-8-validate'],
   plugins: [leaveOutParts],
 });
-copyFileSync('scripts/gateway/loader.cjs', 'target/gateway.cjs');
+copyFileSync('scripts/gateway/loader.cjs', join(target, 'gateway.cjs'));
 execFileSync(
   process.execPath,
-  [...NODE_FLAGS, 'scripts/gateway/write-code-cache.cjs', 'no-settings'],
+  [
+    ...NODE_FLAGS,
+    'scripts/gateway/write-code-cache.cjs',
+    'no-settings',
+    target,
+  ],
   {stdio: 'ignore'},
 );
--- a/scripts/gateway/write-code-cache.cjs
+++ b/scripts/gateway/write-code-cache.cjs
@@ -1,9 +1,12 @@
-/** Runs the bundle without settings and writes what V8 compiled meanwhile. */
+/**
+ * Runs the bundle of a directory, the second argument, without settings and
+ * writes what V8 compiled meanwhile.
+ */
 const {rmSync, writeFileSync} = require('node:fs');
-const {join, resolve} = require('node:path');
+const {join} = require('node:path');
 const process = require('node:process');
 
-const target = resolve('target');
+const target = process.argv[3];
 const cacheFile = join(target, 'gateway-bundle.cache');
 rmSync(cacheFile, {force: true});
 const {script} = require(join(target, 'gateway.cjs'));
