Note only routes that lead to several services, and unchanged ones once a second

What callers saw: nothing; found by reading. Each stream, message and check of 100 ms listed and compared the services of all routes, hundreds of them after a large configuration, and each change of the routes was a write to the store. Cause: the services of every resumable route were described, though only those of a route with several decide where a stream may have begun. Change: only these are described, compared and stored, and routes that have not changed are noted once a second. A route with one service needs no record: it is in the configuration, and its former service is noted from before the change. The cost was not measured.

--- a/packages/gateway/src/stream-origins.ts
+++ b/packages/gateway/src/stream-origins.ts
@@ -78,6 +78,8 @@
   count(): number;
 }
 
+/** Period of noting the routes again that have not changed. */
+const ROUTES_PERIOD_MS = 1_000;
 /** New origins are collected for this time before they are sent. */
 const MESSAGE_DELAY_MS = 10;
 
@@ -96,6 +98,8 @@
   const routeHistory = createVersionHistory();
   let loggedVersions = '{}';
   let loggedRoutes = '{}';
+  let observedRoutes: readonly Route[] | undefined;
+  let routesAtMs = -Infinity;
   /** Own origins before this time were sent to all. */
   let sentUntilMs = -Infinity;
   let sentAtMs = -Infinity;
@@ -111,13 +115,10 @@
 
   /** Services whose streams can't be told from those of another origin. */
   const listMixedServices = (nowMs: number): ReadonlySet<string> => {
-    const versions = Object.entries(history.describe(nowMs));
-    const routes = Object.values(routeHistory.describe(nowMs));
+    const routes = Object.values(routeHistory.describeMixed(nowMs));
     return new Set([
-      ...versions
-        .filter(([, recent]) => recent.length > 1)
-        .map(([service]) => service),
-      ...routes.filter(services => services.length > 1).flat(),
+      ...Object.keys(history.describeMixed(nowMs)),
+      ...routes.flat(),
     ]);
   };
 
@@ -172,7 +173,7 @@
 
   const checkVersions = (nowMs: number): void => {
     const versions = JSON.stringify(history.describe(nowMs));
-    const routes = JSON.stringify(routeHistory.describe(nowMs));
+    const routes = JSON.stringify(routeHistory.describeMixed(nowMs));
     if (versions === loggedVersions && routes === loggedRoutes) return;
     loggedVersions = versions;
     loggedRoutes = routes;
@@ -189,7 +190,7 @@
     getPeriodMs: () => planSchedule().storePeriodMs,
     collectRecord: nowMs => ({
       versions: history.describe(nowMs),
-      routes: routeHistory.describe(nowMs),
+      routes: routeHistory.describeMixed(nowMs),
       origins: selectMixed(table.listOwnOpen(nowMs), nowMs),
     }),
     onLoaded: (records, nowMs) => {
@@ -239,6 +240,10 @@
       checkVersions(nowMs);
     },
     observeRoutes: (routes, nowMs) => {
+      const isRepeated = routes === observedRoutes;
+      if (isRepeated && nowMs - routesAtMs < ROUTES_PERIOD_MS) return;
+      observedRoutes = routes;
+      routesAtMs = nowMs;
       for (const route of routes) {
         if (!isResumable(route)) continue;
         for (const {service} of route.services) {
--- a/packages/stream-origins/src/version-history.ts
+++ b/packages/stream-origins/src/version-history.ts
@@ -16,6 +16,8 @@
   describeAges(nowMs: number): Record<string, Record<string, number>>;
   /** The recent versions of all services. */
   describe(nowMs: number): Record<string, string[]>;
+  /** The recent versions of the services that have more than one. */
+  describeMixed(nowMs: number): Record<string, string[]>;
 }
 
 /** Creates a history without versions. */
@@ -53,6 +55,15 @@
           ),
         ]),
       ),
+    describeMixed: nowMs => {
+      const mixed: Array<[string, string[]]> = [];
+      for (const [service, versions] of services) {
+        if (versions.size < 2) continue;
+        const recent = listRecent(service, nowMs);
+        if (recent.length > 1) mixed.push([service, recent]);
+      }
+      return Object.fromEntries(mixed);
+    },
     describe: nowMs =>
       Object.fromEntries(
         [...services.keys()].map(service => [
