Send the origins of streams also while there is one software version

Cause: origins were exchanged only once two versions served. A gateway that stands still, is cut off or gone by then can't send the origins of its streams any more, and the others, who know two versions, refuse its streams. Class of fault: knowledge that is passed on only when it is needed, by the one process that may be gone then.

Change: each gateway sends its new origins in every period, whatever versions serve, and all of them to a gateway that connects, with those that an earlier process of that host had sent. They are stored only while two versions serve, as before.

Tests: 'are known to the others though their gateway stands still before the second version comes' and 'are returned to the next process of a gateway that was killed before the second version' failed before with 'unknown'. 'cost one write and no message while there is one version' guarded against cost in calm; there have to be messages now, so it is replaced by one that bounds them to ten a second at two gateways, and checks that each stream is named once and that still one write is made.

--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -266,7 +266,8 @@
     },
     onMessage: (peer, message) => {
       const isHandled =
-        limits.handleMessage(peer, message) || origins.handleMessage(message);
+        limits.handleMessage(peer, message) ||
+        origins.handleMessage(peer, message);
       if (!isHandled) orders.handleMessage(peer, message);
     },
     onPeerConnected: name => {
--- a/packages/gateway/src/stream-origins.ts
+++ b/packages/gateway/src/stream-origins.ts
@@ -1,7 +1,9 @@
 /**
- * Tells by which software version a stream began that a caller resumes. While a
- * service has more than one, gateways pass the origins of their streams on to
- * each other, and store them for the case that all of them are killed.
+ * Tells by which software version a stream began that a caller resumes.
+ * Gateways pass the origins of their streams on to each other also while there
+ * is one version, since a gateway that stands still when the second one comes
+ * can't any more. While a service has more than one, they store them for the
+ * case that all gateways are killed.
  */
 import type {SharedObjectStore} from '@siskinplank/directory';
 import type {Clock, Logger, Timer} from '@siskinplank/foundation';
@@ -69,8 +71,11 @@
   /** Whether the stored origins were read. */
   isLoaded(): boolean;
   /** Returns false for messages that do not concern origins. */
-  handleMessage(message: Message): boolean;
-  /** Sends the origins to a gateway that has just connected. */
+  handleMessage(peer: string, message: Message): boolean;
+  /**
+   * Sends a gateway that has just connected the own origins, and those that an
+   * earlier process of its host has sent.
+   */
   handleConnected(peer: string): void;
   /** Removes what a gateway has stored that is gone. */
   removeGateway(name: string): void;
@@ -100,8 +105,7 @@
   let loggedRoutes = '{}';
   let observedRoutes: readonly Route[] | undefined;
   let routesAtMs = -Infinity;
-  /** Own origins before this time were sent to all. */
-  let sentUntilMs = -Infinity;
+  /** Time of the last message to all; own origins before it were sent. */
   let sentAtMs = -Infinity;
   let messageTimer: Timer | undefined;
 
@@ -147,19 +151,21 @@
   const makeMessage = (
     sinceMs: number,
     nowMs: number,
+    receiver?: string,
   ): MessageOf<MessageType.StreamOrigins> => ({
     type: MessageType.StreamOrigins,
     versions: history.describeAges(nowMs),
-    origins: collectOrigins(
-      selectMixed(table.listOwnSince(sinceMs, nowMs), nowMs),
-    ),
+    origins: collectOrigins(table.listOwnSince(sinceMs, nowMs)),
+    formerOrigins:
+      receiver === undefined
+        ? {}
+        : collectOrigins(table.listReportedBy(receiver, nowMs)),
   });
 
   const sendNew = (): void => {
     messageTimer = undefined;
     const nowMs = clock.getNowMs();
-    options.getFleet().sendToAll(makeMessage(sentUntilMs, nowMs));
-    sentUntilMs = nowMs;
+    options.getFleet().sendToAll(makeMessage(sentAtMs, nowMs));
     sentAtMs = nowMs;
   };
 
@@ -179,10 +185,7 @@
     loggedRoutes = routes;
     logger.log(VERSIONS_CHANGED, {versions, routes});
     store.requestWrite();
-    if (listMixedServices(nowMs).size === 0) return;
-    // The others do not know the streams that began before.
-    sentUntilMs = -Infinity;
-    scheduleMessage();
+    if (listMixedServices(nowMs).size > 0) scheduleMessage();
   };
 
   const store = createOriginStore({
@@ -222,8 +225,11 @@
     }
     for (const [attemptId, origin] of origins) {
       // Those of an earlier process of this host have no other owner.
-      if (gateway === options.ownName) table.addOwn(attemptId, origin, nowMs);
-      else table.addReported(attemptId, origin, nowMs);
+      if (gateway === options.ownName) {
+        table.addFormer(attemptId, origin, nowMs);
+      } else {
+        table.addReported(attemptId, origin, gateway, nowMs);
+      }
     }
   };
 
@@ -261,9 +267,8 @@
         table.addOwn(resumedAttemptId, origin, nowMs);
       }
       checkVersions(nowMs);
-      if (!listMixedServices(nowMs).has(service)) return;
       scheduleMessage();
-      store.requestWrite();
+      if (listMixedServices(nowMs).has(service)) store.requestWrite();
     },
     recordCompleted: attemptId => table.complete(attemptId, clock.getNowMs()),
     findOrigin: (request, {route}, nowMs) => {
@@ -280,7 +285,7 @@
       });
     },
     isLoaded: store.isLoaded,
-    handleMessage: message => {
+    handleMessage: (peer, message) => {
       if (message.type !== MessageType.StreamOrigins) return false;
       const nowMs = clock.getNowMs();
       for (const [service, ages] of Object.entries(message.versions)) {
@@ -289,15 +294,21 @@
         }
       }
       for (const [attemptId, origin] of listOrigins(message.origins)) {
-        table.addReported(attemptId, origin, nowMs);
+        table.addReported(attemptId, origin, peer, nowMs);
+      }
+      const former = listOrigins(message.formerOrigins);
+      for (const [attemptId, origin] of former) {
+        table.addFormer(attemptId, origin, nowMs);
       }
       checkVersions(nowMs);
+      if (former.length > 0) scheduleMessage();
       return true;
     },
     handleConnected: peer => {
       const nowMs = clock.getNowMs();
-      if (listMixedServices(nowMs).size === 0) return;
-      options.getFleet().sendTo(peer, makeMessage(-Infinity, nowMs));
+      const isMixed = listMixedServices(nowMs).size > 0;
+      if (!isMixed && table.count() === 0) return;
+      options.getFleet().sendTo(peer, makeMessage(-Infinity, nowMs, peer));
     },
     removeGateway: name => void store.removeRecord(name),
     count: table.count,
--- a/packages/messages/src/gateway.ts
+++ b/packages/messages/src/gateway.ts
@@ -186,14 +186,16 @@
 
 const nameSchema = z.string().max(256);
 
-/**
- * Streams that the sender began or resumed, while a service has more than one
- * software version.
- */
+/** Streams that callers may resume, and the versions that served lately. */
 export const streamOriginsSchema = z.strictObject({
   type: z.literal(MessageType.StreamOrigins),
   /** By service and version: how long ago the version was last seen. */
   versions: mapOf(mapOf(amountSchema)),
-  /** Attempts by service and software version. */
+  /**
+   * Attempts by service and software version whose streams the sender began or
+   * resumed.
+   */
   origins: mapOf(mapOf(listOf(nameSchema, 20_000))),
+  /** The same, of an earlier process of the receiver's host. */
+  formerOrigins: mapOf(mapOf(listOf(nameSchema, 20_000))),
 });
--- a/packages/stream-origins/src/origin-table.ts
+++ b/packages/stream-origins/src/origin-table.ts
@@ -22,8 +22,15 @@
 export interface OriginTable {
   /** Adds the origin of a stream that this gateway began or resumed. */
   addOwn(attemptId: string, origin: StreamOrigin, nowMs: number): void;
-  /** Adds an origin that another process knows. */
-  addReported(attemptId: string, origin: StreamOrigin, nowMs: number): void;
+  /** Adds an origin that another gateway, the reporter, has sent or stored. */
+  addReported(
+    attemptId: string,
+    origin: StreamOrigin,
+    reporter: string,
+    nowMs: number,
+  ): void;
+  /** Adds an origin of an earlier process of this host, unless it is an own one. */
+  addFormer(attemptId: string, origin: StreamOrigin, nowMs: number): void;
   /** Notes that the response of an own attempt was sent whole. */
   complete(attemptId: string, nowMs: number): void;
   find(attemptId: string, nowMs: number): StreamOrigin | undefined;
@@ -31,6 +38,11 @@
   listOwnSince(sinceMs: number, nowMs: number): Array<[string, StreamOrigin]>;
   /** Own origins of streams that callers may still resume, oldest first. */
   listOwnOpen(nowMs: number): Array<[string, StreamOrigin]>;
+  /** Origins that the reporter has sent or stored, oldest first. */
+  listReportedBy(
+    reporter: string,
+    nowMs: number,
+  ): Array<[string, StreamOrigin]>;
   /** Number of origins, those that are no longer found included. */
   count(): number;
 }
@@ -38,7 +50,8 @@
 interface KnownOrigin {
   origin: StreamOrigin;
   addedAtMs: number;
-  isOwn: boolean;
+  /** Gateway that reported it; undefined for an own one. */
+  reporter: string | undefined;
   completedAtMs: number;
 }
 
@@ -60,38 +73,45 @@
   const add = (
     attemptId: string,
     origin: StreamOrigin,
-    isOwn: boolean,
+    reporter: string | undefined,
     nowMs: number,
   ): void => {
-    const former = known.get(attemptId);
     known.delete(attemptId);
     known.set(attemptId, {
       origin,
       addedAtMs: nowMs,
-      isOwn: isOwn || former?.isOwn === true,
+      reporter,
       completedAtMs: Infinity,
     });
     removeOldest(nowMs);
   };
 
-  const listOwn = (
+  const isOwn = ({reporter}: KnownOrigin): boolean => reporter === undefined;
+
+  const listSelected = (
     select: (item: KnownOrigin) => boolean,
     nowMs: number,
   ): Array<[string, StreamOrigin]> => {
     removeOldest(nowMs);
     const listed: Array<[string, StreamOrigin]> = [];
     for (const [attemptId, item] of known) {
-      if (item.isOwn && select(item)) listed.push([attemptId, item.origin]);
+      if (select(item)) listed.push([attemptId, item.origin]);
     }
     return listed;
   };
 
   return {
-    addOwn: (attemptId, origin, nowMs) => add(attemptId, origin, true, nowMs),
-    addReported: (attemptId, origin, nowMs) => {
+    addOwn: (attemptId, origin, nowMs) =>
+      add(attemptId, origin, undefined, nowMs),
+    addReported: (attemptId, origin, reporter, nowMs) => {
       // The first report is kept: a later one is the same or a mistake.
       if (known.has(attemptId)) return;
-      add(attemptId, origin, false, nowMs);
+      add(attemptId, origin, reporter, nowMs);
+    },
+    addFormer: (attemptId, origin, nowMs) => {
+      const item = known.get(attemptId);
+      if (item !== undefined && isOwn(item)) return;
+      add(attemptId, item?.origin ?? origin, undefined, nowMs);
     },
     complete: (attemptId, nowMs) => {
       const item = known.get(attemptId);
@@ -104,12 +124,14 @@
         : item.origin;
     },
     listOwnSince: (sinceMs, nowMs) =>
-      listOwn(({addedAtMs}) => addedAtMs >= sinceMs, nowMs),
+      listSelected(item => isOwn(item) && item.addedAtMs >= sinceMs, nowMs),
     listOwnOpen: nowMs =>
-      listOwn(
-        ({completedAtMs}) => nowMs - completedAtMs < COMPLETED_KEEP_MS,
+      listSelected(
+        item => isOwn(item) && nowMs - item.completedAtMs < COMPLETED_KEEP_MS,
         nowMs,
       ),
+    listReportedBy: (reporter, nowMs) =>
+      listSelected(item => item.reporter === reporter, nowMs),
     count: () => known.size,
   };
 }
