--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -1,6 +1,7 @@
 /** Decides whether a caller request is served, and by which service. */
 import type {Random} from '@siskinplank/foundation';
 import type {CallerRequest, ClientAccount, Route} from '@siskinplank/serving';
+import type {OriginSource} from '@siskinplank/stream-origins';
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import type {ConfigurationReplica} from './configuration-replica';
@@ -29,6 +30,8 @@
    * undefined if any version may run it.
    */
   softwareVersion: string | undefined;
+  /** How that version is known. */
+  originSource?: OriginSource;
 }
 
 /** Admits caller requests by the configuration in force. */
--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -38,6 +38,7 @@
     request: end.attemptId,
     resumes: end.request?.resumedAttemptId,
     lastEvent: end.request?.lastEventId,
+    origin: admission.originSource,
     status: end.status,
     tokens: end.tokens,
     limitPerSecond: limit?.ratePerSecond,
--- a/packages/gateway/src/resumed-streams.test.ts
+++ b/packages/gateway/src/resumed-streams.test.ts
@@ -1,5 +1,5 @@
 import type {CallerRequest} from '@siskinplank/serving';
-import {OriginVerdictType} from '@siskinplank/stream-origins';
+import {OriginSource, OriginVerdictType} from '@siskinplank/stream-origins';
 import type {OriginVerdict} from '@siskinplank/stream-origins';
 import {describe, expect, it} from 'vitest';
 import type {AdmittedTarget} from './admission';
@@ -11,6 +11,7 @@
 const known: OriginVerdict = {
   type: OriginVerdictType.Known,
   origin: {service: 'other', softwareVersion: '1'},
+  source: OriginSource.Record,
 };
 
 function resolve(
@@ -43,6 +44,7 @@
     expect(resolve(known, ['2', '1'])).toEqual({
       service: 'other',
       softwareVersion: '1',
+      originSource: OriginSource.Record,
     });
   });
 
--- a/packages/gateway/src/resumed-streams.ts
+++ b/packages/gateway/src/resumed-streams.ts
@@ -53,7 +53,12 @@
         ({upstream}) => upstream.softwareVersion === softwareVersion,
       );
       return isServed
-        ? Right({...target, service, softwareVersion})
+        ? Right({
+            ...target,
+            service,
+            softwareVersion,
+            originSource: verdict.source,
+          })
         : Left({code: RefusalCode.VersionNotServed});
     }
   }
--- a/packages/gateway/src/stream-origins.test.ts
+++ b/packages/gateway/src/stream-origins.test.ts
@@ -7,6 +7,7 @@
 import type {CallerRequest, Upstream} from '@siskinplank/serving';
 import {
   ORIGIN_KEEP_MS,
+  OriginSource,
   OriginVerdictType,
   listOrigins,
 } from '@siskinplank/stream-origins';
@@ -160,10 +161,16 @@
       clock.getNowMs(),
     );
 
-  const known = (softwareVersion: string): OriginVerdict => ({
+  const known = (
+    softwareVersion: string,
+    source = OriginSource.Record,
+  ): OriginVerdict => ({
     type: OriginVerdictType.Known,
     origin: {service: SERVICE, softwareVersion},
+    source,
   });
+  const only = (softwareVersion: string): OriginVerdict =>
+    known(softwareVersion, OriginSource.OnlyVersion);
   const unknown = {type: OriginVerdictType.Unknown};
 
   it('are known to the others when their gateway is killed', async () => {
@@ -282,12 +289,12 @@
       origins.observeUpstreams(listUpstreams(['2']), clock.getNowMs());
       await run();
     }
-    expect(find(origins, 'c')).toEqual(known('2'));
+    expect(find(origins, 'c')).toEqual(only('2'));
     await run();
     killAll();
     const restarted = startGateway('g1', ['2']);
     await run();
-    expect(find(restarted, 'c')).toEqual(known('2'));
+    expect(find(restarted, 'c')).toEqual(only('2'));
   });
 
   // Guards against messages that grow with the number of streams in calm.
@@ -307,14 +314,14 @@
     expect(sentAttemptIds.sort()).toEqual(attemptIds.sort());
     expect(revision).toMatchObject({revision: 1});
     expect(after).toMatchObject({revision: 3});
-    expect(find(origins, 'unknown')).toEqual(known('1'));
+    expect(find(origins, 'unknown')).toEqual(only('1'));
   });
 
   it('are unknown before the stored ones are read, and to a gateway that is cut off', async () => {
     const origins = startGateway('g1', ['1']);
     expect(find(origins, 'a')).toEqual(unknown);
     await run();
-    expect(find(origins, 'a')).toEqual(known('1'));
+    expect(find(origins, 'a')).toEqual(only('1'));
     isConnected = false;
     expect(find(origins, 'a')).toEqual(unknown);
   });
--- a/packages/stream-origins/src/index.ts
+++ b/packages/stream-origins/src/index.ts
@@ -7,7 +7,7 @@
 export type {OriginTable, StreamOrigin} from './origin-table';
 export {createVersionHistory} from './version-history';
 export type {VersionHistory} from './version-history';
-export {OriginVerdictType, resolveOrigin} from './resolve-origin';
+export {OriginSource, OriginVerdictType, resolveOrigin} from './resolve-origin';
 export type {OriginInput, OriginVerdict} from './resolve-origin';
 export {
   decodeOriginRecord,
--- a/packages/stream-origins/src/resolve-origin.ts
+++ b/packages/stream-origins/src/resolve-origin.ts
@@ -29,9 +29,21 @@
   NotServed = 'not-served',
 }
 
+/** How the origin of a stream is known. */
+export enum OriginSource {
+  /** A gateway recorded it when the stream began. */
+  Record = 'record',
+  /** No other version or service has begun streams of the route lately. */
+  OnlyVersion = 'only-version',
+}
+
 /** Where the stream goes on. */
 export type OriginVerdict =
-  | {type: OriginVerdictType.Known; origin: StreamOrigin}
+  | {
+      type: OriginVerdictType.Known;
+      origin: StreamOrigin;
+      source: OriginSource;
+    }
   | {type: OriginVerdictType.Unknown}
   | {type: OriginVerdictType.NotServed};
 
@@ -45,7 +57,10 @@
       : undefined;
   const origin = input.origin ?? only;
   if (origin === undefined) return {type: OriginVerdictType.Unknown};
-  return input.routeServices.includes(origin.service)
-    ? {type: OriginVerdictType.Known, origin}
-    : {type: OriginVerdictType.NotServed};
+  if (!input.routeServices.includes(origin.service)) {
+    return {type: OriginVerdictType.NotServed};
+  }
+  const source =
+    input.origin === undefined ? OriginSource.OnlyVersion : OriginSource.Record;
+  return {type: OriginVerdictType.Known, origin, source};
 }
--- a/packages/stream-origins/src/stream-origins.test.ts
+++ b/packages/stream-origins/src/stream-origins.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {OriginVerdictType, resolveOrigin} from './resolve-origin';
+import {OriginSource, OriginVerdictType, resolveOrigin} from './resolve-origin';
 import {decodeOriginRecord, encodeOriginRecord} from './origin-record';
 import {planOriginSchedule} from './origin-schedule';
 import {ORIGIN_KEEP_MS, createOriginTable} from './origin-table';
@@ -109,6 +109,7 @@
     expect(resolveOrigin(known)).toEqual({
       type: OriginVerdictType.Known,
       origin: OLD,
+      source: OriginSource.Record,
     });
   });
 
@@ -116,6 +117,7 @@
     expect(resolveOrigin(input)).toEqual({
       type: OriginVerdictType.Known,
       origin: OLD,
+      source: OriginSource.OnlyVersion,
     });
   });
 
