Read the store again before a stream without a record goes on

Cause, by tests: a gateway took a stream without a record for one of the only version that it knew, if it had confirmed its configuration less than 3.5 s ago or had heard any other gateway. A gateway that was cut off or paused, whose only responsive peer is cut off as well, or whose list of upstreams lags, has not heard of the second version by then. Class of fault: the absence of news is taken for knowledge, by the age of a message about something else.

Change: such a stream is judged only by calls that were sent after its request was read: a list of the upstreams, and the records that the gateways have stored. Whatever began the stream was registered before. The answer to a call from before a pause doesn't count, whatever clocks say. One read serves all requests that wait, at most one each 100 ms and 200 a second of the fleet; a request waits 0.5 s at most, and not at all while the store leaves the last read unanswered for that long. Then it is refused (503, not run). The read also finds records of gateways whose messages were missed. Versions in stored records are not added to the history, as gateways would renew each other's; records that are unchanged for 60 s are left out.

--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -283,10 +283,9 @@
   const origins = createStreamOrigins({
     ...watchOptions,
     objects: ports.sharedObjects,
+    upstreams: ports.upstreams,
     ownName,
     getFleet: () => fleet,
-    isStoreConfirmed: nowMs =>
-      configuration.getAgeMs(nowMs) < settings.store.readyAgeMs,
   });
 
   const gatewayMetrics = createGatewayMetrics(metrics, () =>
--- a/packages/gateway/src/origin-store.ts
+++ b/packages/gateway/src/origin-store.ts
@@ -13,22 +13,33 @@
 export interface OriginStoreOptions {
   objects: SharedObjectStore;
   ownName: string;
+  /** Delay after a failed call to remove a record. */
   retryDelayMs: number;
   clock: Clock;
   logger: Logger;
   /** Least time between two writes. */
   getPeriodMs(): number;
   collectRecord(nowMs: number): OriginRecord;
-  /** Called once, with the records of all gateways by their names. */
-  onLoaded(records: ReadonlyMap<string, OriginRecord>, nowMs: number): void;
 }
 
+/** A record, and how long this process knows that it is unchanged. */
+export interface StoredOriginRecord extends OriginRecord {
+  unchangedSinceMs: number;
+}
+
+/** Records by the names of their gateways. */
+export type OriginRecords = ReadonlyMap<string, StoredOriginRecord>;
+
 /** The records of the origins, one for each gateway. */
 export interface OriginStore {
   start(): void;
   stop(): void;
-  isLoaded(): boolean;
-  /** Writes the record of this gateway when the period has passed. */
+  /** Reads the records of all gateways; undefined if the call failed. */
+  readRecords(): Promise<OriginRecords | undefined>;
+  /**
+   * Writes the record of this gateway when the period has passed and the records
+   * were read once.
+   */
   requestWrite(): void;
   /** Removes the record of a gateway that is gone, also if calls fail at first. */
   removeRecord(gateway: string): Promise<void>;
@@ -49,31 +60,37 @@
   const removing = new Set<string>();
   /** Revision to replace; undefined to create the record. */
   let revision: number | undefined;
+  /** When each revision of a record was first read, by gateway. */
+  let firstReads = new Map<string, {revision: number; atMs: number}>();
 
-  const load = async (): Promise<void> => {
-    while (!isStopped) {
-      const listed = await objects.listObjects(STREAM_ORIGINS_KIND);
-      const items = listed.toMaybe().extract()?.items;
-      if (items !== undefined) {
-        const records = new Map<string, OriginRecord>();
-        for (const {name, content, revision: storedRevision} of items) {
-          if (name === ownName) revision = storedRevision;
-          decodeOriginRecord(content).caseOf({
-            Left: reason =>
-              logger.log(ORIGINS_UNREADABLE, {gateway: name, reason}),
-            Right: record => void records.set(name, record),
-          });
-        }
-        isLoaded = true;
-        options.onLoaded(records, clock.getNowMs());
-        scheduleWrite();
-        return;
-      }
-      listed.ifLeft(({code, reason}) =>
-        logger.log(ORIGINS_UNREADABLE, {code, reason}),
-      );
-      await clock.waitMs(options.retryDelayMs);
+  const readRecords = async (): Promise<OriginRecords | undefined> => {
+    const listed = await objects.listObjects(STREAM_ORIGINS_KIND);
+    listed.ifLeft(({code, reason}) =>
+      logger.log(ORIGINS_UNREADABLE, {code, reason}),
+    );
+    const items = listed.toMaybe().extract()?.items;
+    if (items === undefined) return undefined;
+    const nowMs = clock.getNowMs();
+    const records = new Map<string, StoredOriginRecord>();
+    const reads: typeof firstReads = new Map();
+    for (const {name, content, revision: storedRevision} of items) {
+      if (name === ownName && !isLoaded) revision = storedRevision;
+      const former = firstReads.get(name);
+      const read =
+        former?.revision === storedRevision
+          ? former
+          : {revision: storedRevision, atMs: nowMs};
+      reads.set(name, read);
+      decodeOriginRecord(content).caseOf({
+        Left: reason => logger.log(ORIGINS_UNREADABLE, {gateway: name, reason}),
+        Right: record =>
+          void records.set(name, {...record, unchangedSinceMs: read.atMs}),
+      });
     }
+    firstReads = reads;
+    isLoaded = true;
+    scheduleWrite();
+    return records;
   };
 
   const write = async (): Promise<void> => {
@@ -151,13 +168,12 @@
         revision = undefined;
         requestWrite();
       });
-      void load();
     },
     stop: () => {
       isStopped = true;
       timer?.cancel();
     },
-    isLoaded: () => isLoaded,
+    readRecords,
     requestWrite,
     removeRecord: async gateway => {
       if (removing.has(gateway)) return;
--- /dev/null
+++ b/packages/gateway/src/origins-out-of-step.test.ts
@@ -0,0 +1,133 @@
+import {ORIGIN_KEEP_MS, OriginVerdictType} from '@siskinplank/stream-origins';
+import {beforeEach, describe, expect, it} from 'vitest';
+import type {StreamOrigins} from './stream-origins';
+import {
+  startStream,
+  createOriginFleet,
+  listUpstreams,
+  makeKnown,
+  makeOnly,
+  resumeStream,
+} from './testing/origin-fleet';
+import type {OriginFleet, ResumedVerdict} from './testing/origin-fleet';
+
+/** Callers wait for 2 s at least; a refusal has to leave time for another try. */
+const MAX_WAIT_MS = 500;
+
+describe('streams that callers resume at a gateway out of step', () => {
+  let fleet: OriginFleet;
+  let first: StreamOrigins;
+  let second: StreamOrigins;
+  const unknown = {type: OriginVerdictType.Unknown};
+
+  beforeEach(async () => {
+    fleet = createOriginFleet();
+    fleet.directory.setEntry('old', listUpstreams(['1'])[0]);
+    [first, second] = ['g1', 'g2'].map(name => fleet.startGateway(name, ['1']));
+    await fleet.run();
+  });
+
+  /** A stream begins by a new version through a gateway that g2 can't reach. */
+  const beginUnseen = async (forMs: number): Promise<void> => {
+    const {gateways, directory, clock} = fleet;
+    gateways.delete('g2');
+    directory.setEntry('new', listUpstreams(['2'])[0]);
+    first.observeUpstreams(listUpstreams(['1', '2']), clock.getNowMs());
+    startStream(first, 'b', '2');
+    await fleet.run(forMs);
+  };
+
+  const resume = async (
+    resumedAttemptId: string,
+    origins = second,
+  ): Promise<ResumedVerdict> => {
+    const resumed = resumeStream(fleet, origins, resumedAttemptId);
+    await fleet.run(MAX_WAIT_MS);
+    return resumed;
+  };
+
+  // Guards against a cut gateway that trusts its last contact with the store.
+  it('are refused while the store is silent, at once if that is known', async () => {
+    fleet.cut.add('g2');
+    await beginUnseen(100);
+    const {verdict, waitedMs} = await resume('b');
+    expect(verdict).toEqual(unknown);
+    expect(waitedMs).toBeLessThanOrEqual(MAX_WAIT_MS);
+    expect(await resume('b')).toEqual({verdict: unknown, waitedMs: 0});
+  });
+
+  // Guards against a gateway whose watch of the upstreams lags.
+  it('are refused if the store shows a version that was not seen', async () => {
+    fleet.cut.add('g1');
+    await beginUnseen(100);
+    expect((await resume('b')).verdict).toEqual(unknown);
+  });
+
+  // Guards against an answer from before a pause that is read after it.
+  it('are not judged by a call that was sent before the request was read', async () => {
+    fleet.cut.add('g1');
+    fleet.unanswered.add('g2');
+    const before = resumeStream(fleet, second, 'a');
+    await fleet.run(100);
+    await beginUnseen(0);
+    const after = resumeStream(fleet, second, 'b');
+    fleet.unanswered.delete('g2');
+    await fleet.run(MAX_WAIT_MS);
+    expect((await before).verdict).toEqual(makeOnly('1'));
+    expect((await after).verdict).toEqual(unknown);
+  });
+
+  it('go on as the others have stored', async () => {
+    await beginUnseen(1_000);
+    expect((await resume('b')).verdict).toEqual(makeKnown('2'));
+  });
+
+  // Guards against a version that served and left while the gateway was cut off.
+  it('are refused if the others have stored a version that was not seen', async () => {
+    await beginUnseen(1_000);
+    fleet.directory.setEntry('new', undefined);
+    expect((await resume('c')).verdict).toEqual(unknown);
+  });
+
+  // Guards against gateways that keep each other from forgetting a version.
+  it('go on at the only version a while after the other one has left', async () => {
+    await beginUnseen(1_000);
+    fleet.directory.setEntry('old', undefined);
+    fleet.gateways.set('g2', second);
+    const versions = listUpstreams(['2']);
+    for (let count = 0; count <= ORIGIN_KEEP_MS / 1_000; count += 1) {
+      for (const origins of [first, second]) {
+        origins.observeUpstreams(versions, fleet.clock.getNowMs());
+        await resume('c', origins);
+      }
+    }
+    await fleet.run();
+    for (const origins of [first, second]) {
+      expect((await resume('c', origins)).verdict).toEqual(makeOnly('2'));
+    }
+  });
+
+  // Guards against refusals for good when no one removes the record of a gateway.
+  it('go on at the only version a while after a gateway is gone that saw another one', async () => {
+    await beginUnseen(1_000);
+    first.stop();
+    fleet.directory.setEntry('new', undefined);
+    expect((await resume('c')).verdict).toEqual(unknown);
+    await fleet.run(ORIGIN_KEEP_MS);
+    second.observeUpstreams(listUpstreams(['1']), fleet.clock.getNowMs());
+    expect((await resume('c')).verdict).toEqual(makeOnly('1'));
+  });
+
+  // Guards against calls in proportion to requests.
+  it('cost at most ten reads a second', async () => {
+    fleet.directory.listCount = 0;
+    const resumed: Array<Promise<ResumedVerdict>> = [];
+    for (let elapsedMs = 0; elapsedMs < 1_000; elapsedMs += 10) {
+      resumed.push(resumeStream(fleet, second, 'c'));
+      await fleet.run(10);
+    }
+    await fleet.run();
+    await Promise.all(resumed);
+    expect(fleet.directory.listCount).toBeLessThanOrEqual(12);
+  });
+});
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -37,7 +37,7 @@
 import {createServiceBudgets} from './service-budgets';
 import type {RequestSession, SessionOutcome} from './session-types';
 import {computePatienceMs, resolveTarget} from './resumed-streams';
-import {createStartWait} from './start-wait';
+import {createResumeWait} from './resume-wait';
 import type {StreamOrigins} from './stream-origins';
 import type {UpstreamBackoffs} from './upstream-backoffs';
 import type {UpstreamLimits} from './upstream-limits';
@@ -97,7 +97,7 @@
   const requestAdmission = createAdmission(options);
   const budgets = createServiceBudgets(options);
   const durations = createRequestDurations();
-  const awaitStart = createStartWait(options);
+  const awaitRetry = createResumeWait(options);
   const sessions = new Set<RequestSession>();
   const connections = createCallerConnections(options.isLeaving);
   const openRequests = new Set<() => void>();
@@ -320,16 +320,15 @@
     const hasCallerLeft = (): boolean =>
       hasEnded() || socket.readableEnded || connections.isClosing(socket);
 
-    /** Refuses a request, or tries it again if this process just started. */
-    const refuseUnlessStarting = (
+    /** Refuses a request, or tries it again if that may help soon. */
+    const refuseOrRetry = (
       request: CallerRequest,
       refusal: Refusal,
       admission: Partial<AdmittedTarget>,
       retry: () => void,
     ): void => {
-      const isWaiting = awaitStart({request, refusal, arrivedAtMs}, () => {
-        if (!hasCallerLeft()) retry();
-      });
+      const refused = {request, refusal, arrivedAtMs, readAtMs};
+      const isWaiting = awaitRetry(refused, () => hasCallerLeft() || retry());
       if (!isWaiting) refuse(refusal, admission);
     };
 
@@ -347,9 +346,9 @@
         return;
       }
       const nowMs = clock.getNowMs();
-      resolveTarget(options, request, admitted, nowMs).caseOf({
+      resolveTarget(options, request, admitted, readAtMs, nowMs).caseOf({
         Left: refusal =>
-          refuseUnlessStarting(request, refusal, admitted, () =>
+          refuseOrRetry(request, refusal, admitted, () =>
             start(request, admitted, body),
           ),
         Right: target => startAt(request, target, body),
@@ -414,7 +413,7 @@
     const admit = (request: CallerRequest): void => {
       requestAdmission.admit(request, clock.getNowMs()).caseOf({
         Left: refusal =>
-          refuseUnlessStarting(request, refusal, {}, () => admit(request)),
+          refuseOrRetry(request, refusal, {}, () => admit(request)),
         Right: admission => receive(request, admission),
       });
     };
--- a/packages/gateway/src/start-wait.test.ts
+++ b/packages/gateway/src/resume-wait.test.ts
@@ -1,7 +1,8 @@
+import {createManualClock} from '@siskinplank/foundation';
 import {describe, expect, it} from 'vitest';
 import {RefusalCode} from './refusals';
-import {shouldAwaitStart} from './start-wait';
-import type {StartWaitInput} from './start-wait';
+import {createResumeWait, shouldAwaitStart} from './resume-wait';
+import type {StartWaitInput} from './resume-wait';
 
 describe('wait for a process that starts', () => {
   const INPUT: StartWaitInput = {
@@ -34,3 +35,31 @@
     expect(mayWait({refusal: {code: RefusalCode.UnknownKey}})).toBe(false);
   });
 });
+
+describe('wait for the store', () => {
+  /** Whether the store is read again, and the request is tried after it. */
+  const isRefreshed = (code: RefusalCode): boolean => {
+    let isRetried = false;
+    const awaitRetry = createResumeWait({
+      clock: createManualClock(),
+      origins: {
+        isLoaded: () => true,
+        refresh: (_readAtMs, _nowMs, onEnd) => {
+          onEnd();
+          return true;
+        },
+      },
+    });
+    const request = {lastEventId: '3'};
+    const times = {arrivedAtMs: 0, readAtMs: 0};
+    awaitRetry({request, refusal: {code}, ...times}, () => {
+      isRetried = true;
+    });
+    return isRetried;
+  };
+
+  it('is for requests whose stream began at an unknown version', () => {
+    expect(isRefreshed(RefusalCode.OriginUnknown)).toBe(true);
+    expect(isRefreshed(RefusalCode.VersionNotServed)).toBe(false);
+  });
+});
--- a/packages/gateway/src/start-wait.ts
+++ b/packages/gateway/src/resume-wait.ts
@@ -1,7 +1,8 @@
 /**
- * Lets requests that resume a stream wait for a process that has just started.
- * After a kill of all gateways their callers come back at once, and each may
- * have only one more attempt.
+ * Lets requests that resume a stream wait for the store, which may tell where
+ * the stream began, and for a process that has just started. After a kill of
+ * all gateways their callers come back at once, and each may have only one more
+ * attempt.
  */
 import type {Clock} from '@siskinplank/foundation';
 import type {CallerRequest} from '@siskinplank/serving';
@@ -40,26 +41,39 @@
   return isStarting && isInTime && mayPass;
 }
 
+/** A request that would be refused. */
+export interface RefusedRequest extends Pick<
+  StartWaitInput,
+  'request' | 'refusal' | 'arrivedAtMs'
+> {
+  readAtMs: number;
+}
+
 /** Calls back later if the request is to be tried again; else returns false. */
-export type StartWait = (
-  input: Pick<StartWaitInput, 'request' | 'refusal' | 'arrivedAtMs'>,
+export type ResumeWait = (
+  refused: RefusedRequest,
   onRetry: () => void,
 ) => boolean;
 
 /** Creates the wait for the process of `clock`. */
-export function createStartWait({
+export function createResumeWait({
   clock,
   origins,
 }: {
   clock: Clock;
-  origins: Pick<StreamOrigins, 'isLoaded'>;
-}): StartWait {
-  return (input, onRetry) => {
+  origins: Pick<StreamOrigins, 'isLoaded' | 'refresh'>;
+}): ResumeWait {
+  return (refused, onRetry) => {
+    const nowMs = clock.getNowMs();
+    const isOriginUnknown = refused.refusal.code === RefusalCode.OriginUnknown;
+    if (isOriginUnknown && origins.refresh(refused.readAtMs, nowMs, onRetry)) {
+      return true;
+    }
     const mayWait = shouldAwaitStart({
-      ...input,
+      ...refused,
       isLoaded: origins.isLoaded(),
       startedAtMs: clock.getStartedMs(),
-      nowMs: clock.getNowMs(),
+      nowMs,
     });
     if (mayWait) clock.startTimer(CHECK_PERIOD_MS, onRetry);
     return mayWait;
--- a/packages/gateway/src/resumed-streams.test.ts
+++ b/packages/gateway/src/resumed-streams.test.ts
@@ -36,6 +36,7 @@
     request,
     target,
     0,
+    0,
   ).extract();
 }
 
--- a/packages/gateway/src/resumed-streams.ts
+++ b/packages/gateway/src/resumed-streams.ts
@@ -29,9 +29,10 @@
   },
   request: CallerRequest,
   target: AdmittedTarget,
+  readAtMs: number,
   nowMs: number,
 ): Either<Refusal, AdmittedTarget> {
-  const verdict = origins.findOrigin(request, target, nowMs);
+  const verdict = origins.findOrigin(request, target, readAtMs, nowMs);
   if (verdict === undefined) return Right(target);
   switch (verdict.type) {
     case OriginVerdictType.Unknown:
--- a/packages/gateway/src/stream-origins.ts
+++ b/packages/gateway/src/stream-origins.ts
@@ -5,13 +5,14 @@
  * can't any more. While a service has more than one, they store them for the
  * case that all gateways are killed.
  */
-import type {SharedObjectStore} from '@siskinplank/directory';
+import type {Directory, SharedObjectStore} from '@siskinplank/directory';
 import type {Clock, Logger, Timer} from '@siskinplank/foundation';
 import {MessageType} from '@siskinplank/messages';
 import type {Message, MessageOf} from '@siskinplank/messages';
 import {RequestKind, canRepeat, isResumingStream} from '@siskinplank/serving';
 import type {CallerRequest, Route, Upstream} from '@siskinplank/serving';
 import {
+  ORIGIN_KEEP_MS,
   createOriginTable,
   createVersionHistory,
   resolveOrigin,
@@ -27,24 +28,24 @@
 import type {AdmittedTarget} from './admission';
 import type {FleetNode} from './fleet-node';
 import {ORIGINS_LOADED, VERSIONS_CHANGED} from './events';
+import {createOriginRefresh} from './origin-refresh';
 import {createOriginStore} from './origin-store';
+import type {OriginRecords} from './origin-store';
 
 /** The other gateways, as far as origins concern them. */
 export type OriginPeers = Pick<FleetNode, 'sendTo' | 'sendToAll'> & {
   registry: Pick<FleetNode['registry'], 'listOthers'>;
-  peers: Pick<FleetNode['peers'], 'listResponsive'>;
 };
 
 /** What `createStreamOrigins` needs. */
 export interface StreamOriginsOptions {
   objects: SharedObjectStore;
+  upstreams: Pick<Directory<Upstream>, 'list'>;
   ownName: string;
   retryDelayMs: number;
   clock: Clock;
   logger: Logger;
   getFleet(): OriginPeers;
-  /** Whether the store answers, so that new versions are known. */
-  isStoreConfirmed(nowMs: number): boolean;
 }
 
 /** Origins of the streams that callers may resume. */
@@ -60,14 +61,20 @@
   /** Notes that the caller was sent the whole stream. */
   recordCompleted(attemptId: string): void;
   /**
-   * Resolves where a request goes on with a stream; undefined for a request that
-   * resumes none.
+   * Resolves where a request goes on with a stream that was read at `readAtMs`;
+   * undefined for a request that resumes none.
    */
   findOrigin(
     request: CallerRequest,
     target: AdmittedTarget,
+    readAtMs: number,
     nowMs: number,
   ): OriginVerdict | undefined;
+  /**
+   * Reads the store again for a request whose origin is unknown. Calls back when
+   * it may be known; returns false if it stays unknown.
+   */
+  refresh(readAtMs: number, nowMs: number, onEnd: () => void): boolean;
   /** Whether the stored origins were read. */
   isLoaded(): boolean;
   /** Returns false for messages that do not concern origins. */
@@ -105,6 +112,11 @@
   let loggedRoutes = '{}';
   let observedRoutes: readonly Route[] | undefined;
   let routesAtMs = -Infinity;
+  /**
+   * Records of the other gateways at the last read. Their versions are not
+   * added to the history, which would renew them with each read.
+   */
+  let storedRecords: readonly OriginRecord[] = [];
   /** Time of the last message to all; own origins before it were sent. */
   let sentAtMs = -Infinity;
   let messageTimer: Timer | undefined;
@@ -112,11 +124,6 @@
   const planSchedule = () =>
     planOriginSchedule(options.getFleet().registry.listOthers().length + 1);
 
-  /** Whether the store or another gateway would have told of a version. */
-  const isConnected = (nowMs: number): boolean =>
-    options.isStoreConfirmed(nowMs) ||
-    options.getFleet().peers.listResponsive(nowMs).length > 0;
-
   /** Services whose streams can't be told from those of another origin. */
   const listMixedServices = (nowMs: number): ReadonlySet<string> => {
     const routes = Object.values(routeHistory.describeMixed(nowMs));
@@ -140,12 +147,15 @@
     const services = new Set([
       ...route.services.map(({service}) => service),
       ...routeHistory.listRecent(route.name, nowMs),
+      ...storedRecords.flatMap(({routes}) => routes[route.name] ?? []),
     ]);
-    return [...services].flatMap(service =>
-      history
-        .listRecent(service, nowMs)
-        .map(softwareVersion => ({service, softwareVersion})),
-    );
+    return [...services].flatMap(service => {
+      const versions = new Set([
+        ...history.listRecent(service, nowMs),
+        ...storedRecords.flatMap(record => record.versions[service] ?? []),
+      ]);
+      return [...versions].map(softwareVersion => ({service, softwareVersion}));
+    });
   };
 
   const makeMessage = (
@@ -196,23 +206,11 @@
       routes: routeHistory.describeMixed(nowMs),
       origins: selectMixed(table.listOwnOpen(nowMs), nowMs),
     }),
-    onLoaded: (records, nowMs) => {
-      let originCount = 0;
-      for (const [gateway, record] of records) {
-        recordStored(gateway, record, nowMs);
-        originCount += record.origins.length;
-      }
-      logger.log(ORIGINS_LOADED, {
-        gateways: records.size,
-        origins: originCount,
-      });
-      checkVersions(nowMs);
-    },
   });
 
-  const recordStored = (
-    gateway: string,
-    {versions, routes, origins}: OriginRecord,
+  /** Counts what was stored as just seen, since hosts' clocks differ. */
+  const observeStored = (
+    {versions, routes}: OriginRecord,
     nowMs: number,
   ): void => {
     for (const [service, recent] of Object.entries(versions)) {
@@ -223,6 +221,13 @@
         routeHistory.observe(route, service, nowMs);
       }
     }
+  };
+
+  const addStored = (
+    gateway: string,
+    {origins}: OriginRecord,
+    nowMs: number,
+  ): void => {
     for (const [attemptId, origin] of origins) {
       // Those of an earlier process of this host have no other owner.
       if (gateway === options.ownName) {
@@ -233,18 +238,74 @@
     }
   };
 
+  /**
+   * Leaves out records that a gateway wrote that is gone, and no one has
+   * removed: a gateway writes its record again when it forgets a version.
+   */
+  const selectRecent = (
+    records: OriginRecords,
+    nowMs: number,
+  ): OriginRecord[] =>
+    [...records]
+      .filter(
+        ([gateway, {unchangedSinceMs}]) =>
+          gateway !== options.ownName &&
+          nowMs - unchangedSinceMs <= ORIGIN_KEEP_MS,
+      )
+      .map(([, record]) => record);
+
+  const applyRecords = (records: OriginRecords, nowMs: number): void => {
+    let originCount = 0;
+    for (const [gateway, record] of records) {
+      addStored(gateway, record, nowMs);
+      originCount += record.origins.length;
+    }
+    if (refresh.isLoaded()) {
+      storedRecords = selectRecent(records, nowMs);
+      return;
+    }
+    for (const record of records.values()) observeStored(record, nowMs);
+    logger.log(ORIGINS_LOADED, {gateways: records.size, origins: originCount});
+  };
+
+  const refresh = createOriginRefresh({
+    ...options,
+    getPeriodMs: () => planSchedule().readPeriodMs,
+    read: async () => {
+      const [records, listed] = await Promise.all([
+        store.readRecords(),
+        options.upstreams.list(),
+      ]);
+      const upstreams = listed.toMaybe().extract()?.items;
+      if (records === undefined || upstreams === undefined) return false;
+      const nowMs = clock.getNowMs();
+      applyRecords(records, nowMs);
+      observeVersions([...upstreams.values()], nowMs);
+      return true;
+    },
+  });
+
+  const observeVersions = (
+    upstreams: readonly Upstream[],
+    nowMs: number,
+  ): void => {
+    for (const {service, softwareVersion} of upstreams) {
+      history.observe(service, softwareVersion, nowMs);
+    }
+    checkVersions(nowMs);
+  };
+
   return {
-    start: store.start,
+    start: () => {
+      store.start();
+      refresh.start();
+    },
     stop: () => {
       store.stop();
+      refresh.stop();
       messageTimer?.cancel();
     },
-    observeUpstreams: (usable, nowMs) => {
-      for (const {service, softwareVersion} of usable) {
-        history.observe(service, softwareVersion, nowMs);
-      }
-      checkVersions(nowMs);
-    },
+    observeUpstreams: observeVersions,
     observeRoutes: (routes, nowMs) => {
       const isRepeated = routes === observedRoutes;
       if (isRepeated && nowMs - routesAtMs < ROUTES_PERIOD_MS) return;
@@ -271,7 +332,7 @@
       if (listMixedServices(nowMs).has(service)) store.requestWrite();
     },
     recordCompleted: attemptId => table.complete(attemptId, clock.getNowMs()),
-    findOrigin: (request, {route}, nowMs) => {
+    findOrigin: (request, {route}, readAtMs, nowMs) => {
       const {resumedAttemptId} = request;
       if (!isResumingStream(request, route)) return undefined;
       return resolveOrigin({
@@ -281,10 +342,11 @@
             : table.find(resumedAttemptId, nowMs),
         routeServices: route.services.map(({service}) => service),
         recentOrigins: listRecentOrigins(route, nowMs),
-        isInformed: store.isLoaded() && isConnected(nowMs),
+        isInformed: refresh.getConfirmedAtMs() >= readAtMs,
       });
     },
-    isLoaded: store.isLoaded,
+    refresh: refresh.request,
+    isLoaded: refresh.isLoaded,
     handleMessage: (peer, message) => {
       if (message.type !== MessageType.StreamOrigins) return false;
       const nowMs = clock.getNowMs();
--- a/packages/stream-origins/src/origin-schedule.ts
+++ b/packages/stream-origins/src/origin-schedule.ts
@@ -1,17 +1,21 @@
 /** Plans how often gateways pass on the origins of streams. */
 
-/** Periods of one gateway while a service has more than one version. */
+/** Periods of one gateway. */
 export interface OriginSchedule {
   /** Least time between two messages with new origins to the other gateways. */
   messagePeriodMs: number;
-  /** Least time between two writes of the origins to the store. */
+  /** Least time between two writes while a service has more than one version. */
   storePeriodMs: number;
+  /** Least time between two reads of the store for streams without a record. */
+  readPeriodMs: number;
 }
 
 /** Messages with origins that a gateway receives per second in a large fleet. */
 const MAX_MESSAGES_PER_SECOND = 40;
 /** Writes of all gateways together per second. */
 const MAX_WRITES_PER_SECOND = 20;
+/** Reads of all gateways together per second; each is two calls. */
+const MAX_READS_PER_SECOND = 200;
 const MILLISECONDS_PER_SECOND = 1_000;
 /**
  * A stream that begins in the last period before its gateway is killed can't be
@@ -19,6 +23,7 @@
  */
 const MIN_MESSAGE_PERIOD_MS = 100;
 const MIN_STORE_PERIOD_MS = 500;
+const MIN_READ_PERIOD_MS = 100;
 
 /** Plans the schedule for a fleet, this gateway included. */
 export function planOriginSchedule(gatewayCount: number): OriginSchedule {
@@ -33,5 +38,9 @@
       MIN_STORE_PERIOD_MS,
       computePeriodMs(MAX_WRITES_PER_SECOND),
     ),
+    readPeriodMs: Math.max(
+      MIN_READ_PERIOD_MS,
+      computePeriodMs(MAX_READS_PER_SECOND),
+    ),
   };
 }
--- a/packages/stream-origins/src/resolve-origin.ts
+++ b/packages/stream-origins/src/resolve-origin.ts
@@ -13,8 +13,8 @@
   /** Services and versions by which streams of the route may have begun. */
   recentOrigins: readonly StreamOrigin[];
   /**
-   * Whether `recentOrigins` is complete: what earlier gateways have stored was
-   * read, and a new version would be known.
+   * Whether `recentOrigins` is complete: the store was read after the request
+   * had arrived, and so after its stream had begun.
    */
   isInformed: boolean;
 }
