Bound the time between two messages with origins at half a second

The period had no upper bound: 10 s at 410 gateways.

Change: the period is 0.5 s at most. From twenty gateways on, one receives two messages a second of each other one, 134 at 68 in place of 40, each with two or three streams.

--- a/packages/stream-origins/src/origin-schedule.ts
+++ b/packages/stream-origins/src/origin-schedule.ts
@@ -10,7 +10,7 @@
   readPeriodMs: number;
 }
 
-/** Messages with origins that a gateway receives per second in a large fleet. */
+/** Messages with origins that a gateway receives per second in a medium fleet. */
 const MAX_MESSAGES_PER_SECOND = 40;
 /** Writes of all gateways together per second. */
 const MAX_WRITES_PER_SECOND = 20;
@@ -22,6 +22,12 @@
  * resumed; streams take seconds.
  */
 const MIN_MESSAGE_PERIOD_MS = 100;
+/**
+ * A third of the time that a stream lasts, so that most of the streams that are
+ * open when a gateway ends were sent; in a large fleet this goes before the
+ * number of messages.
+ */
+const MAX_MESSAGE_PERIOD_MS = 500;
 const MIN_STORE_PERIOD_MS = 500;
 const MIN_READ_PERIOD_MS = 100;
 
@@ -30,9 +36,9 @@
   const computePeriodMs = (maxPerSecond: number): number =>
     (gatewayCount * MILLISECONDS_PER_SECOND) / maxPerSecond;
   return {
-    messagePeriodMs: Math.max(
-      MIN_MESSAGE_PERIOD_MS,
-      computePeriodMs(MAX_MESSAGES_PER_SECOND),
+    messagePeriodMs: Math.min(
+      MAX_MESSAGE_PERIOD_MS,
+      Math.max(MIN_MESSAGE_PERIOD_MS, computePeriodMs(MAX_MESSAGES_PER_SECOND)),
     ),
     storePeriodMs: Math.max(
       MIN_STORE_PERIOD_MS,
