Pass on the origins of a gateway that no longer responds

Nothing is stored before the second version, so the store doesn't help.

Change: when a peer counts as lost, the gateway that owns its name among the responsive ones takes its origins as own ones. So they are in its next message, in what it sends to each gateway that connects, and in what it stores while two versions serve; one gateway does so for each that is lost.

Test: 'are sent to a gateway that starts before (after) the loss of theirs is noticed' failed before, both with 'unknown'.

--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -263,6 +263,7 @@
     onPeerLost: name => {
       upstreams.removePeer(name);
       limits.removePeer(name);
+      origins.handleLost(name);
     },
     onMessage: (peer, message) => {
       const isHandled =
--- a/packages/gateway/src/stream-origins.test.ts
+++ b/packages/gateway/src/stream-origins.test.ts
@@ -141,6 +141,26 @@
     expect(find(third, 'a')).toEqual(makeKnown('1'));
   });
 
+  // Guards against refusals at a gateway that started while another one stood still.
+  it.each(['before', 'after'])(
+    'are sent to a gateway that starts %s the loss of theirs is noticed',
+    async order => {
+      const first = startGateway('g1', ['1']);
+      const second = startGateway('g2', ['1']);
+      await run();
+      startStream(first, 'a', '1');
+      await run(200);
+      gateways.delete('g1');
+      if (order === 'after') second.handleLost('g1');
+      const third = startGateway('g3', ['1']);
+      second.handleConnected('g3');
+      if (order === 'before') second.handleLost('g1');
+      await run(200);
+      third.observeUpstreams(listUpstreams(['1', '2']), clock.getNowMs());
+      expect(find(third, 'a')).toEqual(makeKnown('1'));
+    },
+  );
+
   it('are sent to a gateway that connects later', async () => {
     const first = startGateway('g1', ['1', '2']);
     startStream(first, 'a', '1');
--- a/packages/gateway/src/stream-origins.ts
+++ b/packages/gateway/src/stream-origins.ts
@@ -33,7 +33,10 @@
 import type {OriginRecords} from './origin-store';
 
 /** The other gateways, as far as origins concern them. */
-export type OriginPeers = Pick<FleetNode, 'sendTo' | 'sendToAll'> & {
+export type OriginPeers = Pick<
+  FleetNode,
+  'sendTo' | 'sendToAll' | 'isOwner'
+> & {
   registry: Pick<FleetNode['registry'], 'listOthers'>;
 };
 
@@ -84,6 +87,11 @@
    * earlier process of its host has sent.
    */
   handleConnected(peer: string): void;
+  /**
+   * Keeps the origins of a gateway that no longer responds, if this one is its
+   * owner: those that start or connect later have not been sent them.
+   */
+  handleLost(peer: string): void;
   /** Removes what a gateway has stored that is gone. */
   removeGateway(name: string): void;
   /** Origins known, of own streams and those of other gateways. */
@@ -231,7 +239,7 @@
     for (const [attemptId, origin] of origins) {
       // Those of an earlier process of this host have no other owner.
       if (gateway === options.ownName) {
-        table.addFormer(attemptId, origin, nowMs);
+        table.adopt(attemptId, origin, nowMs);
       } else {
         table.addReported(attemptId, origin, gateway, nowMs);
       }
@@ -360,7 +368,7 @@
       }
       const former = listOrigins(message.formerOrigins);
       for (const [attemptId, origin] of former) {
-        table.addFormer(attemptId, origin, nowMs);
+        table.adopt(attemptId, origin, nowMs);
       }
       checkVersions(nowMs);
       if (former.length > 0) scheduleMessage();
@@ -372,6 +380,15 @@
       if (!isMixed && table.count() === 0) return;
       options.getFleet().sendTo(peer, makeMessage(-Infinity, nowMs, peer));
     },
+    handleLost: peer => {
+      if (!options.getFleet().isOwner(peer)) return;
+      const nowMs = clock.getNowMs();
+      for (const [attemptId, origin] of table.listReportedBy(peer, nowMs)) {
+        table.adopt(attemptId, origin, nowMs);
+      }
+      scheduleMessage();
+      if (listMixedServices(nowMs).size > 0) store.requestWrite();
+    },
     removeGateway: name => void store.removeRecord(name),
     count: table.count,
   };
--- a/packages/gateway/src/testing/origin-fleet.ts
+++ b/packages/gateway/src/testing/origin-fleet.ts
@@ -171,7 +171,11 @@
       clock,
       logger: SILENT_LOGGER,
       getFleet: () => ({
-        registry: {listOthers: () => Array(gateways.size - 1) as never[]},
+        registry: {
+          listOthers: () => Array(Math.max(0, gateways.size - 1)) as never[],
+        },
+        // The first by name of those that receive messages.
+        isOwner: () => [...gateways.keys()].sort()[0] === name,
         sendTo: deliver,
         sendToAll: message => {
           for (const other of gateways.keys()) {
