Judge streams without a record only by complete reads, and bound the waits

The review of the read before a stream without a record goes on showed, with tests, cases in which it still goes on at another version or service (ORDER):

* its route was moved or split in a configuration that this gateway has not seen: the configuration was not read;
* entries of upstreams expired in an outage of the store, or the store was restored from an older copy, and the read was sent before they were back;
* the record of another gateway can't be decoded, and counted as one that names no version.

The read covers the configuration now, and says whether it is complete: not within the times after an outage and a restore in which the view of the upstreams expects entries to come back, nor while a record that was written within 60 s is unreadable. Only a complete read counts.

The same read kept callers waiting for up to 1.0 s (2.5 s with rare reads) where 0.5 s was meant, as a wait could begin again; it refused all of them after one failed call, and after a pause of the process though the answer had arrived. The limit counts from the first look-up, one of two reads may fail, and silence is judged after the sockets were read. A service named as a member of all objects had a version too many.

Tests: in 'streams that callers resume at a gateway out of step' six failed with the sources before ('known' in place of 'unknown', the one of the service name the other way round).

--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -283,8 +283,7 @@
 
   const origins = createStreamOrigins({
     ...watchOptions,
-    objects: ports.sharedObjects,
-    upstreams: ports.upstreams,
+    ports,
     ownName,
     getFleet: () => fleet,
   });
--- a/packages/gateway/src/origin-refresh.ts
+++ b/packages/gateway/src/origin-refresh.ts
@@ -7,6 +7,16 @@
 import {startWaitTimer} from '@siskinplank/foundation';
 import type {Clock, Timer} from '@siskinplank/foundation';
 
+/** How a read ended. */
+export enum OriginRead {
+  /** All that served when it was sent is known. */
+  Complete = 'complete',
+  /** It was applied, but versions that served may be missing in it. */
+  Partial = 'partial',
+  /** A call failed. */
+  Failed = 'failed',
+}
+
 /** What `createOriginRefresh` needs. */
 export interface OriginRefreshOptions {
   clock: Clock;
@@ -14,8 +24,8 @@
   retryDelayMs: number;
   /** Least time between two reads for requests. */
   getPeriodMs(): number;
-  /** Reads and applies; resolves to false if a call failed. */
-  read(): Promise<boolean>;
+  /** Reads and applies. */
+  read(): Promise<OriginRead>;
 }
 
 /** Reads at the start and on request. */
@@ -25,18 +35,20 @@
   stop(): void;
   /** Whether a read has succeeded. */
   isLoaded(): boolean;
-  /** When the latest read was sent that has succeeded. */
-  getConfirmedAtMs(): number;
+  /** When the latest complete read was sent. */
+  getCompleteSentAtMs(): number;
   /**
-   * Calls back when a read has ended that was sent at `sinceMs` or later, or
-   * after 0.5 s. Returns false if one has ended already, or if the store does
-   * not answer the last one.
+   * Reads, and calls back when a read has ended that was sent at `sinceMs` or
+   * later and has not failed, or 0.5 s after `sinceMs`. Returns false if that
+   * is past, or if the store has left the reads before unanswered.
    */
-  request(sinceMs: number, nowMs: number, onEnd: () => void): boolean;
+  awaitRead(sinceMs: number, nowMs: number, onEnd: () => void): boolean;
 }
 
 /** A quarter of the least time for which callers wait for the next event. */
-const MAX_WAIT_MS = 500;
+const MAX_READ_WAIT_MS = 500;
+/** One may fail by a connection that was closed while it was idle. */
+const MAX_FAILED_READS = 2;
 
 /** Creates a refresh that reads nothing before `start`. */
 export function createOriginRefresh(
@@ -44,35 +56,50 @@
 ): OriginRefresh {
   const {clock} = options;
   let isStopped = false;
-  let confirmedAtMs = -Infinity;
+  let isReading = false;
+  /** Whether the read in progress has taken too long. */
+  let isSilent = false;
+  let isLoaded = false;
+  /** Reads that failed since the last other one. */
+  let failedCount = 0;
+  let sentAtMs = -Infinity;
   let endedSentAtMs = -Infinity;
-  /** When the read in progress was sent. */
-  let sentAtMs: number | undefined;
-  let lastSentAtMs = -Infinity;
+  let completeSentAtMs = -Infinity;
   let timer: Timer | undefined;
-  const waiting = new Set<() => void>();
-
-  const isLoaded = (): boolean => confirmedAtMs > -Infinity;
+  /** Requests that wait, with the time since which a read has to be sent. */
+  const waiting = new Map<() => void, number>();
 
   const readNow = async (): Promise<void> => {
-    const readSentAtMs = clock.getNowMs();
-    sentAtMs = readSentAtMs;
-    lastSentAtMs = readSentAtMs;
-    const served = [...waiting];
-    waiting.clear();
-    const isRead = await options.read();
-    sentAtMs = undefined;
-    endedSentAtMs = readSentAtMs;
-    if (isRead) confirmedAtMs = readSentAtMs;
-    for (const end of served) end();
+    isReading = true;
+    sentAtMs = clock.getNowMs();
+    const silenceTimer = startWaitTimer(clock, MAX_READ_WAIT_MS, () => {
+      isSilent = true;
+    });
+    const read = await options.read();
+    silenceTimer.cancel();
+    isSilent = false;
+    isReading = false;
+    failedCount = read === OriginRead.Failed ? failedCount + 1 : 0;
+    if (read !== OriginRead.Failed) {
+      isLoaded = true;
+      endedSentAtMs = sentAtMs;
+    }
+    if (read === OriginRead.Complete) completeSentAtMs = sentAtMs;
+    for (const [end, sinceMs] of [...waiting]) {
+      if (sinceMs <= endedSentAtMs || failedCount >= MAX_FAILED_READS) end();
+    }
     schedule();
   };
 
   const schedule = (): void => {
-    const isIdle = sentAtMs === undefined && timer === undefined;
-    if (isStopped || !isIdle || (waiting.size === 0 && isLoaded())) return;
-    const periodMs = isLoaded() ? options.getPeriodMs() : options.retryDelayMs;
-    const delayMs = Math.max(0, lastSentAtMs + periodMs - clock.getNowMs());
+    const isIdle = !isReading && timer === undefined;
+    if (isStopped || !isIdle || (waiting.size === 0 && isLoaded)) return;
+    startRead();
+  };
+
+  const startRead = (): void => {
+    const periodMs = isLoaded ? options.getPeriodMs() : options.retryDelayMs;
+    const delayMs = Math.max(0, sentAtMs + periodMs - clock.getNowMs());
     timer = clock.startTimer(delayMs, () => {
       timer = undefined;
       void readNow();
@@ -85,22 +112,23 @@
       isStopped = true;
       timer?.cancel();
     },
-    isLoaded,
-    getConfirmedAtMs: () => confirmedAtMs,
-    request: (sinceMs, nowMs, onEnd) => {
-      const isStoreSilent =
-        sentAtMs !== undefined && nowMs - sentAtMs >= MAX_WAIT_MS;
-      if (isStopped || isStoreSilent || endedSentAtMs >= sinceMs) return false;
-      let hasEnded = false;
+    isLoaded: () => isLoaded,
+    getCompleteSentAtMs: () => completeSentAtMs,
+    awaitRead: (sinceMs, nowMs, onEnd) => {
+      const leftMs = sinceMs + MAX_READ_WAIT_MS - nowMs;
+      if (isStopped || leftMs <= 0 || endedSentAtMs >= sinceMs) return false;
+      if (isSilent || failedCount >= MAX_FAILED_READS) {
+        // Notices when the store answers again.
+        if (!isReading && timer === undefined) startRead();
+        return false;
+      }
       const end = (): void => {
-        if (hasEnded) return;
-        hasEnded = true;
-        waiting.delete(end);
+        if (!waiting.delete(end)) return;
         waitTimer.cancel();
         onEnd();
       };
-      const waitTimer = startWaitTimer(clock, MAX_WAIT_MS, end);
-      waiting.add(end);
+      const waitTimer = startWaitTimer(clock, leftMs, end);
+      waiting.set(end, sinceMs);
       schedule();
       return true;
     },
--- a/packages/gateway/src/origin-store.ts
+++ b/packages/gateway/src/origin-store.ts
@@ -3,6 +3,7 @@
 import type {SharedObjectStore} from '@siskinplank/directory';
 import type {Clock, Logger, Timer} from '@siskinplank/foundation';
 import {
+  ORIGIN_KEEP_MS,
   decodeOriginRecord,
   encodeOriginRecord,
 } from '@siskinplank/stream-origins';
@@ -30,12 +31,19 @@
 /** Records by the names of their gateways. */
 export type OriginRecords = ReadonlyMap<string, StoredOriginRecord>;
 
+/** What one call has read. */
+export interface StoredOrigins {
+  records: OriginRecords;
+  /** Whether no gateway has lately written a record that can't be decoded. */
+  isComplete: boolean;
+}
+
 /** The records of the origins, one for each gateway. */
 export interface OriginStore {
   start(): void;
   stop(): void;
   /** Reads the records of all gateways; undefined if the call failed. */
-  readRecords(): Promise<OriginRecords | undefined>;
+  readRecords(): Promise<StoredOrigins | undefined>;
   /**
    * Writes the record of this gateway when the period has passed and the records
    * were read once.
@@ -51,7 +59,7 @@
 export function createOriginStore(options: OriginStoreOptions): OriginStore {
   const {objects, ownName, clock, logger} = options;
   let isStopped = false;
-  let isLoaded = false;
+  let hasRead = false;
   let isDue = false;
   let isWriting = false;
   let writtenAtMs = -Infinity;
@@ -63,7 +71,7 @@
   /** When each revision of a record was first read, by gateway. */
   let firstReads = new Map<string, {revision: number; atMs: number}>();
 
-  const readRecords = async (): Promise<OriginRecords | undefined> => {
+  const readRecords = async (): Promise<StoredOrigins | undefined> => {
     const listed = await objects.listObjects(STREAM_ORIGINS_KIND);
     listed.ifLeft(({code, reason}) =>
       logger.log(ORIGINS_UNREADABLE, {code, reason}),
@@ -73,8 +81,9 @@
     const nowMs = clock.getNowMs();
     const records = new Map<string, StoredOriginRecord>();
     const reads: typeof firstReads = new Map();
+    let isComplete = true;
     for (const {name, content, revision: storedRevision} of items) {
-      if (name === ownName && !isLoaded) revision = storedRevision;
+      if (name === ownName && !hasRead) revision = storedRevision;
       const former = firstReads.get(name);
       const read =
         former?.revision === storedRevision
@@ -82,15 +91,18 @@
           : {revision: storedRevision, atMs: nowMs};
       reads.set(name, read);
       decodeOriginRecord(content).caseOf({
-        Left: reason => logger.log(ORIGINS_UNREADABLE, {gateway: name, reason}),
+        Left: reason => {
+          logger.log(ORIGINS_UNREADABLE, {gateway: name, reason});
+          if (nowMs - read.atMs <= ORIGIN_KEEP_MS) isComplete = false;
+        },
         Right: record =>
           void records.set(name, {...record, unchangedSinceMs: read.atMs}),
       });
     }
     firstReads = reads;
-    isLoaded = true;
+    hasRead = true;
     scheduleWrite();
-    return records;
+    return {records, isComplete};
   };
 
   const write = async (): Promise<void> => {
@@ -126,7 +138,7 @@
 
   const scheduleWrite = (): void => {
     const isIdle = timer === undefined && !isWriting;
-    if (isStopped || !isLoaded || !isDue || !isIdle) return;
+    if (isStopped || !hasRead || !isDue || !isIdle) return;
     const dueAtMs = writtenAtMs + options.getPeriodMs();
     timer = clock.startTimer(Math.max(0, dueAtMs - clock.getNowMs()), () => {
       timer = undefined;
--- a/packages/gateway/src/origins-out-of-step.test.ts
+++ b/packages/gateway/src/origins-out-of-step.test.ts
@@ -1,12 +1,16 @@
+import type {ServingConfiguration} from '@siskinplank/serving';
 import {ORIGIN_KEEP_MS, OriginVerdictType} from '@siskinplank/stream-origins';
 import {beforeEach, describe, expect, it} from 'vitest';
+import {STREAM_ORIGINS_KIND} from './origin-store';
 import type {StreamOrigins} from './stream-origins';
 import {
   startStream,
   createOriginFleet,
+  defaultTarget,
   listUpstreams,
   makeKnown,
   makeOnly,
+  makeTarget,
   resumeStream,
 } from './testing/origin-fleet';
 import type {OriginFleet, ResumedVerdict} from './testing/origin-fleet';
@@ -89,6 +93,74 @@
     expect((await resume('c')).verdict).toEqual(unknown);
   });
 
+  // Guards against a stream of the service to which its route was moved unseen.
+  it.each([
+    ['moved', makeTarget('other')],
+    ['split', makeTarget('s', 'other')],
+  ])(
+    'are refused after their route was %s in a configuration that was not seen',
+    async (_change, {route}) => {
+      const {clock, directory, configurations, gateways} = fleet;
+      directory.setEntry('other', {
+        ...listUpstreams(['1'])[0],
+        service: 'other',
+      });
+      for (const origins of [first, second]) {
+        origins.observeRoutes([defaultTarget.route], clock.getNowMs());
+      }
+      await fleet.run();
+      gateways.delete('g2');
+      fleet.cut.add('g1');
+      configurations.setEntry('main', {
+        routes: [route],
+      } as unknown as ServingConfiguration);
+      expect((await resume('b')).verdict).toEqual(unknown);
+    },
+  );
+
+  // Guards against a list that lacks upstreams whose entries expired in an outage.
+  it('are refused right after an outage of the store', async () => {
+    const {clock} = fleet;
+    fleet.outageEndMs = clock.getNowMs();
+    expect((await resume('c')).verdict).toEqual(unknown);
+    await fleet.run(2_000);
+    expect((await resume('c')).verdict).toEqual(makeOnly('1'));
+  });
+
+  // Guards against a copy that lacks the entries and records of a later time.
+  it('are refused while a store restored from an older copy lacks a version', async () => {
+    const copy = fleet.objects.takeCopy();
+    const entries = new Map(fleet.directory.items);
+    await beginUnseen(200);
+    fleet.objects.restore(copy);
+    fleet.directory.restore(entries);
+    expect((await resume('b')).verdict).toEqual(unknown);
+  });
+
+  // Guards against a record that counts as one without versions.
+  it('are refused if the record of another gateway can not be read', async () => {
+    await beginUnseen(1_000);
+    const {objects} = fleet;
+    const listed = await objects.listObjects(STREAM_ORIGINS_KIND);
+    const record = listed.unsafeCoerce().items.find(({name}) => name === 'g1');
+    const content = {versions: null};
+    const revision = record?.revision ?? 0;
+    await objects.replaceObject(STREAM_ORIGINS_KIND, 'g1', content, revision);
+    fleet.directory.setEntry('new', undefined);
+    expect((await resume('b')).verdict).toEqual(unknown);
+  });
+
+  // Guards against names that are also members of all objects.
+  it('go on at the only version of a service named constructor', async () => {
+    const service = 'constructor';
+    const target = makeTarget(service);
+    const upstream = {...listUpstreams(['1'])[0], service};
+    fleet.directory.setEntry('odd', upstream);
+    const resumed = resumeStream(fleet, second, 'a', target);
+    await fleet.run(MAX_WAIT_MS);
+    expect((await resumed).verdict).toMatchObject({origin: {service}});
+  });
+
   // Guards against gateways that keep each other from forgetting a version.
   it('go on at the only version a while after the other one has left', async () => {
     await beginUnseen(1_000);
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -131,6 +131,8 @@
     let limit: LimitReadings | undefined;
     const attemptId = decoded.map(request => request.attemptId).orDefault('');
     let hasLogged = false;
+    /** When the request was received and first looked up. */
+    let sinceMs = Infinity;
 
     const logEnd = (
       status: number,
@@ -327,7 +329,7 @@
       admission: Partial<AdmittedTarget>,
       retry: () => void,
     ): void => {
-      const refused = {request, refusal, arrivedAtMs, readAtMs};
+      const refused = {request, refusal, arrivedAtMs, sinceMs};
       const isWaiting = awaitRetry(refused, () => hasCallerLeft() || retry());
       if (!isWaiting) refuse(refusal, admission);
     };
@@ -338,15 +340,15 @@
       body: Buffer | undefined,
     ): void => {
       if (hasCallerLeft()) return;
-      const {route} = admitted;
-      const isResuming = isResumingStream(request, route);
-      if (shouldRefuseLateStart({...route, unreadMs, isResuming})) {
+      const isResuming = isResumingStream(request, admitted.route);
+      if (shouldRefuseLateStart({...admitted.route, unreadMs, isResuming})) {
         const retryAfterMs = LATE_START_RETRY_MS;
         refuse({code: RefusalCode.LateStart, retryAfterMs}, admitted);
         return;
       }
       const nowMs = clock.getNowMs();
-      resolveTarget(options, request, admitted, readAtMs, nowMs).caseOf({
+      sinceMs = Math.min(sinceMs, nowMs);
+      resolveTarget(options, request, admitted, sinceMs, nowMs).caseOf({
         Left: refusal =>
           refuseOrRetry(request, refusal, admitted, () =>
             start(request, admitted, body),
--- a/packages/gateway/src/resume-wait.test.ts
+++ b/packages/gateway/src/resume-wait.test.ts
@@ -44,14 +44,14 @@
       clock: createManualClock(),
       origins: {
         isLoaded: () => true,
-        refresh: (_readAtMs, _nowMs, onEnd) => {
+        awaitRead: (_sinceMs, _nowMs, onEnd) => {
           onEnd();
           return true;
         },
       },
     });
     const request = {lastEventId: '3'};
-    const times = {arrivedAtMs: 0, readAtMs: 0};
+    const times = {arrivedAtMs: 0, sinceMs: 0};
     awaitRetry({request, refusal: {code}, ...times}, () => {
       isRetried = true;
     });
--- a/packages/gateway/src/resume-wait.ts
+++ b/packages/gateway/src/resume-wait.ts
@@ -46,7 +46,8 @@
   StartWaitInput,
   'request' | 'refusal' | 'arrivedAtMs'
 > {
-  readAtMs: number;
+  /** First time at which the origin was looked up. */
+  sinceMs: number;
 }
 
 /** Calls back later if the request is to be tried again; else returns false. */
@@ -61,12 +62,12 @@
   origins,
 }: {
   clock: Clock;
-  origins: Pick<StreamOrigins, 'isLoaded' | 'refresh'>;
+  origins: Pick<StreamOrigins, 'isLoaded' | 'awaitRead'>;
 }): ResumeWait {
   return (refused, onRetry) => {
     const nowMs = clock.getNowMs();
     const isOriginUnknown = refused.refusal.code === RefusalCode.OriginUnknown;
-    if (isOriginUnknown && origins.refresh(refused.readAtMs, nowMs, onRetry)) {
+    if (isOriginUnknown && origins.awaitRead(refused.sinceMs, nowMs, onRetry)) {
       return true;
     }
     const mayWait = shouldAwaitStart({
--- a/packages/gateway/src/resumed-requests.test.ts
+++ b/packages/gateway/src/resumed-requests.test.ts
@@ -74,7 +74,7 @@
             ? undefined
             : {type: OriginVerdictType.Unknown},
         isLoaded: () => hasPassed(loadedAfterMs),
-        refresh: () => false,
+        awaitRead: () => false,
       },
       pool: {receiveBudget: createReceiveBudget({maxBytes: 1_000_000})},
       format: {
--- a/packages/gateway/src/resumed-streams.ts
+++ b/packages/gateway/src/resumed-streams.ts
@@ -29,10 +29,10 @@
   },
   request: CallerRequest,
   target: AdmittedTarget,
-  readAtMs: number,
+  sinceMs: number,
   nowMs: number,
 ): Either<Refusal, AdmittedTarget> {
-  const verdict = origins.findOrigin(request, target, readAtMs, nowMs);
+  const verdict = origins.findOrigin(request, target, sinceMs, nowMs);
   if (verdict === undefined) return Right(target);
   switch (verdict.type) {
     case OriginVerdictType.Unknown:
--- a/packages/gateway/src/stream-origins.ts
+++ b/packages/gateway/src/stream-origins.ts
@@ -5,12 +5,21 @@
  * can't any more. While a service has more than one, they store them for the
  * case that all gateways are killed.
  */
-import type {Directory, SharedObjectStore} from '@siskinplank/directory';
+import type {
+  Directory,
+  SharedObjectStore,
+  StoreHealth,
+} from '@siskinplank/directory';
 import type {Clock, Logger, Timer} from '@siskinplank/foundation';
 import {MessageType} from '@siskinplank/messages';
 import type {Message, MessageOf} from '@siskinplank/messages';
 import {RequestKind, canRepeat, isResumingStream} from '@siskinplank/serving';
-import type {CallerRequest, Route, Upstream} from '@siskinplank/serving';
+import type {
+  CallerRequest,
+  Route,
+  ServingConfiguration,
+  Upstream,
+} from '@siskinplank/serving';
 import {
   ORIGIN_KEEP_MS,
   createOriginTable,
@@ -28,9 +37,11 @@
 import type {AdmittedTarget} from './admission';
 import type {FleetNode} from './fleet-node';
 import {ORIGINS_LOADED, VERSIONS_CHANGED} from './events';
-import {createOriginRefresh} from './origin-refresh';
+import {OriginRead, createOriginRefresh} from './origin-refresh';
+import type {OriginRefresh} from './origin-refresh';
 import {createOriginStore} from './origin-store';
 import type {OriginRecords} from './origin-store';
+import {EXPIRED_GRACE_MS, RESTORED_ENTRY_MS} from './upstream-view';
 
 /** The other gateways, as far as origins concern them. */
 export type OriginPeers = Pick<
@@ -42,8 +53,12 @@
 
 /** What `createStreamOrigins` needs. */
 export interface StreamOriginsOptions {
-  objects: SharedObjectStore;
-  upstreams: Pick<Directory<Upstream>, 'list'>;
+  ports: {
+    sharedObjects: SharedObjectStore;
+    upstreams: Pick<Directory<Upstream>, 'list'>;
+    configurations: Pick<Directory<ServingConfiguration>, 'list'>;
+  };
+  storeHealth: Pick<StoreHealth, 'getOutageEndMs'>;
   ownName: string;
   retryDelayMs: number;
   clock: Clock;
@@ -64,20 +79,21 @@
   /** Notes that the caller was sent the whole stream. */
   recordCompleted(attemptId: string): void;
   /**
-   * Resolves where a request goes on with a stream that was read at `readAtMs`;
-   * undefined for a request that resumes none.
+   * Resolves where a request goes on with a stream; undefined for a request that
+   * resumes none. Without a record, only what was read by calls that were sent
+   * at `sinceMs` or later counts.
    */
   findOrigin(
     request: CallerRequest,
     target: AdmittedTarget,
-    readAtMs: number,
+    sinceMs: number,
     nowMs: number,
   ): OriginVerdict | undefined;
   /**
-   * Reads the store again for a request whose origin is unknown. Calls back when
-   * it may be known; returns false if it stays unknown.
+   * Reads the store again for a request whose origin is unknown; see
+   * `OriginRefresh`.
    */
-  refresh(readAtMs: number, nowMs: number, onEnd: () => void): boolean;
+  awaitRead: OriginRefresh['awaitRead'];
   /** Whether the stored origins were read. */
   isLoaded(): boolean;
   /** Returns false for messages that do not concern origins. */
@@ -108,11 +124,19 @@
   return route.kind === RequestKind.Stream && canRepeat(route);
 }
 
+/** Lists what is stored under a name, which may be that of an inherited member. */
+function getOwn(
+  lists: Readonly<Record<string, string[]>>,
+  name: string,
+): string[] {
+  return Object.hasOwn(lists, name) ? lists[name] : [];
+}
+
 /** Creates origins that are neither read nor sent before `start`. */
 export function createStreamOrigins(
   options: StreamOriginsOptions,
 ): StreamOrigins {
-  const {clock, logger} = options;
+  const {clock, logger, ports} = options;
   const table = createOriginTable();
   const history = createVersionHistory();
   const routeHistory = createVersionHistory();
@@ -128,10 +152,19 @@
   /** Time of the last message to all; own origins before it were sent. */
   let sentAtMs = -Infinity;
   let messageTimer: Timer | undefined;
+  let restoredAtMs = -Infinity;
 
   const planSchedule = () =>
     planOriginSchedule(options.getFleet().registry.listOthers().length + 1);
 
+  /**
+   * Whether the store shows all that serves: upstreams write their entries again
+   * after an outage or a restore.
+   */
+  const isStoreSettled = (nowMs: number): boolean =>
+    nowMs - options.storeHealth.getOutageEndMs(nowMs) >= EXPIRED_GRACE_MS &&
+    nowMs - restoredAtMs >= RESTORED_ENTRY_MS;
+
   /** Services whose streams can't be told from those of another origin. */
   const listMixedServices = (nowMs: number): ReadonlySet<string> => {
     const routes = Object.values(routeHistory.describeMixed(nowMs));
@@ -155,12 +188,12 @@
     const services = new Set([
       ...route.services.map(({service}) => service),
       ...routeHistory.listRecent(route.name, nowMs),
-      ...storedRecords.flatMap(({routes}) => routes[route.name] ?? []),
+      ...storedRecords.flatMap(({routes}) => getOwn(routes, route.name)),
     ]);
     return [...services].flatMap(service => {
       const versions = new Set([
         ...history.listRecent(service, nowMs),
-        ...storedRecords.flatMap(record => record.versions[service] ?? []),
+        ...storedRecords.flatMap(({versions}) => getOwn(versions, service)),
       ]);
       return [...versions].map(softwareVersion => ({service, softwareVersion}));
     });
@@ -208,6 +241,7 @@
 
   const store = createOriginStore({
     ...options,
+    objects: ports.sharedObjects,
     getPeriodMs: () => planSchedule().storePeriodMs,
     collectRecord: nowMs => ({
       versions: history.describe(nowMs),
@@ -280,19 +314,35 @@
     ...options,
     getPeriodMs: () => planSchedule().readPeriodMs,
     read: async () => {
-      const [records, listed] = await Promise.all([
+      const [stored, upstreams, configurations] = await Promise.all([
         store.readRecords(),
-        options.upstreams.list(),
+        ports.upstreams.list(),
+        ports.configurations.list(),
       ]);
-      const upstreams = listed.toMaybe().extract()?.items;
-      if (records === undefined || upstreams === undefined) return false;
+      const listed = upstreams.toMaybe().extract()?.items;
+      const configured = configurations.toMaybe().extract()?.items;
+      if (stored === undefined || !listed || !configured) {
+        return OriginRead.Failed;
+      }
       const nowMs = clock.getNowMs();
-      applyRecords(records, nowMs);
-      observeVersions([...upstreams.values()], nowMs);
-      return true;
+      applyRecords(stored.records, nowMs);
+      for (const {routes} of configured.values()) noteRoutes(routes, nowMs);
+      observeVersions([...listed.values()], nowMs);
+      return stored.isComplete && isStoreSettled(nowMs)
+        ? OriginRead.Complete
+        : OriginRead.Partial;
     },
   });
 
+  const noteRoutes = (routes: readonly Route[], nowMs: number): void => {
+    for (const route of routes) {
+      if (!isResumable(route)) continue;
+      for (const {service} of route.services) {
+        routeHistory.observe(route.name, service, nowMs);
+      }
+    }
+  };
+
   const observeVersions = (
     upstreams: readonly Upstream[],
     nowMs: number,
@@ -305,6 +355,9 @@
 
   return {
     start: () => {
+      ports.sharedObjects.observeRestores(() => {
+        restoredAtMs = clock.getNowMs();
+      });
       store.start();
       refresh.start();
     },
@@ -319,12 +372,7 @@
       if (isRepeated && nowMs - routesAtMs < ROUTES_PERIOD_MS) return;
       observedRoutes = routes;
       routesAtMs = nowMs;
-      for (const route of routes) {
-        if (!isResumable(route)) continue;
-        for (const {service} of route.services) {
-          routeHistory.observe(route.name, service, nowMs);
-        }
-      }
+      noteRoutes(routes, nowMs);
       checkVersions(nowMs);
     },
     recordBegun: ({attemptId, resumedAttemptId, lastEventId}, origin) => {
@@ -340,7 +388,7 @@
       if (listMixedServices(nowMs).has(service)) store.requestWrite();
     },
     recordCompleted: attemptId => table.complete(attemptId, clock.getNowMs()),
-    findOrigin: (request, {route}, readAtMs, nowMs) => {
+    findOrigin: (request, {route}, sinceMs, nowMs) => {
       const {resumedAttemptId} = request;
       if (!isResumingStream(request, route)) return undefined;
       return resolveOrigin({
@@ -350,10 +398,10 @@
             : table.find(resumedAttemptId, nowMs),
         routeServices: route.services.map(({service}) => service),
         recentOrigins: listRecentOrigins(route, nowMs),
-        isInformed: refresh.getConfirmedAtMs() >= readAtMs,
+        isInformed: refresh.getCompleteSentAtMs() >= sinceMs,
       });
     },
-    refresh: refresh.request,
+    awaitRead: refresh.awaitRead,
     isLoaded: refresh.isLoaded,
     handleMessage: (peer, message) => {
       if (message.type !== MessageType.StreamOrigins) return false;
--- a/packages/gateway/src/testing/origin-fleet.ts
+++ b/packages/gateway/src/testing/origin-fleet.ts
@@ -5,7 +5,11 @@
 import {MessageType} from '@siskinplank/messages';
 import type {Message} from '@siskinplank/messages';
 import {RequestKind, UpstreamState} from '@siskinplank/serving';
-import type {CallerRequest, Upstream} from '@siskinplank/serving';
+import type {
+  CallerRequest,
+  ServingConfiguration,
+  Upstream,
+} from '@siskinplank/serving';
 import {
   OriginSource,
   OriginVerdictType,
@@ -42,6 +46,10 @@
   objects: MemorySharedObjectStore;
   /** Registrations of the upstreams, as the store has them. */
   directory: FakeDirectory<Upstream>;
+  /** Configurations, as the store has them. */
+  configurations: FakeDirectory<ServingConfiguration>;
+  /** When the store answered again. */
+  outageEndMs: number;
   clock: ManualClock;
   /** Gateways that receive messages, by name. */
   gateways: Map<string, StreamOrigins>;
@@ -121,6 +129,7 @@
 export function createOriginFleet(): OriginFleet {
   const objects = new MemorySharedObjectStore();
   const directory = new FakeDirectory<Upstream>();
+  const configurations = new FakeDirectory<ServingConfiguration>();
   const clock = createManualClock();
   const gateways = new Map<string, StreamOrigins>();
   const sentAttemptIds: string[] = [];
@@ -164,8 +173,14 @@
       return gateways.get(to)?.handleMessage(name, message) ?? false;
     };
     const origins = createStreamOrigins({
-      objects: reachObjects(name),
-      upstreams: {list: () => sendCall(name, () => directory.list())},
+      ports: {
+        sharedObjects: reachObjects(name),
+        upstreams: {list: () => sendCall(name, () => directory.list())},
+        configurations: {
+          list: () => sendCall(name, () => configurations.list()),
+        },
+      },
+      storeHealth: {getOutageEndMs: () => fleet.outageEndMs},
       ownName: name,
       retryDelayMs: 50,
       clock,
@@ -192,9 +207,11 @@
     return origins;
   };
 
-  return {
+  const fleet: OriginFleet = {
     objects,
     directory,
+    configurations,
+    outageEndMs: -Infinity,
     clock,
     gateways,
     sentAttemptIds,
@@ -215,6 +232,7 @@
       gateways.clear();
     },
   };
+  return fleet;
 }
 
 /** Resolves a request that is read now, as the request handler does. */
@@ -224,18 +242,17 @@
   resumedAttemptId: string,
   target = defaultTarget,
 ): Promise<ResumedVerdict> {
-  const readAtMs = clock.getNowMs();
+  const sinceMs = clock.getNowMs();
   const request = makeRequest('later', resumedAttemptId);
-  const findOrigin = (): ResumedVerdict => {
-    const nowMs = clock.getNowMs();
-    const verdict = origins.findOrigin(request, target, readAtMs, nowMs);
-    return {verdict, waitedMs: nowMs - readAtMs};
-  };
-  const first = findOrigin();
   return new Promise(resolve => {
-    const isWaiting =
-      first.verdict?.type === OriginVerdictType.Unknown &&
-      origins.refresh(readAtMs, readAtMs, () => resolve(findOrigin()));
-    if (!isWaiting) resolve(first);
+    const findOrigin = (): void => {
+      const nowMs = clock.getNowMs();
+      const verdict = origins.findOrigin(request, target, sinceMs, nowMs);
+      const isWaiting =
+        verdict?.type === OriginVerdictType.Unknown &&
+        origins.awaitRead(sinceMs, nowMs, findOrigin);
+      if (!isWaiting) resolve({verdict, waitedMs: nowMs - sinceMs});
+    };
+    findOrigin();
   });
 }
--- a/packages/gateway/src/upstream-view.ts
+++ b/packages/gateway/src/upstream-view.ts
@@ -62,13 +62,13 @@
  * copy lacks from which the store returned, registers again within about 2 s of
  * the store's return; until then it stays usable.
  */
-const EXPIRED_GRACE_MS = 2_000;
+export const EXPIRED_GRACE_MS = 2_000;
 /**
  * The store removes the entry of a stopped upstream after three heartbeats of
  * 1.2 s. One that stays for longer after a restore is that of a running one,
  * also if it writes just what the copy has, which shows no change.
  */
-const RESTORED_ENTRY_MS = 5_000;
+export const RESTORED_ENTRY_MS = 5_000;
 
 /**
  * Time for an answer on its way. A change that the answer of another call
