Keep messages with origins within what their receivers accept

The review: nothing on the sending side kept a list of origins within the 20,000 that a receiver accepts; it would close the link, and be sent the same message when it connects again. And ids of attempts of any length, up to the 16 kB of a head, were kept, though those over 256 characters are never sent nor stored.

Change: a message has the newest 20,000; longer ids are not kept.

Tests: 'are sent in messages that their receiver accepts' (20,001 streams of one gateway: not decoded) and 'are not kept under ids that are longer than any gateway sends' (kept) failed before.

--- a/packages/gateway/src/stream-origins.test.ts
+++ b/packages/gateway/src/stream-origins.test.ts
@@ -1,4 +1,6 @@
 import {StoreFailureCode} from '@siskinplank/directory';
+import {decodeMessage, encodeMessage} from '@siskinplank/messages';
+import type {Message} from '@siskinplank/messages';
 import {ORIGIN_KEEP_MS, OriginVerdictType} from '@siskinplank/stream-origins';
 import type {OriginVerdict} from '@siskinplank/stream-origins';
 import {Left} from 'purify-ts';
@@ -218,6 +220,24 @@
     expect(await resume(restarted, 'c')).toEqual(makeOnly('2'));
   });
 
+  // Guards against a link that its receiver closes after each connect.
+  it('are sent in messages that their receiver accepts', async () => {
+    const origins = startGateway('g1', ['1']);
+    const received: Message[] = [];
+    gateways.set('g2', {
+      handleMessage: (_peer: string, message: Message) =>
+        received.push(message) > 0,
+    } as Partial<StreamOrigins> as StreamOrigins);
+    for (let count = 0; count <= 20_000; count += 1) {
+      startStream(origins, `a${count}`, '1');
+    }
+    origins.handleConnected('g2');
+    expect(received).toHaveLength(1);
+    for (const message of received) {
+      expect(decodeMessage(encodeMessage(message)).isRight()).toBe(true);
+    }
+  });
+
   // Guards against messages that grow with the number of streams in calm.
   it('cost one write and ten messages a second that name each once while there is one version', async () => {
     const revision = (await objects.listObjects(STREAM_ORIGINS_KIND)).extract();
--- a/packages/stream-origins/src/origin-record.ts
+++ b/packages/stream-origins/src/origin-record.ts
@@ -2,6 +2,7 @@
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import {z} from 'zod';
+import {MAX_ATTEMPT_ID_LENGTH} from './origin-table';
 import type {StreamOrigin} from './origin-table';
 
 /** Attempts by service and software version. */
@@ -17,8 +18,8 @@
   origins: Array<[string, StreamOrigin]>;
 }
 
-/** Other entries are left out; ids of attempts are 16 characters long. */
-const MAX_TEXT_LENGTH = 256;
+/** Longest name of a service, route or version, and longest id of an attempt. */
+const MAX_TEXT_LENGTH = MAX_ATTEMPT_ID_LENGTH;
 /** Attempts in one object; far more than a gateway has open. */
 const MAX_STORED_ORIGINS = 5_000;
 
@@ -29,13 +30,17 @@
   origins: z.record(textSchema, z.record(textSchema, z.array(textSchema))),
 });
 
-/** Groups origins by service and version. */
+/** Attempts in one message, which its receivers accept. */
+const MAX_SENT_ORIGINS = 20_000;
+
+/** Groups origins by service and version; of too many, the newest ones. */
 export function collectOrigins(
   origins: ReadonlyArray<readonly [string, StreamOrigin]>,
 ): OriginLists {
   const services = new Map<string, Map<string, string[]>>();
-  for (const [attemptId, {service, softwareVersion}] of origins) {
-    if (attemptId.length > MAX_TEXT_LENGTH) continue;
+  for (const [attemptId, {service, softwareVersion}] of origins.slice(
+    -MAX_SENT_ORIGINS,
+  )) {
     const versions = services.get(service) ?? new Map<string, string[]>();
     services.set(service, versions);
     const attemptIds = versions.get(softwareVersion) ?? [];
--- a/packages/stream-origins/src/origin-table.ts
+++ b/packages/stream-origins/src/origin-table.ts
@@ -15,6 +15,8 @@
 export const ORIGIN_KEEP_MS = 60_000;
 /** A caller that has the last event of a stream may not have read its end. */
 const COMPLETED_KEEP_MS = 2_000;
+/** Ids of attempts are 16 characters long; longer ones are neither kept nor sent. */
+export const MAX_ATTEMPT_ID_LENGTH = 256;
 /** About 16 MB; a gateway of the largest deployment learns 280 a second. */
 const MAX_ORIGINS = 50_000;
 
@@ -76,6 +78,7 @@
     reporter: string | undefined,
     nowMs: number,
   ): void => {
+    if (attemptId.length > MAX_ATTEMPT_ID_LENGTH) return;
     known.delete(attemptId);
     known.set(attemptId, {
       origin,
--- a/packages/stream-origins/src/stream-origins.test.ts
+++ b/packages/stream-origins/src/stream-origins.test.ts
@@ -42,6 +42,13 @@
     expect(table.find('a', 10 + COMPLETED_MS)).toEqual(OLD);
   });
 
+  // Guards against callers who fill the memory with long ids.
+  it('are not kept under ids that are longer than any gateway sends', () => {
+    const table = createOriginTable();
+    table.addOwn('a'.repeat(257), OLD, 0);
+    expect(table.count()).toBe(0);
+  });
+
   it('give way to newer ones, the oldest first', () => {
     const table = createOriginTable(2);
     for (const id of ['a', 'b', 'c']) table.addOwn(id, OLD, 0);
