Reject responses of upstreams whose status lies outside 200 to 599

Callers saw: an upstream's 600 or 999 came as the answer; with X-Not-Executed it became a 503 for a request that may have run; a stream that got one waited without an answer. An order that got one counted as refused, though it may be carried out. An upgrade that was not asked for (101) counted as an interim response, so that the request, or the order, waited until its time-out.

Cause: the status line allowed 100 to 999, and every 1xx was skipped.

Change: isFinalStatus and isInterimStatus in `foundation` say which statuses there are (RFC 9110, section 15); parseHead rejects all others, and 101, as malformed. A request counts as possibly run then, its connection is closed, and the upstream gets the fault of a failed exchange.

--- a/packages/foundation/src/index.ts
+++ b/packages/foundation/src/index.ts
@@ -1,6 +1,7 @@
 /** Clock, random numbers, invariants, log events, metrics and tracing. */
 export {createManualClock, createSystemClock} from './clock';
 export type {Clock, ManualClock, Timer} from './clock';
+export {isFinalStatus, isInterimStatus} from './http-status';
 export {InvariantError, assertInvariant, failInvariant} from './invariant';
 export {LogLevel, createLogger, defineEvent} from './logger';
 export type {LogEvent, LogFields, Logger, LoggerOptions} from './logger';
--- a/packages/http-exchange/src/response-head.ts
+++ b/packages/http-exchange/src/response-head.ts
@@ -1,4 +1,5 @@
 /** Parses heads of HTTP/1.1 responses (RFC 9112). */
+import {isFinalStatus, isInterimStatus} from '@siskinplank/foundation';
 import {Either, Left, Right} from 'purify-ts';
 
 /** Status line and headers of a response. */
@@ -17,8 +18,7 @@
 
 const MAX_HEADERS = 256;
 const CRLF = '\r\n';
-/** Statuses begin at 100 (RFC 9110, section 15). */
-const STATUS_LINE = /^HTTP\/1\.([01]) ([1-9]\d{2})(?: (.*))?$/;
+const STATUS_LINE = /^HTTP\/1\.([01]) (\d{3})(?: (.*))?$/;
 /** A field value or reason phrase, which Node.js also checks when writing. */
 const FIELD_TEXT = /^[\t\x20-\x7e\x80-\xff]*$/;
 const HEADER_NAME = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
@@ -59,7 +59,11 @@
   if (lines.length > MAX_HEADERS + 1) return Left('head has too many headers');
   const match = STATUS_LINE.exec(lines[0]);
   if (match === null) return Left('malformed status line');
-  const [, minor, status, reason = ''] = match;
+  const [, minor, digits, reason = ''] = match;
+  const status = Number(digits);
+  if (!isFinalStatus(status) && !isInterimStatus(status)) {
+    return Left(`malformed status ${digits}`);
+  }
   if (!FIELD_TEXT.test(reason)) return Left('malformed reason phrase');
   return parseHeaderLines(lines.slice(1)).chain(({rawHeaders, headers}) => {
     const coding = headers.get('transfer-encoding');
@@ -84,7 +88,7 @@
     return Right({
       isChunked: coding !== undefined,
       head: {
-        status: Number(status),
+        status,
         reason,
         rawHeaders,
         headers,
--- a/packages/http-exchange/src/response-parser.test.ts
+++ b/packages/http-exchange/src/response-parser.test.ts
@@ -109,11 +109,20 @@
     expect(parsed.problem).toBeDefined();
   });
 
-  // Node.js throws when such a head is passed on to the caller, which would end
-  // the process.
+  // Node.js throws for most of these when they are passed on to the caller, which
+  // would end the process; a caller would take the others for an answer.
   it.each([
     ['a status below 100', 'HTTP/1.1 000 OK\r\nA: b'],
     ['a status of leading zeros', 'HTTP/1.1 099 OK\r\nA: b'],
+    ['a status above 599', 'HTTP/1.1 600 OK\r\nA: b'],
+    ['the largest status of three digits', 'HTTP/1.1 999 OK\r\nA: b'],
+    ['an upgrade that was not asked for', 'HTTP/1.1 101 OK\r\nA: b'],
+    ['a status of two digits', 'HTTP/1.1 20 OK\r\nA: b'],
+    ['a status of four digits', 'HTTP/1.1 2000 OK\r\nA: b'],
+    ['a status with a sign', 'HTTP/1.1 +20 OK\r\nA: b'],
+    ['a status of letters', 'HTTP/1.1 abc OK\r\nA: b'],
+    ['two spaces before the status', 'HTTP/1.1  200 OK\r\nA: b'],
+    ['no status', 'HTTP/1.1 \r\nA: b'],
     ['a control character in a value', 'HTTP/1.1 200 OK\r\nA: b\x01c'],
     ['a delete character in a value', 'HTTP/1.1 200 OK\r\nA: b\x7fc'],
     ['a control character in the reason', 'HTTP/1.1 200 O\x1bK\r\nA: b'],
@@ -123,6 +132,31 @@
     expect(parsed.statuses).toEqual([]);
   });
 
+  // Guards against an answer without a valid status, and against one that is
+  // read out of the bytes after a malformed status line.
+  it('passes on no response with a status outside 200 to 599', () => {
+    const digit = fc.constantFrom(...'0123456789');
+    const status = fc.oneof(
+      fc.string({unit: digit, minLength: 3, maxLength: 3}),
+      fc.string({unit: digit, maxLength: 5}),
+      fc.string({maxLength: 5}),
+    );
+    fc.assert(
+      fc.property(status, fc.nat(60), (text, cut) => {
+        const odd = `HTTP/1.1 ${text} OK\r\nContent-Length: 0\r\n\r\n`;
+        const {statuses, problem} = parseText(odd + FIXED, [cut]);
+        const isFinal = /^[2-5]\d\d$/.test(text);
+        const isInterim = /^1\d\d$/.test(text) && text !== '101';
+        if (isFinal) expect(statuses[0]).toBe(Number(text));
+        else if (isInterim) expect(statuses).toEqual([404]);
+        else
+          expect({statuses, problem}).not.toMatchObject({problem: undefined});
+        if (!isFinal && !isInterim) expect(statuses).toEqual([]);
+      }),
+      {numRuns: 5_000},
+    );
+  });
+
   it('passes on only heads that Node.js can write', () => {
     const byte = fc.nat(255).map(code => String.fromCharCode(code));
     const text = fc.string({unit: byte, maxLength: 4});
--- a/packages/http-exchange/src/response-parser.ts
+++ b/packages/http-exchange/src/response-parser.ts
@@ -4,6 +4,7 @@
  * the request in flight. This parser leaves the matching to its sink, so that
  * a delayed duplicate response to an earlier request can be skipped.
  */
+import {isInterimStatus} from '@siskinplank/foundation';
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import type {ByteAccumulator} from '@siskinplank/receive-buffers';
@@ -84,7 +85,7 @@
   const startBody = ({head, isChunked}: ParsedHead): void => {
     // Interim responses (RFC 9110, section 15.2) are skipped; the final
     // response follows.
-    if (head.status >= 100 && head.status < 200) {
+    if (isInterimStatus(head.status)) {
       interimCount += 1;
       return;
     }
