Fail calls to the store whose response has a malformed status

Seen: 600 and 999 from the store counted as a failure that says something of the object ("malformed", after which the origin store forgets its revision), and a Store-Era in them as a restore of the store. 000, 099 and 101 failed with an assertion of undici as the reason that is logged.

Cause: undici hands statuses up to 999 to its caller and asserts that those below 100 and a 101 do not occur.

Change: `rejectMalformedStatus` of `http-exchange`, an interceptor for clients that use undici, fails a request whose response has neither an interim nor a final status (isInterimStatus, isFinalStatus) and closes its connection. Such a call has no answer: a write may have been applied.

Tests, on the code before: store-statuses, 27 of 55 failed ("leaves the outcome of a creation open after 600": expected 'malformed' to be 'no-answer'; "after 000": expected 'The expression evaluated to a falsy value: assert(statusCode >= 100)' not to contain 'assert'; "learns of no restore by 600": expected [ 9, [] ] to deeply equal [ 0, [] ]). Those for status lines of two and four digits, a sign or letters, and that the connection is closed after them, passed before.

--- a/packages/http-exchange/src/index.ts
+++ b/packages/http-exchange/src/index.ts
@@ -18,3 +18,4 @@
 } from './types';
 export {createEventSplitter} from './event-splitter';
 export type {EventBatch, EventSplitter} from './event-splitter';
+export {rejectMalformedStatus} from './status-check';
