Fail requests of the own interface whose upstream sends a malformed status

Callers saw: after 600 or 999 of a service, no answer until their time-out (8 s in the test), and also for the requests that were sent again; after 000, 099 or 101, the text of an assertion in the 502.

Cause: the side process passed each status on that undici gave it. A status above 599 does not fit the message to the entry process, which closes the link to that side process; the head is sent again on the next link, and so on. All requests between the two processes share the link.

Change: the clients of the side process (upstream, engine) and of the platform use rejectMalformedStatus. The request counts as possibly run: 502 with run state unknown where it must not run twice, another service where it may. A platform reply with such a status is no reply, so that a write is read back; as before for 600 and 999, which counted as unavailable.

The stand-in of a service writes statuses as they are (fault `statuses`).

--- a/packages/platform-client/src/http-call.test.ts
+++ b/packages/platform-client/src/http-call.test.ts
@@ -52,6 +52,22 @@
     expect(result.map(({body}) => body).extract()).toEqual(Array(13).fill(1));
   });
 
+  // Guards against a reply without a valid status, and against a write that
+  // counts as unsent.
+  it.each(['000', '099', '101', '600', '999', '20', '2000', '+20', 'x'])(
+    'takes the status %s for no reply',
+    async status => {
+      const {result} = await callServer(async response => {
+        response.socket?.write(
+          `HTTP/1.1 ${status} X\r\nContent-Length: 2\r\n\r\n{}`,
+        );
+      });
+      const {isUnsent, message} = result.swap().unsafeCoerce();
+      expect(isUnsent).toBe(false);
+      expect(message).not.toContain('assert');
+    },
+  );
+
   it('gives up on a reply that stops', async () => {
     const {result, tookMs} = await callServer(async response => {
       response.write('[1');
--- a/packages/platform-client/src/http-call.ts
+++ b/packages/platform-client/src/http-call.ts
@@ -4,6 +4,7 @@
 import {Pool} from 'undici';
 import {startWaitTimer} from '@siskinplank/foundation';
 import type {Clock, Timer} from '@siskinplank/foundation';
+import {rejectMalformedStatus} from '@siskinplank/http-exchange';
 import {
   BufferFault,
   createByteAccumulator,
@@ -100,6 +101,7 @@
     connections: MAX_CONNECTIONS,
     pipelining: 1,
   });
+  const dispatcher = pool.compose(rejectMalformedStatus);
   return {
     send: async request => {
       const controller = new AbortController();
@@ -127,7 +129,7 @@
         ),
       });
       try {
-        const reply = await pool.request({
+        const reply = await dispatcher.request({
           method: request.method,
           path: request.path,
           headers: request.headers,
--- a/packages/side/src/handover/upstream-client.test.ts
+++ b/packages/side/src/handover/upstream-client.test.ts
@@ -76,6 +76,37 @@
     TIMEOUT_MS,
   );
 
+  // Guards against an answer with a status that no message to an entry process
+  // may have, and against a request that counts as not run.
+  it.each(['000', '099', '101', '600', '999', '20', '2000', '+20', 'x'])(
+    'fails a request that was handed over after status %s',
+    async status => {
+      let isClosed = false;
+      await startClient(response => {
+        response.socket?.on('close', () => {
+          isClosed = true;
+        });
+        response.socket?.write(
+          `HTTP/1.1 ${status} X\r\nContent-Length: 2\r\n\r\nok`,
+        );
+      });
+      for (const idempotent of [true, false]) {
+        const sent = await client?.send({
+          method: 'POST',
+          path: '/',
+          headers: {},
+          body: undefined,
+          idempotent,
+          signal: AbortSignal.timeout(TIMEOUT_MS),
+        });
+        const failure = sent?.swap().unsafeCoerce();
+        expect(failure).toMatchObject({isHandedOver: true});
+        expect(failure?.message).not.toContain('assert');
+      }
+      await vi.waitFor(() => expect(isClosed).toBe(true));
+    },
+  );
+
   // Guards against a drain that breaks connections which could be reused.
   it('keeps the connection of a short body', async () => {
     const ports = new Set<number | undefined>();
--- a/packages/side/src/handover/upstream-client.ts
+++ b/packages/side/src/handover/upstream-client.ts
@@ -2,6 +2,7 @@
 import {Pool} from 'undici';
 import type {Dispatcher} from 'undici';
 import {Either, Left, Right} from 'purify-ts';
+import {rejectMalformedStatus} from '@siskinplank/http-exchange';
 import type {NetworkAddress} from '@siskinplank/resources';
 import {ENGINE_CALL_TIMEOUT_MS, MAX_DRAINED_BYTES} from '../constants';
 
@@ -94,6 +95,7 @@
     let isHandedOver = false;
     const pool = request.idempotent ? reusing : fresh;
     const dispatcher = pool.compose(
+      rejectMalformedStatus,
       dispatch => (options, handler) =>
         dispatch(
           options,
--- a/packages/side/src/orders/engine-client.test.ts
+++ b/packages/side/src/orders/engine-client.test.ts
@@ -4,7 +4,7 @@
 import {createSystemClock} from '@siskinplank/foundation';
 import {createReceiveBudget} from '@siskinplank/receive-buffers';
 import {afterEach, describe, expect, it} from 'vitest';
-import {createEngineClient} from './engine-client';
+import {OrderAnswer, createEngineClient} from './engine-client';
 import type {EngineClient} from './engine-client';
 
 const clock = createSystemClock();
@@ -94,6 +94,26 @@
     TIMEOUT_MS,
   );
 
+  // Guards against a failure of this process as the reason that is logged, and
+  // against an order that counts as rejected though the engine may have it.
+  it.each(['000', '099', '101', '600', '999', '20', '2000', '+20', 'x'])(
+    'takes the status %s for no reply',
+    async status => {
+      const text = JSON.stringify(STATUS);
+      const engine = await startClient(response => {
+        response.socket?.write(
+          `HTTP/1.1 ${status} X\r\nContent-Length: ${text.length}\r\n\r\n${text}`,
+        );
+      });
+      const fetched = await engine.fetchStatus();
+      expect(fetched.swap().unsafeCoerce()).toMatch(
+        /^malformed (status \d+|response)$|does not match the HTTP/,
+      );
+      const order = await engine.sendRole('order-1', 'both', 1);
+      expect(order).toBe(OrderAnswer.Unknown);
+    },
+  );
+
   // Guards against a limit that would reject a sound status.
   it('reads a status in parts', async () => {
     const engine = await startClient(response => {
--- a/packages/side/src/orders/engine-client.ts
+++ b/packages/side/src/orders/engine-client.ts
@@ -2,6 +2,7 @@
 import {Pool} from 'undici';
 import {Either, Left, Right} from 'purify-ts';
 import {z} from 'zod';
+import {rejectMalformedStatus} from '@siskinplank/http-exchange';
 import type {NetworkAddress} from '@siskinplank/resources';
 import {
   createByteAccumulator,
@@ -98,6 +99,7 @@
     bodyTimeout: ENGINE_CALL_TIMEOUT_MS,
     connect: {timeout: ENGINE_CALL_TIMEOUT_MS},
   });
+  const dispatcher = pool.compose(rejectMalformedStatus);
 
   /** Limits a call as a whole; the pool limits the time between two reads. */
   const makeSignal = (): AbortSignal =>
@@ -122,7 +124,7 @@
     schema: z.ZodType<T>,
   ): Promise<Either<string, T>> => {
     try {
-      const response = await pool.request({
+      const response = await dispatcher.request({
         path,
         method: 'GET',
         signal: makeSignal(),
@@ -143,7 +145,7 @@
 
   const postOrder = async (body: object): Promise<OrderAnswer> => {
     try {
-      const response = await pool.request({
+      const response = await dispatcher.request({
         path: '/orders',
         method: 'POST',
         headers: {'content-type': 'application/json'},
--- a/packages/side/src/process.test.ts
+++ b/packages/side/src/process.test.ts
@@ -115,6 +115,30 @@
     expect(entry.readBody(attemptId)).toBe(text);
   });
 
+  // Guards against a head that the entry process can't decode: it closes the link
+  // then, which all requests between the two share.
+  it.each(['000', '101', '600', '999'])(
+    'keeps the link when the service answers with status %s',
+    async status => {
+      const {entry} = await startBench((_request, response) => {
+        response.socket?.write(
+          `HTTP/1.1 ${status} X\r\nContent-Length: 2\r\n\r\nok`,
+        );
+      });
+      const attemptId = entry.open({idempotent: false});
+      await vi.waitFor(() =>
+        expect(entry.list(MessageType.Refused, attemptId)).toHaveLength(1),
+      );
+      expect(entry.list(MessageType.Refused, attemptId)[0]).toMatchObject({
+        code: RefusalCode.UpstreamFailed,
+        runState: RunState.Unknown,
+        message: expect.stringMatching(/^malformed/) as string,
+      });
+      expect(entry.list(MessageType.ResponseHead, attemptId)).toEqual([]);
+      expect(entry.link.isOpen()).toBe(true);
+    },
+  );
+
   // INV-11/rolling-sides: an idle process that closes its links right after it
   // announced the drain loses a request that was in transit at that time.
   it('refuses a request that was sent before the drain was announced', async () => {
--- a/packages/stand-ins/src/service.ts
+++ b/packages/stand-ins/src/service.ts
@@ -13,6 +13,8 @@
   /** Replies 503 to the next calls without running them. */
   unavailable: z.int().min(0).optional(),
   delayMs: z.number().min(0).optional(),
+  /** Statuses of the next replies, written as they are; the calls run. */
+  statuses: z.array(z.string()).optional(),
 });
 
 export type ServiceFault = z.input<typeof serviceFaultSchema>;
@@ -33,12 +35,14 @@
 ): Promise<StandIn> {
   let delayMs = options.delayMs ?? 0;
   const pending = {dropReplies: 0, hangs: 0, unavailable: 0};
+  let statuses: string[] = [];
   let runs = 0;
   const server = createControlledServer(serviceFaultSchema, fault => {
     delayMs = fault.delayMs ?? delayMs;
     pending.dropReplies = fault.dropReplies ?? pending.dropReplies;
     pending.hangs = fault.hangs ?? pending.hangs;
     pending.unavailable = fault.unavailable ?? pending.unavailable;
+    statuses = fault.statuses ?? statuses;
   });
   const {app, log} = server;
   app.removeAllContentTypeParsers();
@@ -66,6 +70,7 @@
     runs += 1;
     const run = runs;
     const {method, url: path, headers, body} = request;
+    const status = statuses.shift();
     log.record('run', {run, method, path, headers, body: body ?? ''});
     const {killedBy} = options;
     if (killedBy !== undefined && path.includes(killedBy)) {
@@ -83,6 +88,14 @@
       log.record('reply-dropped', {run});
       return resetConnection(reply);
     }
+    if (status !== undefined) {
+      log.record('odd-status', {run, status});
+      reply.hijack();
+      reply.raw.socket?.write(
+        `HTTP/1.1 ${status} X\r\nContent-Length: 3\r\n\r\nodd`,
+      );
+      return reply;
+    }
     log.record('replied', {run});
     return {
       service: options.name ?? 'service',
