Refuse response heads between processes that have an interim status

Seen: a head with status 101, 150 or 199 of another process was valid, and an entry process would send it to the caller as the answer. No side process sends one: undici skips interim responses.

Change: the message takes the final statuses of isFinalStatus only.

Test, on the code before: faulty-frames, 3 of 23 failed ("is refused with status 101": expected false to be true; 150 and 199 too). 0, 99, 600 and 999 were refused before.

--- a/packages/messages/src/faulty-frames.test.ts
+++ b/packages/messages/src/faulty-frames.test.ts
@@ -55,6 +55,27 @@
   return shortestMs;
 }
 
+describe('head of a response', () => {
+  // Guards against a status that a caller gets as an answer, or that Node.js
+  // refuses to write.
+  it.each([0, 99, 101, 150, 199, 600, 999, 200.5])(
+    'is refused with status %s',
+    status => {
+      const head = {
+        type: MessageType.ResponseHead,
+        attemptId: 'a',
+        sideIncarnation: 's',
+        headers: {},
+      };
+      const decode = (value: number) =>
+        decodeMessage(packr.pack({...head, status: value}));
+      expect(decode(200).isRight()).toBe(true);
+      expect(decode(599).isRight()).toBe(true);
+      expect(decode(status).isLeft()).toBe(true);
+    },
+  );
+});
+
 describe('faulty frame', () => {
   // Guards against a peer that holds up the event loop or uses up the memory.
   it.each([
--- a/packages/messages/src/types.ts
+++ b/packages/messages/src/types.ts
@@ -1,5 +1,6 @@
 /** Schemas and types of the messages between the system's processes. */
 import {z} from 'zod';
+import {isFinalStatus} from '@siskinplank/foundation';
 import {listOf, mapOf} from './collections';
 import {PriorityClass, RefusalCode, RunState} from '@siskinplank/resources';
 import {
@@ -79,7 +80,7 @@
   type: z.literal(MessageType.ResponseHead),
   attemptId: attemptIdSchema,
   sideIncarnation: z.string(),
-  status: z.int().min(100).max(599),
+  status: z.int().refine(isFinalStatus, 'not a final status'),
   headers: headersSchema,
 });
 
