Replay no stored response of a claim whose status is malformed

Until the side process refused such statuses, a response of a service could be stored with none of them, as the link broke before; another version or writer may have left one.

Change: such a claim counts as one that ran and whose response is not kept.

--- a/packages/claims/src/registry.test.ts
+++ b/packages/claims/src/registry.test.ts
@@ -119,6 +119,20 @@
     );
   });
 
+  // Guards against an answer with a status that Node.js can't write or that is
+  // none, from an object of another version or writer.
+  it.each([0, 99, 101, 199, 600, 999])(
+    'does not replay a response with status %s',
+    async status => {
+      const world = createWorld(5);
+      const first = world.makeRegistry('entry-1');
+      await first.complete(await acquireHeld(first), {...response, status});
+      expect((await acquire(first)).type).toBe(
+        ClaimOutcomeType.RanWithoutResponse,
+      );
+    },
+  );
+
   // Guards against a response that is not stored after a platform outage.
   it('completes a claim in the background after an outage', async () => {
     const world = createWorld(4);
--- a/packages/claims/src/registry.ts
+++ b/packages/claims/src/registry.ts
@@ -1,6 +1,6 @@
 /** Claims as platform objects with conditional writes, identified by nonce. */
 import {createHash} from 'node:crypto';
-import {createRandom} from '@siskinplank/foundation';
+import {createRandom, isFinalStatus} from '@siskinplank/foundation';
 import type {Clock, Logger, Random} from '@siskinplank/foundation';
 import {PlatformErrorCode} from '@siskinplank/platform-client';
 import type {
@@ -279,7 +279,11 @@
 
 function makeReplay(value: Claim): ClaimOutcome {
   const {response} = value;
-  if (response === undefined || response.truncated) {
+  const isComplete =
+    response !== undefined &&
+    !response.truncated &&
+    isFinalStatus(response.status);
+  if (!isComplete) {
     return {type: ClaimOutcomeType.RanWithoutResponse};
   }
   return {
