Refuse a stream without a record within 0.5 s also when its read is sent late

A request whose read of the store was sent after its wait had begun waited twice.

A request now waits until 0.5 s after it was read, however often it is tried. 'are refused in time if the read has to wait for its period' failed before ('expected 1000 to be less than or equal to 500'). The fleet of the tests tries a request again as the request handler does, until it need not wait.

--- a/packages/gateway/src/origin-refresh.ts
+++ b/packages/gateway/src/origin-refresh.ts
@@ -29,8 +29,8 @@
   getConfirmedAtMs(): number;
   /**
    * Calls back when a read has ended that was sent at `sinceMs` or later, or
-   * after 0.5 s. Returns false if one has ended already, or if the store does
-   * not answer the last one.
+   * 0.5 s after `sinceMs`. Returns false if one has ended already, if that time
+   * has passed, or if the store does not answer the last one.
    */
   request(sinceMs: number, nowMs: number, onEnd: () => void): boolean;
 }
@@ -91,6 +91,8 @@
       const isStoreSilent =
         sentAtMs !== undefined && nowMs - sentAtMs >= MAX_WAIT_MS;
       if (isStopped || isStoreSilent || endedSentAtMs >= sinceMs) return false;
+      const leftMs = sinceMs + MAX_WAIT_MS - nowMs;
+      if (leftMs <= 0) return false;
       let hasEnded = false;
       const end = (): void => {
         if (hasEnded) return;
@@ -99,7 +101,7 @@
         waitTimer.cancel();
         onEnd();
       };
-      const waitTimer = startWaitTimer(clock, MAX_WAIT_MS, end);
+      const waitTimer = startWaitTimer(clock, leftMs, end);
       waiting.add(end);
       schedule();
       return true;
--- a/packages/gateway/src/origins-out-of-step.test.ts
+++ b/packages/gateway/src/origins-out-of-step.test.ts
@@ -56,6 +56,17 @@
     expect(await resume('b')).toEqual({verdict: unknown, waitedMs: 0});
   });
 
+  // Guards against a second wait, as the read is sent later than the first begins.
+  it('are refused in time if the read has to wait for its period', async () => {
+    const answered = resumeStream(fleet, second, 'a');
+    await fleet.run(10);
+    await answered;
+    fleet.cut.add('g2');
+    const resumed = resumeStream(fleet, second, 'b');
+    await fleet.run(2 * MAX_WAIT_MS);
+    expect((await resumed).waitedMs).toBeLessThanOrEqual(MAX_WAIT_MS);
+  });
+
   // Guards against a gateway whose watch of the upstreams lags.
   it('are refused if the store shows a version that was not seen', async () => {
     fleet.cut.add('g1');
--- a/packages/gateway/src/testing/origin-fleet.ts
+++ b/packages/gateway/src/testing/origin-fleet.ts
@@ -227,11 +227,14 @@
     const verdict = origins.findOrigin(request, target, readAtMs, nowMs);
     return {verdict, waitedMs: nowMs - readAtMs};
   };
-  const first = findOrigin();
   return new Promise(resolve => {
-    const isWaiting =
-      first.verdict?.type === OriginVerdictType.Unknown &&
-      origins.refresh(readAtMs, readAtMs, () => resolve(findOrigin()));
-    if (!isWaiting) resolve(first);
+    const tryAgain = (): void => {
+      const found = findOrigin();
+      const isWaiting =
+        found.verdict?.type === OriginVerdictType.Unknown &&
+        origins.refresh(readAtMs, clock.getNowMs(), tryAgain);
+      if (!isWaiting) resolve(found);
+    };
+    tryAgain();
   });
 }
