Let a gateway announce another address for links than it listens on

The other roles have link.advertise; gateways lacked it, so that no proxy or address translation could stand before their links, and a test could cut a gateway from the store but not from its peers. Without it nothing changes.

--- a/packages/gateway/src/fleet-node.ts
+++ b/packages/gateway/src/fleet-node.ts
@@ -39,6 +39,8 @@
 export interface FleetNodeOptions {
   objects: SharedObjectStore;
   ownRecord: GatewayRecord;
+  /** Address of the listener; that of `ownRecord` by default. */
+  listenAddress?: GatewayRecord['address'];
   watchWaitMs: number;
   retryDelayMs: number;
   storeHealth?: StoreHealth;
@@ -141,6 +143,7 @@
       region: ownRecord.region,
       address: ownRecord.address,
     },
+    listenAddress: options.listenAddress,
     clusterKeys: [],
     clock,
     random: options.random,
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -232,10 +232,11 @@
     ownRecord: {
       name: ownName,
       incarnation: ownIncarnation,
-      address: settings.link.address,
+      address: settings.link.advertise ?? settings.link.address,
       failureDomain: settings.process.failureDomain,
       region: settings.process.region,
     },
+    listenAddress: settings.link.address,
     ...watchOptions,
     watchWaitMs: FLEET_WATCH_WAIT_MS,
     clock,
--- a/packages/settings/src/gateway.ts
+++ b/packages/settings/src/gateway.ts
@@ -41,7 +41,11 @@
   /** Listener for metrics, in the Prometheus text format. */
   metrics: z.strictObject({address: addressSchema}),
   /** Listener for links from other gateways. */
-  link: z.strictObject({address: addressSchema}),
+  link: z.strictObject({
+    address: addressSchema,
+    /** Address that other gateways connect to, if it differs. */
+    advertise: addressSchema.optional(),
+  }),
   /** The platform's store. */
   store: z.strictObject({
     address: z.string().regex(ADDRESS, 'expected IP:PORT'),
