--- a/packages/soak/src/gateways.ts
+++ b/packages/soak/src/gateways.ts
@@ -26,6 +26,8 @@
   readonly readinessPort: number;
   readonly metricsPort: number;
   readonly storeProxy: FaultProxy;
+  /** Proxy of the links that other gateways open; only if it was asked for. */
+  readonly linkProxy: FaultProxy | undefined;
   start(): void;
   /** -1 unless it was started. */
   getPid(): number;
@@ -68,6 +70,8 @@
   failureDomain?: string;
   /** Time until callers stop opening connections; 1.5 s by default. */
   noticeMs?: number;
+  /** Whether other gateways connect through a proxy; false by default. */
+  hasLinkProxy?: boolean;
 }
 
 const FAILURE_DOMAINS = ['a', 'b', 'c'];
@@ -99,6 +103,11 @@
 ): Promise<SoakGateway> {
   const name = `gateway-${index + 1}`;
   const storeProxy = await createFaultProxy({targetPort: storePort});
+  let linkPort = await reservePort();
+  const linkProxy =
+    options.hasLinkProxy === true
+      ? await createFaultProxy({targetPort: linkPort})
+      : undefined;
   let port = 0;
   let readinessPort = 0;
   let metricsPort = 0;
@@ -109,6 +118,7 @@
     port = await reservePort();
     readinessPort = await reservePort();
     metricsPort = await reservePort();
+    if (linkProxy === undefined) linkPort = await reservePort();
     writeFileSync(
       file,
       stringify({
@@ -124,7 +134,10 @@
         caller: {address: address(port)},
         readiness: {address: address(readinessPort)},
         metrics: {address: address(metricsPort)},
-        link: {address: address(await reservePort())},
+        link: {
+          address: address(linkPort),
+          ...(linkProxy !== undefined && {advertise: address(linkProxy.port)}),
+        },
         store: {
           address: address(storeProxy.port),
           maxAgeMs: REVOKE_MS,
@@ -178,6 +191,7 @@
       return metricsPort;
     },
     storeProxy,
+    linkProxy,
     relocate,
     start: () => {
       running = spawnManagedProcess({
--- a/packages/soak/src/testing/gateway-fleet.ts
+++ b/packages/soak/src/testing/gateway-fleet.ts
@@ -64,6 +64,8 @@
   engines?: readonly SoakUpstreamOptions[];
   /** Arguments of node that start a gateway; its sources by default. */
   program?: readonly string[];
+  /** Whether each gateway has a proxy of its links; false by default. */
+  hasLinkProxies?: boolean;
 }
 
 /** One stream to send. */
@@ -102,6 +104,8 @@
   putKeys(version: number, keys: readonly string[]): void;
   /** Starts gateways and waits until they are ready. */
   startGateways(started: readonly SoakGateway[]): Promise<void>;
+  /** Adds an upstream that is ready. */
+  addEngine(options?: SoakUpstreamOptions): Promise<SoakUpstream>;
   /** Sends a stream on a connection of its own. */
   sendStream(input: StreamInput): Promise<CallRecord>;
   /** Sends a plain request on a connection of its own. */
@@ -139,24 +143,36 @@
   putKeys(1, [FLEET_KEY]);
   const upstreams: SoakUpstream[] = [];
   const {engineCount, deskCount = 0} = options;
-  for (let index = 0; index < engineCount + deskCount; index += 1) {
+  const addUpstream = async (
+    service: 'engines' | 'desk',
+    settings?: SoakUpstreamOptions,
+  ): Promise<SoakUpstream> => {
     const upstream = await createSoakUpstream(
-      index < engineCount ? 'engines' : 'desk',
-      index,
+      service,
+      upstreams.length,
       store,
       history,
       random,
       getMonotonicMs,
-      options.engines?.[index],
+      settings,
     );
     upstream.register();
     upstreams.push(upstream);
+    return upstream;
+  };
+  for (let index = 0; index < engineCount + deskCount; index += 1) {
+    await addUpstream(
+      index < engineCount ? 'engines' : 'desk',
+      options.engines?.[index],
+    );
   }
   const {program = SOURCE_PROGRAM} = options;
   const gateways: SoakGateway[] = [];
   for (let index = 0; index < options.gatewayCount; index += 1) {
     gateways.push(
-      await createSoakGateway(index, store.port, program, directory),
+      await createSoakGateway(index, store.port, program, directory, {
+        hasLinkProxy: options.hasLinkProxies,
+      }),
     );
   }
   const startGateways = async (
@@ -183,6 +199,7 @@
     getNowMs: getMonotonicMs,
     putKeys,
     startGateways,
+    addEngine: settings => addUpstream('engines', settings),
     sendStream: async ({gateway, key = FLEET_KEY, ...input}) => {
       const caller = createCaller({
         hostName: HOST_NAME,
@@ -227,6 +244,7 @@
         gateway.send('SIGKILL');
         await gateway.waitForExit();
         await gateway.storeProxy.close();
+        await gateway.linkProxy?.close();
       }
       for (const {standIn, proxy} of upstreams) {
         await proxy.close();
