Change services and splits of routes in the test of several gateways

The test of changes at three gateways, which has found no lost request, did not take services away or split routes.

--- a/packages/soak/src/changes-at-gateways.test.ts
+++ b/packages/soak/src/changes-at-gateways.test.ts
@@ -113,6 +113,7 @@
         random: source,
         plainTimeoutMs: DEADLINE_MS,
         idleTimeoutsMs: IDLE_TIMEOUTS_MS,
+        changesServices: version > 1,
       }),
     );
 
--- a/packages/soak/src/testing/changing-configuration.ts
+++ b/packages/soak/src/testing/changing-configuration.ts
@@ -19,6 +19,54 @@
   plainTimeoutMs: number;
   /** Idle timeouts to choose from. */
   idleTimeoutsMs: readonly number[];
+  /** Whether versions also differ in their services and kinds of routes. */
+  changesServices?: boolean;
+}
+
+interface EncodedConfiguration {
+  routes: Record<string, unknown>[];
+  services: Record<string, unknown>[];
+  tenants?: object[];
+}
+
+/** Splits routes, changes what they allow, and drops unused services. */
+function updateServices(
+  configuration: EncodedConfiguration,
+  random: Random,
+): EncodedConfiguration {
+  const chance = (part: number): boolean => random.getNext() < part;
+  const routes = configuration.routes.map(({service, ...route}) => ({
+    ...route,
+    ...(chance(0.8)
+      ? {service}
+      : {
+          traffic_split: ['engines', 'desk'].map(name => ({
+            service: name,
+            weight: random.getInteger(3) + 1,
+          })),
+        }),
+    ...(chance(0.2) && {max_attempts: random.getInteger(3) + 1}),
+    ...(chance(0.2) && {public: true}),
+    ...(chance(0.2) && {resumable: false}),
+  }));
+  const services = configuration.services
+    .filter(({name}) =>
+      routes.some(
+        route =>
+          'traffic_split' in route ||
+          ('service' in route && route.service === name),
+      ),
+    )
+    .map(service => ({
+      ...service,
+      ...(chance(0.3) && {max_connections: random.getInteger(40) + 3}),
+    }));
+  return {
+    ...configuration,
+    routes,
+    services,
+    tenants: chance(0.9) ? configuration.tenants : undefined,
+  };
 }
 
 /** A configuration that may lack what open requests use. */
@@ -45,10 +93,15 @@
     serverMemoryMb: 1,
     adapterSlots: 1,
     plainTimeoutMs: pick([300, input.plainTimeoutMs]),
-  }) as {routes: object[]};
-  return {
+  }) as EncodedConfiguration;
+  const configuration = {
     ...base,
     routes: base.routes.filter(() => chance(0.8)),
+  };
+  return {
+    ...(input.changesServices === true
+      ? updateServices(configuration, random)
+      : configuration),
     limits: {
       max_header_bytes: 16_384,
       max_body_bytes: pick([100, 1_048_576]),
