Leave requests unread that cross the close of a connection at a stop

Callers saw: at a stop, a whole request on an idle connection got neither an answer nor a refusal. As the gateway had read it, a caller may not repeat it if it must not run twice. Beside large configurations this happened once or more at each stop.

Cause: a stop closes idle connections with a lingering close, which reads and drops what arrives. A gateway with a quarter of a core may stand still between its look at a connection and the end of the close, and all that arrived in between was dropped, though its caller knew of no close.

Change: connections that have rested for 500 ms after a response, or were never used, are closed without reading further. The others are closed once they have rested, or with their next response. At the end of a stop, those that have not rested are closed as before.

Why it works: a caller that sees a reset without a response may repeat any request that was not read. A response of 500 ms before has been received unless its caller reads slowly; such a caller loses the rest only if it sends its next request before it has read it.

--- a/packages/gateway/src/caller-errors.test.ts
+++ b/packages/gateway/src/caller-errors.test.ts
@@ -1,6 +1,7 @@
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
 import {connect} from 'node:net';
+import {createSystemClock} from '@siskinplank/foundation';
 import {afterEach, describe, expect, it} from 'vitest';
 import {handleCallerErrors} from './caller-errors';
 import {createIdleConnections} from './idle-connections';
@@ -32,7 +33,10 @@
   );
   started.headersTimeout = HEADER_TIMEOUT_MS;
   server = started;
-  handleCallerErrors(started, createIdleConnections(started));
+  handleCallerErrors(
+    started,
+    createIdleConnections(started, createSystemClock()),
+  );
   await new Promise<void>(resolve =>
     started.listen(0, '127.0.0.1', () => resolve()),
   );
--- a/packages/gateway/src/caller-listener.test.ts
+++ b/packages/gateway/src/caller-listener.test.ts
@@ -12,6 +12,8 @@
 const LONG_MS = 10_000;
 /** What Node.js adds to the idle timeout. */
 const IDLE_MARGIN_MS = 1_000;
+/** Longer than a connection rests before it is closed. */
+const REST_MS = 700;
 
 const logged: Array<[LogEvent, object | undefined]> = [];
 const logger: Logger = {
@@ -126,4 +128,33 @@
       ]),
     );
   });
+
+  // A caller repeats a request that must not run twice only if it was not read.
+  it('leaves a request unread that crosses the close of idle connections', async () => {
+    const opened = await openConnection();
+    applyIdleTimeout(LONG_MS);
+    expect(await send(opened)).toContain('200 OK');
+    await wait(REST_MS);
+    await listener?.closeIdle();
+    expect(await send(opened)).not.toContain('200 OK');
+    await listener?.close();
+    expect(logged).toEqual([]);
+  });
+
+  it('leaves a request unread that crosses the last close of connections', async () => {
+    const opened = await openConnection();
+    await listener?.readArrived();
+    listener?.endConnections();
+    expect(await send(opened)).not.toContain('200 OK');
+    await listener?.close();
+    expect(logged).toEqual([]);
+  });
+
+  it('answers a request that follows a response closely as it closes idle connections', async () => {
+    const opened = await openConnection();
+    applyIdleTimeout(LONG_MS);
+    expect(await send(opened)).toContain('200 OK');
+    await listener?.closeIdle();
+    expect(await send(opened)).toContain('200 OK');
+  });
 });
--- a/packages/gateway/src/caller-listener.ts
+++ b/packages/gateway/src/caller-listener.ts
@@ -74,7 +74,7 @@
         closedAgoMs: Math.round(closedAgoMs),
       }),
   );
-  const idle = createIdleConnections(server);
+  const idle = createIdleConnections(server, clock);
   handleCallerErrors(server, idle);
   server.on('connection', socket =>
     arrivals.recordConnection(socket, clock.getNowMs()),
@@ -100,7 +100,10 @@
       return idle.close();
     },
     readArrived: idle.readArrived,
-    endConnections: lingering.closeAll,
+    endConnections: () => {
+      idle.closeRested();
+      lingering.closeAll();
+    },
     countLingering: lingering.count,
     closeAllConnections: () => server.closeAllConnections(),
   };
--- a/packages/gateway/src/idle-connections.test.ts
+++ b/packages/gateway/src/idle-connections.test.ts
@@ -2,6 +2,7 @@
 import type {Server} from 'node:http';
 import {connect} from 'node:net';
 import type {Socket} from 'node:net';
+import {createSystemClock} from '@siskinplank/foundation';
 import {afterEach, describe, expect, it} from 'vitest';
 import {createIdleConnections} from './idle-connections';
 import type {IdleConnections} from './idle-connections';
@@ -27,7 +28,7 @@
     response.end(body);
   });
   server = started;
-  idle = createIdleConnections(started);
+  idle = createIdleConnections(started, createSystemClock());
   await new Promise<void>(resolve =>
     started.listen(0, '127.0.0.1', () => resolve()),
   );
@@ -171,7 +172,7 @@
       setTimeout(() => response.end('ok'), BLOCKED_MS);
     });
     server = started;
-    const connections = createIdleConnections(started);
+    const connections = createIdleConnections(started, createSystemClock());
     await new Promise<void>(resolve =>
       started.listen(0, '127.0.0.1', () => resolve()),
     );
@@ -202,7 +203,7 @@
       request.resume();
     });
     server = started;
-    const connections = createIdleConnections(started);
+    const connections = createIdleConnections(started, createSystemClock());
     await new Promise<void>(resolve =>
       started.listen(0, '127.0.0.1', () => resolve()),
     );
--- a/packages/gateway/src/idle-connections.ts
+++ b/packages/gateway/src/idle-connections.ts
@@ -2,9 +2,15 @@
 import type {IncomingMessage, Server} from 'node:http';
 import type {Socket} from 'node:net';
 import {waitForPoll} from '@siskinplank/foundation';
+import type {Clock} from '@siskinplank/foundation';
 
 /** Turns after which the accept queue counts as endless. */
 const MAX_ACCEPT_TURNS = 512;
+/**
+ * Time after a response in which its caller receives it and often sends the
+ * next request.
+ */
+const MIN_REST_MS = 500;
 
 /** Closes the idle connections of one listener. */
 export interface IdleConnections {
@@ -21,9 +27,15 @@
   readArrived(): Promise<void>;
   /**
    * Closes connections without a request, after reading what has arrived, and
-   * from then on each connection whose requests are answered.
+   * from then on each connection whose requests are answered. What arrives on
+   * them later is not read, so that callers may repeat any request.
    */
   closeIdle(): Promise<void>;
+  /**
+   * Closes connections that were never used, or have rested after a response.
+   * What arrives on them later is not read.
+   */
+  closeRested(): void;
   /**
    * Closes the connection when the requests that were read are answered; false
    * if there are none.
@@ -39,6 +51,8 @@
   openRequests: Set<IncomingMessage>;
   /** Bytes that had been read when the last request was read and answered. */
   settledBytes: number | undefined;
+  /** When the last response was written; meaningless before the first one. */
+  settledAtMs: number;
   /** Whether nothing more can be read. */
   isBroken: boolean;
 }
@@ -54,7 +68,10 @@
  * and nothing was read since. Node.js takes one for idle when its response has
  * ended, and would drop what is not written yet.
  */
-export function createIdleConnections(server: Server): IdleConnections {
+export function createIdleConnections(
+  server: Server,
+  clock: Clock,
+): IdleConnections {
   const uses = new Map<Socket, ConnectionUse>();
   let isLeaving = false;
 
@@ -62,7 +79,10 @@
     const use = uses.get(socket);
     const isIdle =
       use?.openRequests.size === 0 && socket.bytesRead === use.settledBytes;
-    if (isIdle) socket.destroySoon();
+    if (!isIdle) return;
+    const restMs = use.settledAtMs + MIN_REST_MS - clock.getNowMs();
+    if (restMs <= 0) socket.destroy();
+    else clock.startTimer(restMs, () => void closeAfterRead(socket));
   };
 
   /** The next request may have arrived before the response was written. */
@@ -76,6 +96,7 @@
     uses.set(socket, {
       openRequests: new Set(),
       settledBytes: undefined,
+      settledAtMs: 0,
       isBroken: false,
     });
     socket.once('close', () => uses.delete(socket));
@@ -91,6 +112,7 @@
       if (!isAnswered || !request.complete) return;
       use.openRequests.delete(request);
       use.settledBytes = socket.bytesRead;
+      use.settledAtMs = clock.getNowMs();
       if (use.isBroken && !hasReadRequest(use)) socket.destroySoon();
       else if (isLeaving) void closeAfterRead(socket);
     };
@@ -111,6 +133,17 @@
   // Node.js would close the connection unread.
   server.on('timeout', (socket: Socket) => void closeExpired(socket));
 
+  const closeRested = (): void => {
+    const nowMs = clock.getNowMs();
+    for (const [socket, use] of uses) {
+      const {openRequests, settledBytes = 0, settledAtMs} = use;
+      const isIdle =
+        openRequests.size === 0 && socket.bytesRead === settledBytes;
+      const isRested = settledBytes === 0 || nowMs - settledAtMs >= MIN_REST_MS;
+      if (isIdle && isRested) socket.destroy();
+    }
+  };
+
   const closeNow = (): void => {
     for (const socket of uses.keys()) closeIfIdle(socket);
   };
@@ -152,6 +185,7 @@
     },
     readArrived,
     closeIdle,
+    closeRested,
     closeWhenAnswered: socket => {
       const use = uses.get(socket);
       if (use === undefined || !hasReadRequest(use)) return false;
--- a/packages/gateway/src/lingering-close.test.ts
+++ b/packages/gateway/src/lingering-close.test.ts
@@ -41,7 +41,10 @@
   });
   server = started;
   installLingeringClose(started, createSystemClock());
-  handleCallerErrors(started, createIdleConnections(started));
+  handleCallerErrors(
+    started,
+    createIdleConnections(started, createSystemClock()),
+  );
   await new Promise<void>(resolve =>
     started.listen(0, '127.0.0.1', () => resolve()),
   );
