Close few idle connections between two polls

Cause: all idle connections were closed after one poll, and a request that arrived in this time met a closed connection.

Evidence: caller-listener.test.ts, 'answers a request that arrives while it closes other idle connections', failed before and passes now.

Change: four connections are closed after each poll, so that a request which has arrived is read before its connection is looked at.

--- a/packages/gateway/src/idle-connections.ts
+++ b/packages/gateway/src/idle-connections.ts
@@ -11,6 +11,8 @@
  * next request.
  */
 const MIN_REST_MS = 500;
+/** Connections that are closed between two polls. */
+const CLOSED_PER_TURN = 4;
 
 /** Closes the idle connections of one listener. */
 export interface IdleConnections {
@@ -171,7 +173,12 @@
   const closeIdle = async (): Promise<void> => {
     isLeaving = true;
     await readArrived();
-    closeNow();
+    // A request that arrives between the poll and the close is not read.
+    const sockets = [...uses.keys()];
+    for (let first = 0; first < sockets.length; first += CLOSED_PER_TURN) {
+      sockets.slice(first, first + CLOSED_PER_TURN).forEach(closeIfIdle);
+      await waitForPoll();
+    }
   };
 
   return {
