Revert "Close few idle connections between two polls"

A second review showed that it cuts requests at a stop: idle connections were closed four a turn before the listener closed, so that with 8 to 400 of them a new request was accepted, read and cut 104 to 124 ms into the drain, a connection opened in that time kept the stop from ending, and 800 connections took 2 s in turns of 10 ms. What the reverted commit was for, fewer resets of unread requests, was not shown beyond chance; such requests may be repeated.

--- a/packages/gateway/src/idle-connections.ts
+++ b/packages/gateway/src/idle-connections.ts
@@ -11,8 +11,6 @@
  * next request.
  */
 const MIN_REST_MS = 500;
-/** Connections that are closed between two polls. */
-const CLOSED_PER_TURN = 4;
 
 /** Closes the idle connections of one listener. */
 export interface IdleConnections {
@@ -173,12 +171,7 @@
   const closeIdle = async (): Promise<void> => {
     isLeaving = true;
     await readArrived();
-    // A request that arrives between the poll and the close is not read.
-    const sockets = [...uses.keys()];
-    for (let first = 0; first < sockets.length; first += CLOSED_PER_TURN) {
-      sockets.slice(first, first + CLOSED_PER_TURN).forEach(closeIfIdle);
-      await waitForPoll();
-    }
+    closeNow();
   };
 
   return {
