Let a stopping gateway finish sending long responses

Change: a connection whose last response is longer than 64 kB is closed as before, by a close that waits for the caller.

--- a/packages/gateway/src/idle-connections.ts
+++ b/packages/gateway/src/idle-connections.ts
@@ -11,6 +11,8 @@
  * next request.
  */
 const MIN_REST_MS = 500;
+/** The end of a longer response may not have been sent when it counts as written. */
+const MAX_SENT_BYTES = 65_536;
 
 /** Closes the idle connections of one listener. */
 export interface IdleConnections {
@@ -53,6 +55,10 @@
   settledBytes: number | undefined;
   /** When the last response was written; meaningless before the first one. */
   settledAtMs: number;
+  /** Bytes written until the end of the last response. */
+  writtenBytes: number;
+  /** Bytes of the last response. */
+  responseBytes: number;
   /** Whether nothing more can be read. */
   isBroken: boolean;
 }
@@ -81,7 +87,8 @@
       use?.openRequests.size === 0 && socket.bytesRead === use.settledBytes;
     if (!isIdle) return;
     const restMs = use.settledAtMs + MIN_REST_MS - clock.getNowMs();
-    if (restMs <= 0) socket.destroy();
+    if (use.responseBytes > MAX_SENT_BYTES) socket.destroySoon();
+    else if (restMs <= 0) socket.destroy();
     else clock.startTimer(restMs, () => void closeAfterRead(socket));
   };
 
@@ -97,6 +104,8 @@
       openRequests: new Set(),
       settledBytes: undefined,
       settledAtMs: 0,
+      writtenBytes: 0,
+      responseBytes: 0,
       isBroken: false,
     });
     socket.once('close', () => uses.delete(socket));
@@ -119,6 +128,8 @@
     request.once('end', settle);
     response.once('close', () => {
       isAnswered = true;
+      use.responseBytes = socket.bytesWritten - use.writtenBytes;
+      use.writtenBytes = socket.bytesWritten;
       settle();
     });
   });
@@ -136,11 +147,12 @@
   const closeRested = (): void => {
     const nowMs = clock.getNowMs();
     for (const [socket, use] of uses) {
-      const {openRequests, settledBytes = 0, settledAtMs} = use;
+      const {openRequests, settledBytes = 0, settledAtMs, responseBytes} = use;
       const isIdle =
         openRequests.size === 0 && socket.bytesRead === settledBytes;
       const isRested = settledBytes === 0 || nowMs - settledAtMs >= MIN_REST_MS;
-      if (isIdle && isRested) socket.destroy();
+      const isSent = responseBytes <= MAX_SENT_BYTES;
+      if (isIdle && isRested && isSent) socket.destroy();
     }
   };
 
