Count a read as complete only if the store had settled when it was sent

Test: 'are refused if the read was sent right after an outage of the store' failed before ('known' in place of 'unknown').

--- a/packages/gateway/src/origins-out-of-step.test.ts
+++ b/packages/gateway/src/origins-out-of-step.test.ts
@@ -138,6 +138,17 @@
     expect((await resume('c')).verdict).toEqual(makeOnly('1'));
   });
 
+  // Guards against an answer that is read only when the entries are back.
+  it('are refused if the read was sent right after an outage of the store', async () => {
+    fleet.outageEndMs = fleet.clock.getNowMs() - 1_700;
+    fleet.unanswered.add('g2');
+    const resumed = resumeStream(fleet, second, 'c');
+    await fleet.run(400);
+    fleet.unanswered.delete('g2');
+    await fleet.run(MAX_WAIT_MS);
+    expect((await resumed).verdict).toEqual(unknown);
+  });
+
   // Guards against a copy that lacks the entries and records of a later time.
   it('are refused while a store restored from an older copy lacks a version', async () => {
     const copy = fleet.objects.takeCopy();
--- a/packages/gateway/src/stream-origins.ts
+++ b/packages/gateway/src/stream-origins.ts
@@ -158,12 +158,12 @@
     planOriginSchedule(options.getFleet().registry.listOthers().length + 1);
 
   /**
-   * Whether the store shows all that serves: upstreams write their entries again
-   * after an outage or a restore.
+   * Whether the store showed all that serves to a call that was sent then:
+   * upstreams write their entries again after an outage or a restore.
    */
-  const isStoreSettled = (nowMs: number): boolean =>
-    nowMs - options.storeHealth.getOutageEndMs(nowMs) >= EXPIRED_GRACE_MS &&
-    nowMs - restoredAtMs >= RESTORED_ENTRY_MS;
+  const hasStoreSettled = (sentAtMs: number, nowMs: number): boolean =>
+    sentAtMs - options.storeHealth.getOutageEndMs(nowMs) >= EXPIRED_GRACE_MS &&
+    sentAtMs - restoredAtMs >= RESTORED_ENTRY_MS;
 
   /** Services whose streams can't be told from those of another origin. */
   const listMixedServices = (nowMs: number): ReadonlySet<string> => {
@@ -314,6 +314,7 @@
     ...options,
     getPeriodMs: () => planSchedule().readPeriodMs,
     read: async () => {
+      const sentAtMs = clock.getNowMs();
       const [stored, upstreams, configurations] = await Promise.all([
         store.readRecords(),
         ports.upstreams.list(),
@@ -328,7 +329,7 @@
       applyRecords(stored.records, nowMs);
       for (const {routes} of configured.values()) noteRoutes(routes, nowMs);
       observeVersions([...listed.values()], nowMs);
-      return stored.isComplete && isStoreSettled(nowMs)
+      return stored.isComplete && hasStoreSettled(sentAtMs, nowMs)
         ? OriginRead.Complete
         : OriginRead.Partial;
     },
