Keep the origins of a lost gateway also when their keeper is lost

If the owner is lost at the same time no one keeps them, and if it is lost later they count as those of the first one at all others, and no one passes them on to gateways that start.

Change: at each loss a gateway looks at all gateways whose origins it has, and keeps those of each that does not respond and whose name it owns by now.

Test: 'are sent to a gateway that starts when their keeper is lost with (after) their gateway' failed before, both with 'unknown'.

--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -264,7 +264,7 @@
     onPeerLost: name => {
       upstreams.removePeer(name);
       limits.removePeer(name);
-      origins.handleLost(name);
+      origins.handleLost();
     },
     onMessage: (peer, message) => {
       const isHandled =
--- a/packages/gateway/src/stream-origins.test.ts
+++ b/packages/gateway/src/stream-origins.test.ts
@@ -153,16 +153,40 @@
       startStream(first, 'a', '1');
       await run(200);
       gateways.delete('g1');
-      if (order === 'after') second.handleLost('g1');
+      if (order === 'after') second.handleLost();
       const third = startGateway('g3', ['1']);
       second.handleConnected('g3');
-      if (order === 'before') second.handleLost('g1');
+      if (order === 'before') second.handleLost();
       await run(200);
       third.observeUpstreams(listUpstreams(['1', '2']), clock.getNowMs());
       expect(find(third, 'a')).toEqual(makeKnown('1'));
     },
   );
 
+  // Guards against origins whose keeper is lost with their gateway or after it.
+  it.each(['with', 'after'])(
+    'are sent to a gateway that starts when their keeper is lost %s their gateway',
+    async order => {
+      const first = startGateway('g1', ['1']);
+      const [second, third] = ['g2', 'g3'].map(name =>
+        startGateway(name, ['1']),
+      );
+      await run();
+      startStream(first, 'a', '1');
+      await run(200);
+      gateways.delete('g1');
+      if (order === 'after') second.handleLost();
+      third.handleLost();
+      await run(200);
+      gateways.delete('g2');
+      third.handleLost();
+      const fourth = startGateway('g4', ['1']);
+      third.handleConnected('g4');
+      fourth.observeUpstreams(listUpstreams(['1', '2']), clock.getNowMs());
+      expect(find(fourth, 'a')).toEqual(makeKnown('1'));
+    },
+  );
+
   it('are sent to a gateway that connects later', async () => {
     const first = startGateway('g1', ['1', '2']);
     startStream(first, 'a', '1');
--- a/packages/gateway/src/stream-origins.ts
+++ b/packages/gateway/src/stream-origins.ts
@@ -49,6 +49,7 @@
   'sendTo' | 'sendToAll' | 'isOwner'
 > & {
   registry: Pick<FleetNode['registry'], 'listOthers'>;
+  peers: {listResponsive(nowMs: number): ReadonlyArray<{name: string}>};
 };
 
 /** What `createStreamOrigins` needs. */
@@ -104,10 +105,11 @@
    */
   handleConnected(peer: string): void;
   /**
-   * Keeps the origins of a gateway that no longer responds, if this one is its
-   * owner: those that start or connect later have not been sent them.
+   * Called when a gateway no longer responds. Keeps the origins of those that do
+   * not and whose names this one owns: gateways that start or connect later have
+   * not been sent them.
    */
-  handleLost(peer: string): void;
+  handleLost(): void;
   /** Removes what a gateway has stored that is gone. */
   removeGateway(name: string): void;
   /** Origins known, of own streams and those of other gateways. */
@@ -429,11 +431,16 @@
       if (!isMixed && table.count() === 0) return;
       options.getFleet().sendTo(peer, makeMessage(-Infinity, nowMs, peer));
     },
-    handleLost: peer => {
-      if (!options.getFleet().isOwner(peer)) return;
+    handleLost: () => {
       const nowMs = clock.getNowMs();
-      for (const [attemptId, origin] of table.listReportedBy(peer, nowMs)) {
-        table.adopt(attemptId, origin, nowMs);
+      const {peers, isOwner} = options.getFleet();
+      const responsive = peers.listResponsive(nowMs).map(({name}) => name);
+      for (const reporter of table.listReporters(nowMs)) {
+        if (responsive.includes(reporter) || !isOwner(reporter)) continue;
+        const reported = table.listReportedBy(reporter, nowMs);
+        for (const [attemptId, origin] of reported) {
+          table.adopt(attemptId, origin, nowMs);
+        }
       }
       scheduleMessage();
       if (listMixedServices(nowMs).size > 0) store.requestWrite();
--- a/packages/gateway/src/testing/origin-fleet.ts
+++ b/packages/gateway/src/testing/origin-fleet.ts
@@ -189,6 +189,12 @@
         registry: {
           listOthers: () => Array(Math.max(0, gateways.size - 1)) as never[],
         },
+        peers: {
+          listResponsive: () =>
+            [...gateways.keys()]
+              .filter(other => other !== name)
+              .map(other => ({name: other})),
+        },
         // The first by name of those that receive messages.
         isOwner: () => [...gateways.keys()].sort()[0] === name,
         sendTo: deliver,
--- a/packages/stream-origins/src/origin-table.ts
+++ b/packages/stream-origins/src/origin-table.ts
@@ -45,6 +45,8 @@
     reporter: string,
     nowMs: number,
   ): Array<[string, StreamOrigin]>;
+  /** Gateways that have sent or stored origins that are kept. */
+  listReporters(nowMs: number): string[];
   /** Number of origins, those that are no longer found included. */
   count(): number;
 }
@@ -135,6 +137,14 @@
       ),
     listReportedBy: (reporter, nowMs) =>
       listSelected(item => item.reporter === reporter, nowMs),
+    listReporters: nowMs => {
+      removeOldest(nowMs);
+      const reporters = new Set<string>();
+      for (const {reporter} of known.values()) {
+        if (reporter !== undefined) reporters.add(reporter);
+      }
+      return [...reporters];
+    },
     count: () => known.size,
   };
 }
