--- a/packages/gateway/src/origins-out-of-step.test.ts
+++ b/packages/gateway/src/origins-out-of-step.test.ts
@@ -213,7 +213,7 @@
   });
 
   // Guards against calls in proportion to requests.
-  it('cost at most ten reads a second', async () => {
+  it('cost at most ten reads a second, and one at each end', async () => {
     fleet.directory.listCount = 0;
     const resumed: Array<Promise<ResumedVerdict>> = [];
     for (let elapsedMs = 0; elapsedMs < 1_000; elapsedMs += 10) {
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -131,7 +131,7 @@
     let limit: LimitReadings | undefined;
     const attemptId = decoded.map(request => request.attemptId).orDefault('');
     let hasLogged = false;
-    /** When the request was received and first looked up. */
+    /** First time at which the origin of its stream was looked up. */
     let sinceMs = Infinity;
 
     const logEnd = (
--- a/packages/gateway/src/stream-origins.ts
+++ b/packages/gateway/src/stream-origins.ts
@@ -275,7 +275,7 @@
     for (const [attemptId, origin] of origins) {
       // Those of an earlier process of this host have no other owner.
       if (gateway === options.ownName) {
-        table.adopt(attemptId, origin, nowMs);
+        table.takeOver(attemptId, origin, nowMs);
       } else {
         table.addReported(attemptId, origin, gateway, nowMs);
       }
@@ -419,7 +419,7 @@
       }
       const former = listOrigins(message.formerOrigins);
       for (const [attemptId, origin] of former) {
-        table.adopt(attemptId, origin, nowMs);
+        table.takeOver(attemptId, origin, nowMs);
       }
       checkVersions(nowMs);
       if (former.length > 0) scheduleMessage();
@@ -439,7 +439,7 @@
         if (responsive.includes(reporter) || !isOwner(reporter)) continue;
         const reported = table.listReportedBy(reporter, nowMs);
         for (const [attemptId, origin] of reported) {
-          table.adopt(attemptId, origin, nowMs);
+          table.takeOver(attemptId, origin, nowMs);
         }
       }
       scheduleMessage();
--- a/packages/stream-origins/src/origin-table.ts
+++ b/packages/stream-origins/src/origin-table.ts
@@ -32,7 +32,7 @@
     nowMs: number,
   ): void;
   /** Makes an origin of a process that is gone an own one, unless it is one. */
-  adopt(attemptId: string, origin: StreamOrigin, nowMs: number): void;
+  takeOver(attemptId: string, origin: StreamOrigin, nowMs: number): void;
   /** Notes that the response of an own attempt was sent whole. */
   complete(attemptId: string, nowMs: number): void;
   find(attemptId: string, nowMs: number): StreamOrigin | undefined;
@@ -113,7 +113,7 @@
       if (known.has(attemptId)) return;
       add(attemptId, origin, reporter, nowMs);
     },
-    adopt: (attemptId, origin, nowMs) => {
+    takeOver: (attemptId, origin, nowMs) => {
       const item = known.get(attemptId);
       if (item !== undefined && isOwn(item)) return;
       add(attemptId, item?.origin ?? origin, undefined, nowMs);
