--- a/packages/soak/src/malformed-statuses.test.ts
+++ b/packages/soak/src/malformed-statuses.test.ts
@@ -3,6 +3,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {
+  NOT_RUN_LINE,
   encodeConfiguration,
   isReady,
   renderCallerRequest,
@@ -277,7 +278,7 @@
 
     it(`promises nothing after status ${status} that says it has not run`, async () => {
       const answer = (request: ScriptedRequest): void => {
-        const odd = renderOdd(request, status, ['X-Not-Executed: 1']);
+        const odd = renderOdd(request, status, [NOT_RUN_LINE]);
         request.socket.write(odd);
       };
       scriptInTurn(desks, answer);
