--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -39,6 +39,7 @@
     resumes: end.request?.resumedAttemptId,
     lastEvent: end.request?.lastEventId,
     origin: admission.originSource,
+    originVersion: admission.softwareVersion,
     status: end.status,
     tokens: end.tokens,
     limitPerSecond: limit?.ratePerSecond,
--- a/packages/model-orders/src/placement-controller.ts
+++ b/packages/model-orders/src/placement-controller.ts
@@ -270,6 +270,7 @@
     );
     logger.log(PLACEMENT_CHANGE_STARTED, {
       upstream: change.upstream,
+      softwareVersion: inventory.upstream.softwareVersion,
       load: change.load,
       evict: change.evict.join(','),
       gain: Math.round(change.gain * 100) / 100,
