Add replicas of a model that lacks several of them

Cause: a request counts as degraded if the model has twice as many open requests as its replicas bear, and not more if it has five times as many. With 48 open requests at one replica that bears 8, a second one changes nothing, so that its gain was 0.

Change: the gain of a further replica is the largest share of what up to four further ones gain together. Models that lack one replica are rated as before.

--- a/packages/model-orders/src/plan-placement-changes.test.ts
+++ b/packages/model-orders/src/plan-placement-changes.test.ts
@@ -131,6 +131,20 @@
     );
   });
 
+  // Guards against a model that gets no replica since it lacks several.
+  it('adds a replica of a model that is overloaded several times over', () => {
+    const changes = plan({
+      upstreams: [
+        makeUpstream('a', ['hot', 'idle']),
+        makeUpstream('b', ['small']),
+      ],
+      demand: [makeDemand('hot', {requestsPerSecond: 10, averageOpen: 48})],
+    });
+    expect(changes).toContainEqual(
+      expect.objectContaining({upstream: 'b', load: 'hot'}),
+    );
+  });
+
   it('plans no change when no requested model is overloaded', () => {
     const changes = plan({
       models: makeModels({hot: BIG_MB, idle: BIG_MB}),
--- a/packages/model-orders/src/plan-placement-changes.ts
+++ b/packages/model-orders/src/plan-placement-changes.ts
@@ -74,6 +74,8 @@
 const WAIT_COST = 1;
 /** Callers wait at least this long for the next event of a stream. */
 const RESUME_WAIT_MS = 2_000;
+/** Replicas that a model may lack at once. */
+const MAX_NEEDED_REPLICAS = 4;
 /** Time in which an upstream unloads a model without requests: 0.3 to 0.5 s. */
 const EVICTION_SECONDS = 0.45;
 
@@ -345,15 +347,24 @@
     };
   };
 
+  /**
+   * Estimates the gain of a further replica. The first of several replicas that
+   * a model needs may change nothing by itself, so each counts for its part.
+   */
+  const estimateReplicaGain = (model: string): number => {
+    const count = replicaCounts.get(model) ?? 0;
+    const degradedRate = estimateDegradedRate(model, count);
+    const gains = Array.from({length: MAX_NEEDED_REPLICAS}, (_, index) => {
+      const added = index + 1;
+      return (
+        (degradedRate - estimateDegradedRate(model, count + added)) / added
+      );
+    });
+    return Math.max(...gains) * HORIZON_SECONDS;
+  };
+
   const modelsByGain = [...models.values()]
-    .map(model => {
-      const count = replicaCounts.get(model.name) ?? 0;
-      const gain =
-        (estimateDegradedRate(model.name, count) -
-          estimateDegradedRate(model.name, count + 1)) *
-        HORIZON_SECONDS;
-      return {model, gain};
-    })
+    .map(model => ({model, gain: estimateReplicaGain(model.name)}))
     .filter(({model, gain}) => gain > 0 || replicaVersions.hasLone(model.name))
     .sort((left, right) => right.gain - left.gain);
   const changes: PlacementChange[] = [];
