Begin streams at the version that most upstreams have while each has one copy

Cause: while each version had one upstream with the model, the choice was by load alone. So half of the new streams began at the version that was leaving, and every model there stayed in use.

Change: while each version has one upstream with the model, streams begin at the version that most upstreams have, or that one of them started with last, unless that upstream is much busier. The other version's copies fall idle within seconds and make room for streams that wait there.

Evidence: two new tests of the policy fail before; the others are as they were.

--- a/packages/dispatch/src/policies.test.ts
+++ b/packages/dispatch/src/policies.test.ts
@@ -158,6 +158,33 @@
       expect(['u2', 'u3']).toContain(chosen);
     });
 
+    // Guards against streams that begin at a version whose last upstreams leave.
+    it('begins a resumable stream at the version that has more upstreams', () => {
+      const table = createUpstreamTable();
+      const empty = {softwareVersion: '2', models: []};
+      table.setUpstreams([
+        makeUpstream('u1', {softwareVersion: '1'}),
+        makeUpstream('u2', {softwareVersion: '2'}),
+        ...['u3', 'u4', 'u5'].map(id => makeUpstream(id, empty)),
+      ]);
+      for (let count = 0; count < 4; count += 1) {
+        table.open('u2', 'm', 0, 50).markPromptProcessed();
+      }
+      expect(choose(table, ESTIMATED_LATENCY, {isResumable: true})).toBe('u2');
+    });
+
+    // Guards against a version that has no room since each model serves a few streams.
+    it('begins a resumable stream at the version that joined last', () => {
+      const table = createUpstreamTable();
+      table.setUpstreams([
+        makeUpstream('u1', {softwareVersion: '1'}),
+        makeUpstream('u2', {softwareVersion: '2', startedAtMs: 2}),
+      ]);
+      table.open('u2', 'm', 0, 50).markPromptProcessed();
+      table.open('u2', 'm', 0, 50).markPromptProcessed();
+      expect(choose(table, ESTIMATED_LATENCY, {isResumable: true})).toBe('u2');
+    });
+
     it('chooses by the load alone for a request that cannot go on', () => {
       const table = setLoadedVersions(['2', '1', '1'], 4);
       expect(choose(table, ESTIMATED_LATENCY)).toBe('u1');
--- a/packages/dispatch/src/policies.ts
+++ b/packages/dispatch/src/policies.ts
@@ -96,11 +96,17 @@
 const STALL_PENALTY_MS = 3_000;
 /**
  * Penalty for the only upstream of its software version with the model while
- * another version has it too, since a stream can't go on elsewhere when that
+ * another version has several, since a stream can't go on elsewhere when that
  * upstream ends. A stream lasts about 5 s and an upstream ends about once in
  * 80 s, so 6% of them would be lost, at 500 ms each, a usual target latency.
  */
 const LONE_VERSION_PENALTY_MS = 30;
+/**
+ * Penalty for an upstream of a version that may be leaving, while each version
+ * has one with the model. Few others of that version may be left to load the
+ * model for its streams, and a model that gets no new ones makes room there.
+ */
+const LEAVING_VERSION_PENALTY_MS = 60;
 /** Penalty per multiple of the shortest pause among the upstreams. */
 const SLOWNESS_PENALTY_MS = 150;
 /** Load alone explains pauses up to this multiple of the shortest one. */
@@ -129,6 +135,34 @@
   return counts;
 }
 
+/**
+ * Finds the version that most upstreams have, or that one of them started with
+ * last; undefined if the versions are alike.
+ */
+function findMainVersion(
+  entries: readonly UpstreamEntry[],
+  nowMs: number,
+): string | undefined {
+  const versions = new Map<string, {count: number; startedAtMs: number}>();
+  for (const entry of entries) {
+    if (entry.isUnreachable(nowMs)) continue;
+    const {softwareVersion, startedAtMs} = entry.upstream;
+    const known = versions.get(softwareVersion);
+    versions.set(softwareVersion, {
+      count: (known?.count ?? 0) + 1,
+      startedAtMs: Math.max(known?.startedAtMs ?? 0, startedAtMs),
+    });
+  }
+  const [first, second] = [...versions].sort(
+    ([, left], [, right]) =>
+      right.count - left.count || right.startedAtMs - left.startedAtMs,
+  );
+  const isAlike =
+    first?.[1].count === second?.[1].count &&
+    first?.[1].startedAtMs === second?.[1].startedAtMs;
+  return isAlike ? undefined : first?.[0];
+}
+
 /** Chooses the upstream with the lowest estimated time to the first event. */
 class EstimatedLatencyPolicy extends DispatchPolicy {
   constructor(private readonly random: Random) {
@@ -161,10 +195,21 @@
     const holders = request.isResumable
       ? countHolders(model, entries, nowMs)
       : new Map<string, number>();
+    const areAllLone = [...holders.values()].every(count => count === 1);
+    const mainVersion =
+      holders.size > 1 && areAllLone
+        ? findMainVersion(entries, nowMs)
+        : undefined;
     const estimateVersionPenaltyMs = ({upstream}: UpstreamEntry): number => {
+      const {softwareVersion} = upstream;
       if (holders.size < 2) return 0;
-      const count = holders.get(upstream.softwareVersion) ?? 0;
-      return count > 1 ? 0 : LONE_VERSION_PENALTY_MS;
+      if (!areAllLone) {
+        const count = holders.get(softwareVersion) ?? 0;
+        return count > 1 ? 0 : LONE_VERSION_PENALTY_MS;
+      }
+      return mainVersion === undefined || mainVersion === softwareVersion
+        ? 0
+        : LEAVING_VERSION_PENALTY_MS;
     };
     for (const entry of entries) {
       if (!canServeModel(entry, request)) continue;
