Load models at the version of the streams that wait for them

Cause: placement knew demand by model only. A gateway refused a stream that found no copy at its version as soon as another version had the model, since no load would be planned for it; further copies were loaded where such streams can't go on; and during a release, the few upstreams left of the old version were busy with loads of other models.

The protocol between gateways has version 8.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -22,6 +22,8 @@
 export type {DispatchChoice, DispatchRequest} from './policies';
 export {computeTokenWaitMs} from './caller-patience';
 export type {TokenWaitInput} from './caller-patience';
+export {mayAwaitVersionLoad} from './version-load';
+export type {VersionLoadInput} from './version-load';
 export {planWait} from './wait-decision';
 export type {WaitDecision, WaitInput} from './wait-decision';
 export {createUpstreamProgress} from './upstream-progress';
--- a/packages/dispatch/src/policies.test.ts
+++ b/packages/dispatch/src/policies.test.ts
@@ -96,6 +96,7 @@
     table.setModelState('u1', 1, {
       models: new Map([['m', new Set(['a2'])]]),
       arriving: {model: 'n', expectedAtMs: undefined},
+      warmLoadMs: new Map(),
     });
     expect(choose(table, ESTIMATED_LATENCY, {adapter: 'a1'})).toBeUndefined();
     expect(choose(table, ESTIMATED_LATENCY, {adapter: 'a2'})).toBe('u1');
--- a/packages/dispatch/src/upstream-table.ts
+++ b/packages/dispatch/src/upstream-table.ts
@@ -25,6 +25,11 @@
   models: ReadonlyMap<string, ReadonlySet<string>>;
   /** The model that is being loaded. */
   arriving: LoadingModel | undefined;
+  /**
+   * Load times of the models whose weights it has in memory or on disk, in
+   * milliseconds; empty while the service has one software version.
+   */
+  warmLoadMs: ReadonlyMap<string, number>;
 }
 
 /** An upstream with its observed state. */
@@ -160,6 +165,7 @@
       ]),
     ),
     arriving: undefined,
+    warmLoadMs: new Map(),
   };
 }
 
--- a/packages/fleet/src/peer-table.test.ts
+++ b/packages/fleet/src/peer-table.test.ts
@@ -19,6 +19,7 @@
     isOrdering: false,
     open: {},
     demand: {},
+    waitingStreams: {},
     poolCapacity: 0,
     faults: {},
     leaving: [],
--- a/packages/gateway/src/demand-counter.ts
+++ b/packages/gateway/src/demand-counter.ts
@@ -1,4 +1,5 @@
 /** Requests of this gateway by model, reported to the order leader. */
+import type {WaitingRequests} from './dispatcher';
 
 /** Counts all requests and the waiting requests of each model. */
 export interface DemandCounter {
@@ -9,6 +10,11 @@
    * oldest waiting request in milliseconds.
    */
   describe(nowMs: number): Record<string, [number, number, number]>;
+  /**
+   * By model and by software version: streams that wait until a load is planned
+   * at the version that began them.
+   */
+  describeStreams(nowMs: number): Record<string, Record<string, number>>;
 }
 
 const NONE_WAITING = {count: 0, oldestMs: 0};
@@ -20,9 +26,7 @@
  * @param isOffered whether some service offers a model.
  */
 export function createDemandCounter(
-  describeWaiting: (
-    nowMs: number,
-  ) => Map<string, {count: number; oldestMs: number}>,
+  describeWaiting: (nowMs: number) => Map<string, WaitingRequests>,
   isOffered: (model: string) => boolean,
 ): DemandCounter {
   const totals = new Map<string, number>();
@@ -42,5 +46,17 @@
         }),
       );
     },
+    describeStreams: nowMs =>
+      Object.fromEntries(
+        [...describeWaiting(nowMs)]
+          .filter(
+            ([model, {streamsByVersion}]) =>
+              streamsByVersion.size > 0 && isOffered(model),
+          )
+          .map(([model, {streamsByVersion}]) => [
+            model,
+            Object.fromEntries(streamsByVersion),
+          ]),
+      ),
   };
 }
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -1,5 +1,9 @@
 /** Finds upstreams for requests; requests wait for models and adapters. */
-import {SHUTDOWN_RETRY_AFTER_MS, planWait} from '@siskinplank/dispatch';
+import {
+  SHUTDOWN_RETRY_AFTER_MS,
+  mayAwaitVersionLoad,
+  planWait,
+} from '@siskinplank/dispatch';
 import type {
   DispatchPolicy,
   DispatchRequest,
@@ -45,8 +49,11 @@
   backoffs: UpstreamBackoffs;
   failureDomain: string;
   clock: Clock;
-  /** Whether an upstream of the service can be ordered to load the model. */
-  canLoad(service: string, model: string): boolean;
+  /**
+   * Time of a load of the model from the weight store, in milliseconds;
+   * undefined if no upstream of the service can be ordered to load it.
+   */
+  getStoreLoadMs(service: string, model: string): number | undefined;
   /**
    * Loads an adapter. Resolves to the milliseconds until it is ready, or to
    * undefined when it can't be loaded.
@@ -73,10 +80,20 @@
   estimateBackoffMs(
     search: Pick<UpstreamSearch, 'service' | 'model' | 'softwareVersion'>,
   ): number | undefined;
-  /** Waiting requests and the age of the oldest in milliseconds, by model. */
-  describeWaiting(
-    nowMs: number,
-  ): Map<string, {count: number; oldestMs: number}>;
+  /** Waiting requests by model. */
+  describeWaiting(nowMs: number): Map<string, WaitingRequests>;
+}
+
+/** Requests that wait for an upstream with a model. */
+export interface WaitingRequests {
+  count: number;
+  /** Age of the oldest one, in milliseconds. */
+  oldestMs: number;
+  /**
+   * Streams that wait until a load is planned at the software version that
+   * began them, by version.
+   */
+  streamsByVersion: ReadonlyMap<string, number>;
 }
 
 /** Period of trying the waiting searches again without a known change. */
@@ -91,6 +108,8 @@
   /** Whether an adapter is being loaded for it. */
   isLoadingAdapter: boolean;
   isDone: boolean;
+  /** Whether it waits until a load of its model is planned. */
+  needsLoad: boolean;
   adapterTries: number;
   /** Wait for a unit of an upstream's limit. */
   unitWait: {stop(): void; endsAtMs: number} | undefined;
@@ -124,23 +143,22 @@
     );
   };
 
-  /**
-   * Whether a load may be planned for the search. A model that another version
-   * holds is not loaded for streams of one version.
-   */
-  const mayPlanLoad = (
-    {service, softwareVersion}: UpstreamSearch,
-    model: string,
-    nowMs: number,
-  ): boolean =>
-    softwareVersion === undefined ||
-    table
-      .listServiceUpstreams(service)
-      .filter(entry => !entry.isUnreachable(nowMs))
-      .every(
-        ({modelState}) =>
-          !modelState.models.has(model) && modelState.arriving?.model !== model,
-      );
+  /** Whether the search may wait until a load of its model is planned. */
+  const mayAwaitLoad = (search: UpstreamSearch, nowMs: number): boolean => {
+    const {service, model, softwareVersion} = search;
+    if (model === undefined) return false;
+    const storeLoadMs = options.getStoreLoadMs(service, model);
+    if (storeLoadMs === undefined) return false;
+    if (softwareVersion === undefined) return true;
+    return mayAwaitVersionLoad({
+      ...search,
+      model,
+      softwareVersion,
+      entries: table.listServiceUpstreams(service),
+      storeLoadMs,
+      nowMs,
+    });
+  };
 
   /**
    * Earliest time at which an upstream finishes loading the model, or finishes
@@ -330,9 +348,7 @@
         backoffEndMs !== undefined ||
         (search.model !== undefined &&
           !wasSentToAll &&
-          (loadedAtMs !== undefined ||
-            (mayPlanLoad(search, search.model, nowMs) &&
-              options.canLoad(search.service, search.model)))),
+          (loadedAtMs !== undefined || mayAwaitLoad(search, nowMs))),
       nowMs,
     });
     if (decision.isRefused) {
@@ -343,6 +359,7 @@
       refuse(item, decision.retryAfterMs, code);
       return;
     }
+    item.needsLoad = backoffEndMs === undefined && loadedAtMs === undefined;
     startWaiting(item);
   };
 
@@ -366,6 +383,7 @@
         failedUpstreamIds: new Set(),
         isLoadingAdapter: false,
         isDone: false,
+        needsLoad: false,
         adapterTries: 0,
         unitWait: undefined,
       };
@@ -385,13 +403,25 @@
       return ends.length > 0 && leftMs > 0 ? leftMs : undefined;
     },
     describeWaiting: nowMs => {
-      const described = new Map<string, {count: number; oldestMs: number}>();
-      for (const {search} of waiting) {
-        if (search.model === undefined) continue;
-        const known = described.get(search.model) ?? {count: 0, oldestMs: 0};
+      const described = new Map<
+        string,
+        WaitingRequests & {streamsByVersion: Map<string, number>}
+      >();
+      for (const {search, needsLoad} of waiting) {
+        const {model, softwareVersion, arrivedAtMs} = search;
+        if (model === undefined) continue;
+        const known = described.get(model) ?? {
+          count: 0,
+          oldestMs: 0,
+          streamsByVersion: new Map<string, number>(),
+        };
+        described.set(model, known);
         known.count += 1;
-        known.oldestMs = Math.max(known.oldestMs, nowMs - search.arrivedAtMs);
-        described.set(search.model, known);
+        known.oldestMs = Math.max(known.oldestMs, nowMs - arrivedAtMs);
+        if (softwareVersion === undefined || !needsLoad) continue;
+        const {streamsByVersion} = known;
+        const count = streamsByVersion.get(softwareVersion) ?? 0;
+        streamsByVersion.set(softwareVersion, count + 1);
       }
       return described;
     },
--- a/packages/gateway/src/fleet-node.test.ts
+++ b/packages/gateway/src/fleet-node.test.ts
@@ -51,6 +51,7 @@
           isOrdering: index === 0,
           open: {},
           demand: {},
+          waitingStreams: {},
           poolCapacity: 0,
           faults: {},
           leaving: [],
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -19,6 +19,7 @@
   GATEWAY_STARTED,
   GATEWAY_STOPPED,
 } from './events';
+import {findModel} from './find-model';
 import {createFleetNode} from './fleet-node';
 import type {FleetNode} from './fleet-node';
 import {createGatewayMetrics} from './gateway-metrics';
@@ -186,16 +187,10 @@
     policy: createDispatchPolicy(settings.dispatch.policy, random),
     failureDomain: settings.process.failureDomain,
     clock,
-    canLoad: (service, model) => {
-      const engine = configuration
-        .getTable()
-        ?.configuration.services.get(service)?.engine;
-      return (
-        engine?.models.has(model) === true &&
-        !view.isServiceLeaving(service) &&
-        orders.hasOrderLeader(clock.getNowMs())
-      );
-    },
+    getStoreLoadMs: (service, model) =>
+      view.isServiceLeaving(service) || !orders.hasOrderLeader(clock.getNowMs())
+        ? undefined
+        : findModel(configuration.getTable(), service, model)?.storeLoadMs,
     loadAdapter: (upstreamId, model, adapter) =>
       orders.loadAdapter(upstreamId, model, adapter),
     onWaiting: () => {
@@ -249,6 +244,7 @@
       isOrdering: orders.leadership.getTerm() !== undefined,
       open: upstreams.collectLocalLoad(isLeader),
       demand: isLeader ? demand.describe(nowMs) : {},
+      waitingStreams: isLeader ? demand.describeStreams(nowMs) : {},
       ...limits.describe(nowMs),
       faults: upstreams.collectLocalFaults(nowMs),
       leaving: view.listLeaving(nowMs).map(report => [...report]),
--- a/packages/gateway/src/link-keys.test.ts
+++ b/packages/gateway/src/link-keys.test.ts
@@ -71,6 +71,7 @@
         isOrdering: false,
         open: {},
         demand: {},
+        waitingStreams: {},
         poolCapacity: 0,
         faults: {},
         leaving: [],
--- a/packages/gateway/src/odd-entries.test.ts
+++ b/packages/gateway/src/odd-entries.test.ts
@@ -180,6 +180,7 @@
     isOrdering: false,
     open,
     demand: {},
+    waitingStreams: {},
     poolCapacity: 0,
     faults,
     leaving: upstreams.map(({id, startedAtMs}) => [
--- a/packages/gateway/src/order-manager.ts
+++ b/packages/gateway/src/order-manager.ts
@@ -158,6 +158,7 @@
           ]),
           changing: summary.changing,
           changeEndsInMs: summary.changeEndsInMs,
+          warmLoadMs: summary.warmLoadMs && {...summary.warmLoadMs},
         };
       }
     }
@@ -186,6 +187,7 @@
                     ? undefined
                     : nowMs + load.changeEndsInMs,
               },
+        warmLoadMs: new Map(Object.entries(load.warmLoadMs ?? {})),
       });
     }
     options.onModelStateChange();
@@ -197,7 +199,13 @@
     for (const [id, load] of Object.entries(message.loads)) {
       const {startedAtMs, models, changing, changeEndsInMs} = load;
       const isEnding = changeEndsInMs !== undefined;
-      const state = JSON.stringify([startedAtMs, models, changing, isEnding]);
+      const state = JSON.stringify([
+        startedAtMs,
+        models,
+        changing,
+        isEnding,
+        load.warmLoadMs,
+      ]);
       if (sentModelStates.get(id) === state) continue;
       sentModelStates.set(id, state);
       loads[id] = load;
@@ -263,11 +271,13 @@
           gateway: options.ownName,
           incarnation: options.ownIncarnation,
           models: options.demand.describe(nowMs),
+          waitingStreams: options.demand.describeStreams(nowMs),
         },
         ...peers.listResponsive(nowMs).map(({name, incarnation, state}) => ({
           gateway: name,
           incarnation,
           models: state.demand,
+          waitingStreams: state.waitingStreams,
         })),
       ],
       openByModel,
--- a/packages/messages/src/enums.ts
+++ b/packages/messages/src/enums.ts
@@ -1,7 +1,7 @@
 /** Protocol version and enums of the messages. */
 
 /** Version of the protocol; links between different versions are refused. */
-export const PROTOCOL_VERSION = 7;
+export const PROTOCOL_VERSION = 8;
 
 /** Discriminator of each message. */
 export enum MessageType {
--- a/packages/messages/src/gateway.ts
+++ b/packages/messages/src/gateway.ts
@@ -76,6 +76,11 @@
    * an upstream with the model, and the longest wait in milliseconds.
    */
   demand: mapOf(z.tuple([countSchema, countSchema, amountSchema])),
+  /**
+   * By model, and in it by software version: streams that wait for a load of
+   * the model at the version that began them.
+   */
+  waitingStreams: mapOf(mapOf(countSchema)),
   /**
    * Processor time of the sender's host in cores; 0 if it may not pool the
    * tokens of client accounts.
@@ -161,6 +166,8 @@
       /** Model being loaded or unloaded, and the time until that is done. */
       changing: z.string().optional(),
       changeEndsInMs: amountSchema.optional(),
+      /** Load times of models whose weights it has, in milliseconds. */
+      warmLoadMs: mapOf(amountSchema).optional(),
     }),
   ),
   /** Models that no upstream will hold soon, with the time until one may. */
--- a/packages/model-orders/src/demand-tracker.ts
+++ b/packages/model-orders/src/demand-tracker.ts
@@ -15,6 +15,11 @@
   waitingCount: number;
   /** Age of the oldest waiting request, in milliseconds. */
   oldestWaitMs: number;
+  /**
+   * Streams that wait for a load at the software version that began them, by
+   * version; they are among the waiting requests.
+   */
+  waitingByVersion: ReadonlyMap<string, number>;
 }
 
 /** Demand that one gateway reports. */
@@ -26,6 +31,11 @@
    * of the oldest waiting one in milliseconds.
    */
   models: Readonly<Record<string, readonly [number, number, number]>>;
+  /**
+   * By model and by software version: streams that wait for a load at that
+   * version.
+   */
+  waitingStreams: Readonly<Record<string, Readonly<Record<string, number>>>>;
 }
 
 /** Demand for all models. */
@@ -48,6 +58,7 @@
   lastRequestAtMs: number;
   waitingCount: number;
   oldestWaitMs: number;
+  waitingByVersion: Map<string, number>;
 }
 
 /** Time constant of the fast rate, which follows a rise within two seconds. */
@@ -80,6 +91,7 @@
       lastRequestAtMs: nowMs,
       waitingCount: 0,
       oldestWaitMs: 0,
+      waitingByVersion: new Map(),
     };
     states.set(model, state);
     return state;
@@ -113,6 +125,7 @@
       for (const state of states.values()) {
         state.waitingCount = 0;
         state.oldestWaitMs = 0;
+        state.waitingByVersion.clear();
       }
       for (const gateway of gateways) {
         for (const [model, counts] of Object.entries(gateway.models)) {
@@ -123,6 +136,13 @@
           state.waitingCount += waiting;
           state.oldestWaitMs = Math.max(state.oldestWaitMs, oldestMs);
         }
+        for (const [model, counts] of Object.entries(gateway.waitingStreams)) {
+          const {waitingByVersion} = ensureState(model, nowMs);
+          for (const [version, count] of Object.entries(counts)) {
+            const known = waitingByVersion.get(version) ?? 0;
+            waitingByVersion.set(version, known + count);
+          }
+        }
       }
       for (const model of openByModel.keys()) ensureState(model, nowMs);
       for (const [model, state] of states) {
@@ -160,6 +180,7 @@
           averageOpen: state.averageOpen,
           waitingCount: state.waitingCount,
           oldestWaitMs: state.oldestWaitMs,
+          waitingByVersion: new Map(state.waitingByVersion),
         };
       }),
   };
--- a/packages/model-orders/src/placement-controller.test.ts
+++ b/packages/model-orders/src/placement-controller.test.ts
@@ -200,6 +200,7 @@
               averageOpen: 0,
               waitingCount: 1,
               oldestWaitMs: 0,
+              waitingByVersion: new Map(),
             })),
             unreachableIds: new Set(),
             open: new Map(),
--- a/packages/model-orders/src/replica-versions.ts
+++ b/packages/model-orders/src/replica-versions.ts
@@ -14,6 +14,7 @@
 export interface ReplicaVersions {
   /** Adds replicas of a model; `change` may be negative. */
   add(model: string, softwareVersion: string, change: number): void;
+  getCount(model: string, softwareVersion: string): number;
   /** Whether a replica of the model is the only one of its version. */
   hasLone(model: string): boolean;
   /**
@@ -70,6 +71,8 @@
 
   return {
     add,
+    getCount: (model, softwareVersion) =>
+      counts.get(model)?.get(softwareVersion) ?? 0,
     computeLoneFraction,
     hasLone: model => computeLoneFraction(model, 0, '') > 0,
   };
