Stop counting upstreams that have ended, are silent or refuse orders

Cause: an upstream that crashed counted until the store removed its entry, 3 s and more. A load on it counted as a copy that comes for up to three times its duration (3,986 ms of 1,200 expected). What answers at its address was not looked at; reports were not read while a load ran; and an upstream that refused an order was asked again within a second, three times in a row.

Reports are read while a load runs. - After a refused order an upstream gets none for 3 s.

--- a/packages/dispatch/src/upstream-table.test.ts
+++ b/packages/dispatch/src/upstream-table.test.ts
@@ -35,6 +35,30 @@
     expect(table.collectLocalLoad(true)).toEqual({});
   });
 
+  // Guards against requests sent on to an upstream that has said it lacks a model.
+  it('leaves out a model that an upstream lacks until a newer state', () => {
+    const table = createUpstreamTable();
+    const upstream = {
+      ...makeUpstream('u1'),
+      models: ['m', 'n'].map(name => ({name, version: 1, adapters: []})),
+    };
+    const listModels = (): string[] => [
+      ...(table.getEntry('u1')?.modelState.models.keys() ?? []),
+    ];
+    table.setUpstreams([upstream]);
+    table.removeModel({...upstream, startedAtMs: -1}, 'm');
+    expect(listModels()).toEqual(['m', 'n']);
+    table.removeModel(upstream, 'm');
+    table.setUpstreams([upstream]);
+    expect(listModels()).toEqual(['n']);
+    table.setModelState('u1', upstream.startedAtMs, {
+      models: new Map([['m', new Set<string>()]]),
+      arriving: undefined,
+      warmLoadMs: new Map(),
+    });
+    expect(listModels()).toEqual(['m']);
+  });
+
   it.each(INHERITED_NAMES)('reads the state of peers about the id %s', id => {
     const table = createUpstreamTable();
     table.setPeerLoad('peer', {other: {'': [1, 10, 30]}});
--- a/packages/dispatch/src/upstream-table.ts
+++ b/packages/dispatch/src/upstream-table.ts
@@ -68,6 +68,11 @@
   setUpstreams(upstreams: Iterable<Upstream>): void;
   /** Sets a model state that is newer than the upstream's registration. */
   setModelState(id: string, startedAtMs: number, modelState: ModelState): void;
+  /** Removes a model that the upstream says it lacks from its model state. */
+  removeModel(
+    incarnation: Pick<Upstream, 'id' | 'startedAtMs'>,
+    model: string,
+  ): void;
   /** Resets the model state of all upstreams to their registrations. */
   resetModelState(): void;
   setPeerLoad(peer: string, open: OpenLoadByUpstream): void;
@@ -265,6 +270,14 @@
       entry.reportedModelState = modelState;
       entry.modelState = modelState;
     },
+    removeModel: ({id, startedAtMs}, model) => {
+      const entry = entries.get(id);
+      if (entry?.upstream.startedAtMs !== startedAtMs) return;
+      const models = new Map(entry.modelState.models);
+      if (!models.delete(model)) return;
+      entry.modelState = {...entry.modelState, models};
+      entry.reportedModelState = entry.modelState;
+    },
     resetModelState: () => {
       for (const entry of entries.values()) {
         entry.reportedModelState = undefined;
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -75,7 +75,7 @@
 export const UPSTREAM_DECLARED_LEAVING = defineEvent(
   6024,
   LogLevel.Info,
-  'upstream says in its responses that it leaves; sending it no more requests',
+  'upstream leaves or has ended by its responses; sending it no more requests',
 );
 export const UPSTREAM_BACKED_OFF = defineEvent(
   6025,
--- a/packages/gateway/src/gateway-process.ts
+++ b/packages/gateway/src/gateway-process.ts
@@ -8,6 +8,7 @@
 import type {GatewaySettings} from '@siskinplank/settings';
 import {Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
+import {createAnswerObserver} from './answer-observer';
 import {drainCallers, planStop} from './caller-drain';
 import {createCallerListener} from './caller-listener';
 import {createConfigurationReplica} from './configuration-replica';
@@ -126,13 +127,14 @@
   });
   pool.observeReads(() => turns.observe(clock.getNowMs()));
   const backoffs = createUpstreamBackoffs(logger);
-  pool.observeHeads((incarnation, {status, headers}) => {
-    const nowMs = clock.getNowMs();
-    const backoffMs = ports.exchangeFormat.readBackoffMs(status, headers);
-    if (backoffMs !== undefined) backoffs.record(incarnation, backoffMs, nowMs);
-    if (!ports.exchangeFormat.isUpstreamLeaving(headers)) return;
-    const isNew = view.recordDeclared(incarnation, nowMs);
-    if (isNew) fleet.scheduleState();
+  const answers = createAnswerObserver({
+    ports,
+    pool,
+    backoffs,
+    clock,
+    onLeft: (incarnation, nowMs) => {
+      if (view.recordDeclared(incarnation, nowMs)) fleet.scheduleState();
+    },
   });
 
   const applyConfiguration = ({configuration}: RouteTable): void => {
@@ -220,6 +222,7 @@
     listUpstreams: view.listUsable,
     isLeaving: () => isLeaving,
     onModelStateChange: () => dispatcher.retryWaiting(),
+    onUpstreamEnded: answers.recordEnded,
   });
 
   const fleet: FleetNode = createFleetNode({
@@ -358,6 +361,7 @@
     isLeaving: () => isLeaving,
     getShutdown: () => shutdown,
     onArrival: checkPause,
+    onMisdirected: answers.checkMisdirected,
   });
 
   const isReady = (): boolean => {
--- a/packages/gateway/src/order-manager.ts
+++ b/packages/gateway/src/order-manager.ts
@@ -41,6 +41,8 @@
   isLeaving(): boolean;
   /** Called when the model state of upstreams may have changed. */
   onModelStateChange(): void;
+  /** Called when another upstream has the address of this one. */
+  onUpstreamEnded(upstream: Upstream): void;
 }
 
 /** Order lease, placement controllers and model state of one gateway. */
@@ -248,6 +250,7 @@
       holder: options.ownName,
       getToken,
       onFenced: () => leadership.observeToken(leadership.getHighestToken() + 1),
+      onEnded: options.onUpstreamEnded,
       onChange: scheduleModelState,
       openPerCopy: options.openPerCopy,
     });
--- a/packages/gateway/src/request-attempt.ts
+++ b/packages/gateway/src/request-attempt.ts
@@ -60,6 +60,8 @@
           sentAtMs,
           responseClass === ResponseClass.Answer,
         );
+        if (responseClass === ResponseClass.Misdirected)
+          session.recordMisdirected(entry);
         observer.onHead(head, responseClass);
       },
     },
--- a/packages/gateway/src/request-guard.test.ts
+++ b/packages/gateway/src/request-guard.test.ts
@@ -4,7 +4,7 @@
   createManualClock,
   waitForPoll,
 } from '@siskinplank/foundation';
-import {LifeSign} from '@siskinplank/serving';
+import {LifeSign, ReportFailureCode} from '@siskinplank/serving';
 import type {Upstream} from '@siskinplank/serving';
 import {Left} from 'purify-ts';
 import {beforeEach, describe, expect, it} from 'vitest';
@@ -34,7 +34,13 @@
     createRequestGuard({
       upstreams: {recordUnreachable: () => undefined},
       control: {
-        readReport: () => Promise.resolve(Left('plain servers have none')),
+        readReport: () =>
+          Promise.resolve(
+            Left({
+              code: ReportFailureCode.Unreadable,
+              reason: 'plain servers have none',
+            }),
+          ),
         checkLife: () => {
           checkCount += 1;
           return Promise.resolve({sign, reason: ''});
--- a/packages/gateway/src/request-guard.ts
+++ b/packages/gateway/src/request-guard.ts
@@ -236,7 +236,7 @@
       // A report over a connection that was lost as well would prove nothing.
       pool.closeIdle(key);
       const report = await options.control.readReport(upstream);
-      return report.isRight() ? undefined : String(report.extract());
+      return report.swap().toMaybe().extract()?.reason;
     }
     const {sign, reason} = await options.control.checkLife(
       upstream,
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -11,7 +11,11 @@
 import type {ConnectionPool} from '@siskinplank/http-exchange';
 import {RequestKind, canRepeat, isResumingStream} from '@siskinplank/serving';
 import type {LimitReadings} from '@siskinplank/token-shares';
-import type {CallerRequest, ExchangeFormat} from '@siskinplank/serving';
+import type {
+  CallerRequest,
+  ExchangeFormat,
+  Upstream,
+} from '@siskinplank/serving';
 import {countTokens} from './account-limiter';
 import type {AccountLimiter} from './account-limiter';
 import {computeDeadlineAtMs, createAdmission} from './admission';
@@ -41,6 +45,7 @@
 import type {StreamOrigins} from './stream-origins';
 import type {UpstreamBackoffs} from './upstream-backoffs';
 import type {UpstreamLimits} from './upstream-limits';
+import {createUpstreamRecorders} from './upstream-recorders';
 
 /** What `createRequestHandler` needs. */
 export interface RequestHandlerOptions {
@@ -71,6 +76,8 @@
   getShutdown(): ShutdownTimes | undefined;
   /** Called before a request is admitted. */
   onArrival(): void;
+  /** Called when an upstream rejects a request as misdirected. */
+  onMisdirected(upstream: Upstream): void;
 }
 
 /** Serves caller requests. */
@@ -280,15 +287,8 @@
             promptTokens + outputTokens,
           );
         },
-        isUsable: ({upstream}) =>
-          upstreams.getEntry(upstream.id)?.upstream.startedAtMs ===
-            upstream.startedAtMs &&
-          options.backoffs.getEndMs(upstream, clock.getNowMs()) === undefined,
-        recordFault: ({upstream}, weight) =>
-          upstreams.recordFault(upstream.id, weight, clock.getNowMs()),
+        ...createUpstreamRecorders(options, request),
         recordFailover: options.metrics.recordFailover,
-        recordUnreachable: ({upstream}) =>
-          upstreams.recordUnreachable(upstream.id, clock.getNowMs()),
         guard: options.guard,
         limits: options.limits,
         getLastStartAtMs,
--- a/packages/gateway/src/session-types.ts
+++ b/packages/gateway/src/session-types.ts
@@ -87,6 +87,8 @@
   /** Adds to the fault score of an upstream. */
   recordFault(entry: UpstreamEntry, weight: number): void;
   recordUnreachable(entry: UpstreamEntry): void;
+  /** Records that the upstream rejected the request as misdirected. */
+  recordMisdirected(entry: UpstreamEntry): void;
   recordFailover(reason: FailoverReason): void;
   /** Latest time to start the request; undefined unless this gateway drains. */
   getLastStartAtMs(): number | undefined;
--- a/packages/gateway/src/testing/session-bench.ts
+++ b/packages/gateway/src/testing/session-bench.ts
@@ -169,6 +169,7 @@
       }),
       recordFault: () => undefined,
       recordUnreachable: () => undefined,
+      recordMisdirected: () => undefined,
       recordFailover: () => undefined,
       canSpendRetry: () => true,
       trySpendRetry: () => true,
--- a/packages/gateway/src/upstream-view.ts
+++ b/packages/gateway/src/upstream-view.ts
@@ -51,8 +51,9 @@
   /** Records draining or removed upstreams that another gateway reports. */
   recordLeaving(reported: readonly LeavingUpstream[], nowMs: number): void;
   /**
-   * Marks an incarnation that said in a response that it leaves, whatever the
-   * store says of it; false if that is known.
+   * Marks an incarnation that said in a response that it leaves, or whose
+   * address another upstream has, whatever the store says of it; false if that
+   * is known.
    */
   recordDeclared(incarnation: string, nowMs: number): boolean;
 }
--- a/packages/model-orders/src/describe-inventory.ts
+++ b/packages/model-orders/src/describe-inventory.ts
@@ -66,8 +66,12 @@
     }
   }
   const held = [...inventory.models];
+  const isSilent = inventory.isSilent(nowMs);
   const serving = held.filter(
-    ([, {state}]) => state !== ResidencyState.Leaving,
+    ([, {state}]) =>
+      state === ResidencyState.Present ||
+      // A load on a silent upstream may never end.
+      (state === ResidencyState.Arriving && !isSilent),
   );
   const arriving = serving.filter(
     ([, {state, sinceMs}]) =>
@@ -83,8 +87,7 @@
     openByModel,
     inMemory: inventory.inMemory,
     onDisk: inventory.onDisk,
-    canTakeOrder:
-      inventory.isReady() && !inventory.isChanging && inventory.isConfirmed,
+    canTakeOrder: inventory.canTakeOrder(nowMs),
   };
 }
 
@@ -111,9 +114,10 @@
   nowMs: number,
 ): UpstreamSummary {
   const {upstream, models, adapters, report} = inventory;
-  const changing = [...models].find(
-    ([, {state}]) => state === ResidencyState.Arriving,
-  );
+  // A load on a silent upstream may never end, so that nothing waits for it.
+  const changing = inventory.isSilent(nowMs)
+    ? undefined
+    : [...models].find(([, {state}]) => state === ResidencyState.Arriving);
   const endsAtMs = changing?.[1].expectedAtMs;
   const isTimed = endsAtMs !== undefined && Number.isFinite(endsAtMs);
   return {
--- a/packages/model-orders/src/order-sender.ts
+++ b/packages/model-orders/src/order-sender.ts
@@ -1,7 +1,15 @@
 /** Sends one order at a time to each upstream, with retries. */
 import type {Clock, Logger} from '@siskinplank/foundation';
-import {OrderOperation, OrderOutcome} from '@siskinplank/serving';
-import type {UpstreamControl} from '@siskinplank/serving';
+import {
+  OrderOperation,
+  OrderOutcome,
+  ReportFailureCode,
+} from '@siskinplank/serving';
+import type {
+  ReportFailure,
+  Upstream,
+  UpstreamControl,
+} from '@siskinplank/serving';
 import {ORDER_ENDED} from './events';
 import {REPORT_LAG_MS} from './upstream-inventory';
 import type {UpstreamInventory} from './upstream-inventory';
@@ -19,6 +27,8 @@
   isCurrent(inventory: UpstreamInventory): boolean;
   /** Called when an upstream has seen a higher fencing token. */
   onFenced(): void;
+  /** Called when another upstream has the address of this one. */
+  onEnded(upstream: Upstream): void;
 }
 
 /** An order without its sequence number and token. */
@@ -36,8 +46,8 @@
 export interface OrderSender {
   /** Resolves to whether the order was carried out or accepted. */
   send(inventory: UpstreamInventory, request: OrderRequest): Promise<boolean>;
-  /** Reads a report into the inventory; false if reading failed. */
-  refresh(inventory: UpstreamInventory): Promise<boolean>;
+  /** Reads a report into the inventory; resolves to why it failed, if it did. */
+  refresh(inventory: UpstreamInventory): Promise<ReportFailure | undefined>;
 }
 
 /** Delay before the first retry of an order; doubles with each retry. */
@@ -56,11 +66,22 @@
   /** Last order to each upstream; the next one waits for its end. */
   const lastOrders = new WeakMap<UpstreamInventory, Promise<unknown>>();
 
-  const refresh = async (inventory: UpstreamInventory): Promise<boolean> => {
+  const refresh: OrderSender['refresh'] = async inventory => {
     const requestedAtMs = clock.getNowMs();
     const read = await control.readReport(inventory.upstream);
-    read.ifRight(report => inventory.applyReport(report, requestedAtMs));
-    return read.isRight();
+    read.caseOf({
+      Left: ({code}) => {
+        const isConnected = code !== ReportFailureCode.NotConnected;
+        inventory.recordUnanswered(requestedAtMs, isConnected);
+        if (code === ReportFailureCode.OtherUpstream)
+          options.onEnded(inventory.upstream);
+      },
+      Right: report => {
+        inventory.recordAnswered();
+        inventory.applyReport(report, requestedAtMs);
+      },
+    });
+    return read.swap().toMaybe().extract();
   };
 
   /**
@@ -99,6 +120,9 @@
       token,
     });
     inventory.lastOrderAtMs = clock.getNowMs();
+    if (outcome === OrderOutcome.NoAnswer)
+      inventory.recordUnanswered(sentAtMs, true);
+    else inventory.recordAnswered();
     logger.log(ORDER_ENDED, {
       upstream: inventory.upstream.id,
       operation: request.operation,
@@ -158,6 +182,7 @@
           retryDelayMs *= 2;
           break;
         default:
+          inventory.recordRefused(clock.getNowMs());
           markUnconfirmed(inventory);
           return false;
       }
--- a/packages/model-orders/src/placement-controller.test.ts
+++ b/packages/model-orders/src/placement-controller.test.ts
@@ -4,17 +4,19 @@
   LifeSign,
   OrderOperation,
   OrderOutcome,
+  ReportFailureCode,
   UpstreamControl,
   UpstreamState,
 } from '@siskinplank/serving';
 import type {
   EngineSpec,
   LifeCheck,
+  ReportFailure,
   Upstream,
   UpstreamOrder,
   UpstreamReport,
 } from '@siskinplank/serving';
-import {Right} from 'purify-ts';
+import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
 import {describe, expect, it} from 'vitest';
 import {createPlacementController} from './placement-controller';
@@ -56,6 +58,8 @@
   /** Outcomes to return instead of executing the next orders. */
   readonly scriptedOutcomes: OrderOutcome[] = [];
   crashed = false;
+  /** Why reports fail and orders get no response; undefined if they do not. */
+  failure: ReportFailureCode | undefined;
   private arriving: {model: string; dueMs: number} | undefined;
   private readonly history: Array<{atMs: number; report: UpstreamReport}> = [];
 
@@ -65,6 +69,8 @@
 
   sendOrder(_upstream: Upstream, order: UpstreamOrder): Promise<OrderOutcome> {
     this.orders.push(order);
+    if (this.failure !== undefined)
+      return Promise.resolve(OrderOutcome.NoAnswer);
     const scripted = this.scriptedOutcomes.shift();
     if (scripted !== undefined) return Promise.resolve(scripted);
     return Promise.resolve(this.executeOrder(order));
@@ -74,7 +80,9 @@
     return Promise.resolve({sign: LifeSign.Alive, reason: ''});
   }
 
-  readReport(): Promise<Either<string, UpstreamReport>> {
+  readReport(): Promise<Either<ReportFailure, UpstreamReport>> {
+    if (this.failure !== undefined)
+      return Promise.resolve(Left({code: this.failure, reason: ''}));
     this.recordReport();
     const latestMs = this.clock.getNowMs() - REPORT_LAG_MS;
     const known = this.history.filter(({atMs}) => atMs <= latestMs).at(-1);
@@ -145,6 +153,8 @@
   clock: ManualClock;
   fake: FakeUpstream;
   controller: PlacementController;
+  /** Upstreams whose addresses others have. */
+  ended: string[];
   run(
     durationMs: number,
     waiting?: readonly string[],
@@ -173,6 +183,7 @@
     remainingMs: undefined,
   };
   let upstreams: readonly Upstream[] = [upstream];
+  const ended: string[] = [];
   const controller = createPlacementController({
     control: fake,
     clock,
@@ -180,6 +191,7 @@
     holder: 'gateway-a',
     getToken: () => 1,
     onFenced: () => undefined,
+    onEnded: ({id}) => ended.push(id),
     onChange: () => undefined,
     openPerCopy: 8,
   });
@@ -187,6 +199,7 @@
     clock,
     fake,
     controller,
+    ended,
     run: async (durationMs, waiting = [], specs = ENGINE.models) => {
       const endMs = clock.getNowMs() + durationMs;
       while (clock.getNowMs() < endMs) {
@@ -306,4 +319,25 @@
       .map(({adapter}) => adapter);
     expect(loaded.filter(adapter => adapter === 'a1')).toHaveLength(1);
   });
+
+  // Guards against a model that waits since a leaving upstream is asked again and again.
+  it('sends no further order at once to an upstream that refused one', async () => {
+    const {fake, run} = createHarness(['a', 'b']);
+    await run(2_000);
+    fake.scriptedOutcomes.push(OrderOutcome.Refused);
+    await run(2_500, ['c']);
+    expect(fake.orders).toHaveLength(1);
+    await run(4_000, ['c']);
+    expect(fake.models.has('c')).toBe(true);
+  });
+
+  // Guards against orders to an upstream that has crashed and is still listed.
+  it('reports an upstream whose address another one has', async () => {
+    const {ended, fake, run} = createHarness(['a']);
+    await run(2_000);
+    expect(ended).toEqual([]);
+    fake.failure = ReportFailureCode.OtherUpstream;
+    await run(1_500);
+    expect(new Set(ended)).toEqual(new Set(['u1']));
+  });
 });
--- a/packages/model-orders/src/placement-controller.ts
+++ b/packages/model-orders/src/placement-controller.ts
@@ -38,6 +38,8 @@
   getToken(nowMs: number): number | undefined;
   /** Called when an upstream has seen a higher fencing token. */
   onFenced(): void;
+  /** Called when another upstream has the address of this one. */
+  onEnded(upstream: Upstream): void;
   /** Called when the inventory of an upstream has changed. */
   onChange(): void;
   /** Open requests that one replica of a model serves without slowing down. */
@@ -151,13 +153,13 @@
     if (reading.has(inventory)) return;
     reading.add(inventory);
     const {id} = inventory.upstream;
-    const isRead = await sender.refresh(inventory);
+    const failure = await sender.refresh(inventory);
     reading.delete(inventory);
-    if (isRead && failingIds.delete(id))
+    if (failure === undefined && failingIds.delete(id))
       logger.log(REPORT_RECOVERED, {upstream: id});
-    if (!isRead && !failingIds.has(id)) {
+    if (failure !== undefined && !failingIds.has(id)) {
       failingIds.add(id);
-      logger.log(REPORT_FAILED, {upstream: id});
+      logger.log(REPORT_FAILED, {upstream: id, reason: failure.reason});
     }
     options.onChange();
   };
@@ -179,7 +181,13 @@
     loadMs: number,
   ): Promise<boolean> => {
     const startedAtMs = clock.getNowMs();
-    await clock.waitMs(loadMs);
+    const dueAtMs = startedAtMs + loadMs;
+    while (dueAtMs - clock.getNowMs() > REPORT_PERIOD_MS) {
+      await clock.waitMs(REPORT_PERIOD_MS);
+      if (inventories.get(inventory.upstream.id) !== inventory) return false;
+      await sender.refresh(inventory);
+    }
+    await clock.waitMs(Math.max(0, dueAtMs - clock.getNowMs()));
     const endsAtMs =
       startedAtMs + loadMs * LOAD_TIMEOUT_FACTOR + COMPLETION_POLL_MS;
     while (clock.getNowMs() < endsAtMs) {
@@ -296,12 +304,16 @@
   ): void => {
     if (options.getToken(nowMs) === undefined) return;
     const {engine} = input;
+    const ready = [...inventories.values()].filter(inventory =>
+      inventory.isReady(),
+    );
+    const silentIds = ready
+      .filter(inventory => inventory.isSilent(nowMs))
+      .map(({upstream}) => upstream.id);
     const changes = planPlacementChanges({
       upstreams: filterReachable(
-        [...inventories.values()]
-          .filter(inventory => inventory.isReady())
-          .map(inventory => describeInventory(inventory, input, nowMs)),
-        input.unreachableIds,
+        ready.map(inventory => describeInventory(inventory, input, nowMs)),
+        new Set([...input.unreachableIds, ...silentIds]),
       ),
       models: engine.models,
       demand: input.demand,
--- a/packages/model-orders/src/plan-placement-changes.ts
+++ b/packages/model-orders/src/plan-placement-changes.ts
@@ -131,9 +131,9 @@
 }
 
 /**
- * Leaves out upstreams that refuse connections, so that their models count as
- * lost while two software versions serve. With one version, their streams go on
- * elsewhere, and they may be back before a load ends.
+ * Leaves out upstreams that refuse connections or are silent, so that their
+ * models count as lost while two software versions serve. With one version,
+ * their streams go on elsewhere, and they may be back before a load ends.
  */
 export function filterReachable(
   upstreams: readonly PlannedUpstream[],
--- a/packages/model-orders/src/upstream-inventory.ts
+++ b/packages/model-orders/src/upstream-inventory.ts
@@ -51,6 +51,21 @@
    * a failed order.
    */
   isConfirmed: boolean;
+  /**
+   * Records that an order or a report got no response, or that no connection
+   * was accepted for it.
+   */
+  recordUnanswered(requestedAtMs: number, isConnected: boolean): void;
+  recordAnswered(): void;
+  /**
+   * Whether it accepts no connections, or has been silent for longer than a
+   * sound upstream may be.
+   */
+  isSilent(nowMs: number): boolean;
+  /** Records that it refused an order, as upstreams do that leave. */
+  recordRefused(nowMs: number): void;
+  /** Whether it may carry an order out now. */
+  canTakeOrder(nowMs: number): boolean;
   /** Applies a newer registration of the same incarnation. */
   applyRegistration(upstream: Upstream, nowMs: number): void;
   /** Applies a report that was requested at `requestedAtMs`. */
@@ -73,6 +88,10 @@
   isReady(): boolean;
 }
 
+/** A sound upstream may fall silent for about this long and go on. */
+const MAX_SOUND_SILENCE_MS = 1_000;
+/** Time without orders after a refused one. */
+const REFUSED_ORDER_PAUSE_MS = 3_000;
 /** Maximum age of the data in a report, in milliseconds. */
 export const REPORT_LAG_MS = 500;
 
@@ -87,6 +106,9 @@
    * displaced; -Infinity once such a report was applied.
    */
   let copiesValidFromMs = -Infinity;
+  /** First request without a response since the last response. */
+  let unansweredSinceMs: number | undefined;
+  let refusedAtMs = -Infinity;
   const models = new Map<string, Residency>();
   const adapters = new Map<string, Residency & {lastUsedAtMs: number}>();
 
@@ -140,6 +162,24 @@
     reportAtMs: -Infinity,
     isChanging: false,
     isConfirmed: false,
+    recordUnanswered: (requestedAtMs, isConnected) => {
+      unansweredSinceMs ??= requestedAtMs;
+      if (!isConnected) unansweredSinceMs = -Infinity;
+    },
+    recordAnswered: () => {
+      unansweredSinceMs = undefined;
+    },
+    isSilent: atMs =>
+      unansweredSinceMs !== undefined &&
+      atMs - unansweredSinceMs >= MAX_SOUND_SILENCE_MS,
+    recordRefused: atMs => {
+      refusedAtMs = atMs;
+    },
+    canTakeOrder: atMs =>
+      inventory.isReady() &&
+      !inventory.isChanging &&
+      inventory.isConfirmed &&
+      atMs - refusedAtMs >= REFUSED_ORDER_PAUSE_MS,
     applyRegistration: next => {
       upstream = next;
     },
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -117,6 +117,22 @@
   reason: string;
 }
 
+/** Why a report was not read. */
+export enum ReportFailureCode {
+  /** Another upstream has the address, so that the asked one has ended. */
+  OtherUpstream = 'other-upstream',
+  /** It accepts no connection. */
+  NotConnected = 'not-connected',
+  /** No report was received, or it can't be decoded. */
+  Unreadable = 'unreadable',
+}
+
+/** A report that was not read. */
+export interface ReportFailure {
+  code: ReportFailureCode;
+  reason: string;
+}
+
 /** Sends orders to upstreams and reads their reports. */
 export abstract class UpstreamControl {
   abstract sendOrder(
@@ -124,10 +140,9 @@
     order: UpstreamOrder,
   ): Promise<OrderOutcome>;
 
-  /** Reads the report of an upstream; Left holds the reason on error. */
   abstract readReport(
     upstream: Upstream,
-  ): Promise<Either<string, UpstreamReport>>;
+  ): Promise<Either<ReportFailure, UpstreamReport>>;
 
   /** Checks whether an upstream still runs, over a connection of its own. */
   abstract checkLife(
