Let kept upstreams take lost models and second replicas

Found by the review of the loads at the version of waiting streams; callers would have seen 503s for a model for as long as two versions serve.

- With lone models on all upstreams, each was kept for its streams, so that a model without any replica was loaded nowhere, and no second replica ended the risk.
A lost model uses kept upstreams if there are no others, and a model that is alone at a version may get its second replica there.
- Streams waited for loads that end after their callers have left if no upstream had the model, and such loads were planned.
Both are left out.
- Counts of waiting streams may be older than the load that ended their wait: no load is planned at a version that holds the model.
- The cost of an eviction did not count several missing replicas, so that an idle replica of one such model gave way to another one.

The test of kept upstreams leaves out the second replica of the model at risk, which is the useful load.

--- a/packages/dispatch/src/version-load.ts
+++ b/packages/dispatch/src/version-load.ts
@@ -31,8 +31,11 @@
     modelState.arriving?.model === model;
   const isHolder = ({modelState}: UpstreamEntry): boolean =>
     modelState.models.has(model);
-  if (!reachable.some(entry => isHolder(entry) || isArriving(entry)))
-    return true;
+  const isOneVersion = input.entries.every(
+    ({upstream}) => upstream.softwareVersion === softwareVersion,
+  );
+  if (isOneVersion)
+    return !reachable.some(entry => isHolder(entry) || isArriving(entry));
   const ofVersion = reachable.filter(
     ({upstream}) => upstream.softwareVersion === softwareVersion,
   );
--- a/packages/model-orders/src/describe-inventory.ts
+++ b/packages/model-orders/src/describe-inventory.ts
@@ -23,9 +23,6 @@
   warmLoadMs: Readonly<Record<string, number>> | undefined;
 }
 
-/** Time in which all gateways learn that a model is present. */
-const ARRIVAL_NOTICE_MS = 500;
-
 /** Estimates the time of a load, by where the upstream has the weights. */
 export function estimateLoadMs(
   {inMemory, onDisk}: Pick<UpstreamInventory, 'inMemory' | 'onDisk'>,
@@ -73,17 +70,12 @@
       // A load on a silent upstream may never end.
       (state === ResidencyState.Arriving && !isSilent),
   );
-  const arriving = serving.filter(
-    ([, {state, sinceMs}]) =>
-      state === ResidencyState.Arriving || nowMs - sinceMs < ARRIVAL_NOTICE_MS,
-  );
   return {
     id: inventory.upstream.id,
     softwareVersion: inventory.upstream.softwareVersion,
     capacityMb: engine.weightsMb - engine.adapterSlots * largestAdapterMb,
     models: new Set(inventory.models.keys()),
     serving: new Set(serving.map(([model]) => model)),
-    arriving: new Set(arriving.map(([model]) => model)),
     openByModel,
     inMemory: inventory.inMemory,
     onDisk: inventory.onDisk,
--- a/packages/model-orders/src/plan-by-version.test.ts
+++ b/packages/model-orders/src/plan-by-version.test.ts
@@ -175,7 +175,7 @@
         load: 'hot',
       });
     }
-    const arriving = {...upstreams[1], arriving: new Set(['hot'])};
+    const arriving = {...upstreams[1], serving: new Set(['hot', 'idle'])};
     const planned = plan({upstreams: [upstreams[0], arriving], demand});
     expect(planned.filter(({load}) => load === 'hot')).toEqual([]);
   });
@@ -197,7 +197,9 @@
       makeDemand('small', {requestsPerSecond: 1, waitingCount: 3}),
     ];
     const listTargets = (planned: readonly PlannedUpstream[]): string[] =>
-      plan({upstreams: planned, demand}).map(({upstream}) => upstream);
+      plan({upstreams: planned, demand})
+        .filter(({load}) => load !== 'hot')
+        .map(({upstream}) => upstream);
     expect(listTargets(upstreams)).not.toContain('b');
     const another = makeUpstream('e', [], OLD);
     expect(listTargets([...upstreams, another])).toHaveLength(2);
@@ -254,4 +256,87 @@
     });
     expect(changes).toEqual([]);
   });
+
+  // Guards against requests for a model that no upstream holds and none may load.
+  it('loads a lost model though each upstream is kept for streams', () => {
+    const models = makeModels({one: BIG_MB, two: BIG_MB, lost: BIG_MB});
+    const open = (model: string) => ({openByModel: new Map([[model, 1]])});
+    for (const isReleaseRunning of [true, false]) {
+      const changes = plan({
+        isReleaseRunning,
+        models,
+        upstreams: [
+          makeUpstream('a', ['one'], {...OLD, ...open('one')}),
+          makeUpstream('b', ['two'], {...OLD, ...open('two')}),
+          makeUpstream('c', ['one'], {...NEW, ...open('one')}),
+          makeUpstream('d', ['two'], {...NEW, ...open('two')}),
+        ],
+        demand: [
+          makeDemand('one', {requestsPerSecond: 1, averageOpen: 2}),
+          makeDemand('two', {requestsPerSecond: 1, averageOpen: 2}),
+          makeDemand('lost', {requestsPerSecond: 20, waitingCount: 30}),
+        ],
+      });
+      expect(changes).toContainEqual(expect.objectContaining({load: 'lost'}));
+    }
+  });
+
+  // Guards against a risk that is kept by the upstream that could end it.
+  it('adds the second replica at a version on the upstream that is kept for it', () => {
+    const changes = plan({
+      models: makeModels({hot: BIG_MB}),
+      upstreams: [
+        makeUpstream('a', ['hot'], {
+          ...OLD,
+          openByModel: new Map([['hot', 20]]),
+        }),
+        makeUpstream('b', [], OLD),
+        makeUpstream('c', ['hot'], {
+          ...NEW,
+          openByModel: new Map([['hot', 20]]),
+        }),
+        makeUpstream('d', [], NEW),
+      ],
+      demand: [makeDemand('hot', {requestsPerSecond: 10, averageOpen: 40})],
+    });
+    expect(changes.map(({load}) => load)).toContain('hot');
+  });
+
+  // Guards against loads at a leaving version that end after callers have left.
+  it('plans no load for waiting streams that would end too late', () => {
+    const models = makeModels({hot: BIG_MB});
+    const slow = {...(models.get('hot') as ModelSpec), storeLoadMs: 8_600};
+    const changes = plan({
+      isReleaseRunning: true,
+      models: new Map([['hot', slow]]),
+      upstreams: [
+        makeUpstream('a', [], OLD),
+        makeUpstream('b', [], {...NEW, inMemory: new Set(['hot'])}),
+      ],
+      demand: [
+        makeDemand('hot', {
+          requestsPerSecond: 5,
+          averageOpen: 10,
+          waitingCount: 10,
+          waitingByVersion: new Map([['1', 3]]),
+        }),
+      ],
+    });
+    expect(changes).toMatchObject([{upstream: 'b', load: 'hot'}]);
+  });
+
+  // Guards against a further load per period for counts that are out of date.
+  it('plans no load for waiting streams at a version that holds the model', () => {
+    const changes = plan({
+      isReleaseRunning: true,
+      models: makeModels({hot: BIG_MB}),
+      upstreams: [
+        makeUpstream('a', ['hot'], OLD),
+        makeUpstream('b', [], OLD),
+        makeUpstream('c', ['hot'], NEW),
+      ],
+      demand: [makeDemand('hot', {waitingByVersion: new Map([['1', 3]])})],
+    });
+    expect(changes).toEqual([]);
+  });
 });
--- a/packages/model-orders/src/plan-placement-changes.test.ts
+++ b/packages/model-orders/src/plan-placement-changes.test.ts
@@ -133,4 +133,27 @@
     });
     expect(changes[0]).toMatchObject({upstream: 'b', isStoreLoad: false});
   });
+
+  // Guards against replicas that are evicted by turns before they are used.
+  it('does not evict an idle replica of a model that lacks several', () => {
+    const models = makeModels({one: BIG_MB, two: BIG_MB});
+    const changes = plan({
+      models,
+      upstreams: [
+        makeUpstream('a', ['one'], {
+          capacityMb: 40_000,
+          openByModel: new Map([['one', 48]]),
+        }),
+        makeUpstream('b', ['two'], {
+          capacityMb: 40_000,
+          openByModel: new Map([['two', 48]]),
+        }),
+        makeUpstream('c', ['one'], {capacityMb: 40_000}),
+      ],
+      demand: ['one', 'two'].map(name =>
+        makeDemand(name, {requestsPerSecond: 5, averageOpen: 48}),
+      ),
+    });
+    expect(changes).toEqual([]);
+  });
 });
--- a/packages/model-orders/src/plan-placement-changes.ts
+++ b/packages/model-orders/src/plan-placement-changes.ts
@@ -19,11 +19,6 @@
   models: ReadonlySet<string>;
   /** Models that are present or being loaded. */
   serving: ReadonlySet<string>;
-  /**
-   * Models that are being loaded, or were a moment ago, so that gateways may not
-   * know yet that they are present.
-   */
-  arriving: ReadonlySet<string>;
   /** Open requests at this upstream, by model. */
   openByModel: ReadonlyMap<string, number>;
   /** Models whose weights need no load from the weight store. */
@@ -159,6 +154,10 @@
   models,
   upstreams,
 }: PlanInput): WaitingStreams[] {
+  const isOneVersion = upstreams.every(
+    ({softwareVersion}) => softwareVersion === upstreams[0].softwareVersion,
+  );
+  if (isOneVersion) return [];
   return demand
     .flatMap(({model: name, waitingByVersion}) => {
       const model = models.get(name);
@@ -169,13 +168,16 @@
         count,
       }));
     })
-    .filter(({model, softwareVersion}) =>
-      upstreams.every(
-        upstream =>
-          upstream.softwareVersion !== softwareVersion ||
-          !upstream.arriving.has(model.name),
-      ),
-    )
+    .filter(({model, softwareVersion}) => {
+      const ofVersion = upstreams.filter(
+        upstream => upstream.softwareVersion === softwareVersion,
+      );
+      const hasCopy = ofVersion.some(({serving}) => serving.has(model.name));
+      const canEndInTime = ofVersion.some(
+        upstream => estimateLoadMs(upstream, model) <= RESUME_WAIT_MS,
+      );
+      return canEndInTime && !hasCopy;
+    })
     .sort((left, right) => right.count - left.count);
 }
 
@@ -269,6 +271,21 @@
     return averageOpen + waitingCount;
   };
 
+  /**
+   * Estimates the gain of a further replica. The first of several replicas that
+   * a model needs may change nothing by itself, so each counts for its part.
+   */
+  const estimateReplicaGain = (model: string, count: number): number => {
+    const degradedRate = estimateDegradedRate(model, count);
+    const gains = Array.from({length: MAX_NEEDED_REPLICAS}, (_, index) => {
+      const added = index + 1;
+      return (
+        (degradedRate - estimateDegradedRate(model, count + added)) / added
+      );
+    });
+    return Math.max(...gains) * HORIZON_SECONDS;
+  };
+
   const computeEvictionCost = (
     upstream: PlannedUpstream,
     model: string,
@@ -279,10 +296,14 @@
     const degradedRate =
       estimateDegradedRate(model, count - 1) -
       estimateDegradedRate(model, count);
+    const lostGain = Math.max(
+      degradedRate * HORIZON_SECONDS,
+      estimateReplicaGain(model, count - 1),
+    );
     const riskCost =
       estimateRiskCost(model, -1, upstream) -
       estimateRiskCost(model, 0, upstream);
-    return degradedRate * HORIZON_SECONDS + Math.max(0, riskCost);
+    return lostGain + Math.max(0, riskCost);
   };
 
   /**
@@ -340,10 +361,14 @@
   const scoreUpstream = (
     upstream: PlannedUpstream,
     model: ModelSpec,
-    isForStreams: boolean,
+    mayUseKept: boolean,
   ): Candidate | undefined => {
     if (!isFree(upstream)) return undefined;
-    if (!isForStreams && isKept(upstream)) return undefined;
+    // A second replica at the version ends the risk that it is kept for.
+    const isSecond =
+      isAtRisk(model.name) &&
+      replicaVersions.getCount(model.name, upstream.softwareVersion) === 1;
+    if (!mayUseKept && !isSecond && isKept(upstream)) return undefined;
     if (upstream.models.has(model.name)) return undefined;
     const isStoreLoad =
       !upstream.inMemory.has(model.name) && !upstream.onDisk.has(model.name);
@@ -386,21 +411,24 @@
     const isUrgent = gain > 0 && (isLost || streamVersion !== undefined);
     const isWorthwhile = ({riskGain, cost, evict}: Candidate): boolean =>
       gain + riskGain - cost > 0 || (isUrgent && evict.length === 0);
-    const best = upstreams
-      .filter(
-        ({softwareVersion}) =>
-          streamVersion === undefined || softwareVersion === streamVersion,
-      )
-      .map(upstream =>
-        scoreUpstream(upstream, model, streamVersion !== undefined),
-      )
-      .filter(candidate => candidate !== undefined)
-      .filter(isWorthwhile)
-      .sort(
-        (left, right) =>
-          left.cost + left.riskCost - right.cost - right.riskCost,
-      )
-      .at(0);
+    const chooseBest = (mayUseKept: boolean): Candidate | undefined =>
+      upstreams
+        .filter(
+          ({softwareVersion}) =>
+            streamVersion === undefined || softwareVersion === streamVersion,
+        )
+        .map(upstream => scoreUpstream(upstream, model, mayUseKept))
+        .filter(candidate => candidate !== undefined)
+        .filter(isWorthwhile)
+        .sort(
+          (left, right) =>
+            left.cost + left.riskCost - right.cost - right.riskCost,
+        )
+        .at(0);
+    const isForStreams = streamVersion !== undefined;
+    const best =
+      chooseBest(isForStreams) ??
+      (isLost && !isForStreams ? chooseBest(true) : undefined);
     if (best === undefined) return undefined;
     usedUpstreams.add(best.upstream.id);
     if (best.isStoreLoad) storeLoadsLeft -= 1;
@@ -427,24 +455,11 @@
     const change = planModel(model, gain, softwareVersion);
     if (change !== undefined) changes.push(change);
   }
-  /**
-   * Estimates the gain of a further replica. The first of several replicas that
-   * a model needs may change nothing by itself, so each counts for its part.
-   */
-  const estimateReplicaGain = (model: string): number => {
-    const count = replicaCounts.get(model) ?? 0;
-    const degradedRate = estimateDegradedRate(model, count);
-    const gains = Array.from({length: MAX_NEEDED_REPLICAS}, (_, index) => {
-      const added = index + 1;
-      return (
-        (degradedRate - estimateDegradedRate(model, count + added)) / added
-      );
-    });
-    return Math.max(...gains) * HORIZON_SECONDS;
-  };
-
   const modelsByGain = [...models.values()]
-    .map(model => ({model, gain: estimateReplicaGain(model.name)}))
+    .map(model => {
+      const count = replicaCounts.get(model.name) ?? 0;
+      return {model, gain: estimateReplicaGain(model.name, count)};
+    })
     .filter(
       ({model, gain}) =>
         gain > 0 ||
--- a/packages/model-orders/src/testing/plan-input.ts
+++ b/packages/model-orders/src/testing/plan-input.ts
@@ -39,7 +39,6 @@
     capacityMb: 83_000,
     models: new Set(models),
     serving: new Set(models),
-    arriving: new Set(),
     openByModel: new Map(),
     inMemory: new Set(),
     onDisk: new Set(),
