--- a/packages/dispatch/src/policies.test.ts
+++ b/packages/dispatch/src/policies.test.ts
@@ -97,6 +97,7 @@
       models: new Map([['m', new Set(['a2'])]]),
       arriving: {model: 'n', expectedAtMs: undefined},
       warmLoadMs: new Map(),
+      receivedAtMs: 0,
     });
     expect(choose(table, ESTIMATED_LATENCY, {adapter: 'a1'})).toBeUndefined();
     expect(choose(table, ESTIMATED_LATENCY, {adapter: 'a2'})).toBe('u1');
--- a/packages/dispatch/src/upstream-table.test.ts
+++ b/packages/dispatch/src/upstream-table.test.ts
@@ -46,17 +46,21 @@
       ...(table.getEntry('u1')?.modelState.models.keys() ?? []),
     ];
     table.setUpstreams([upstream]);
-    table.removeModel({...upstream, startedAtMs: -1}, 'm');
+    table.removeModel({...upstream, startedAtMs: -1}, 'm', 0);
     expect(listModels()).toEqual(['m', 'n']);
-    table.removeModel(upstream, 'm');
+    table.removeModel(upstream, 'm', 0);
     table.setUpstreams([upstream]);
     expect(listModels()).toEqual(['n']);
     table.setModelState('u1', upstream.startedAtMs, {
       models: new Map([['m', new Set<string>()]]),
       arriving: undefined,
       warmLoadMs: new Map(),
+      receivedAtMs: 0,
     });
     expect(listModels()).toEqual(['m']);
+    // The answer to a request that was sent before the state was received.
+    table.removeModel(upstream, 'm', -1);
+    expect(listModels()).toEqual(['m']);
   });
 
   it.each(INHERITED_NAMES)('reads the state of peers about the id %s', id => {
--- a/packages/dispatch/src/upstream-table.ts
+++ b/packages/dispatch/src/upstream-table.ts
@@ -30,6 +30,8 @@
    * milliseconds; empty while the service has one software version.
    */
   warmLoadMs: ReadonlyMap<string, number>;
+  /** When it was received; -Infinity if it is that of the registration. */
+  receivedAtMs: number;
 }
 
 /** An upstream with its observed state. */
@@ -68,10 +70,14 @@
   setUpstreams(upstreams: Iterable<Upstream>): void;
   /** Sets a model state that is newer than the upstream's registration. */
   setModelState(id: string, startedAtMs: number, modelState: ModelState): void;
-  /** Removes a model that the upstream says it lacks from its model state. */
+  /**
+   * Removes a model that the upstream lacked at `askedAtMs` from its model state,
+   * unless that is newer.
+   */
   removeModel(
     incarnation: Pick<Upstream, 'id' | 'startedAtMs'>,
     model: string,
+    askedAtMs: number,
   ): void;
   /** Resets the model state of all upstreams to their registrations. */
   resetModelState(): void;
@@ -171,6 +177,7 @@
     ),
     arriving: undefined,
     warmLoadMs: new Map(),
+    receivedAtMs: -Infinity,
   };
 }
 
@@ -270,9 +277,10 @@
       entry.reportedModelState = modelState;
       entry.modelState = modelState;
     },
-    removeModel: ({id, startedAtMs}, model) => {
+    removeModel: ({id, startedAtMs}, model, askedAtMs) => {
       const entry = entries.get(id);
       if (entry?.upstream.startedAtMs !== startedAtMs) return;
+      if (entry.modelState.receivedAtMs > askedAtMs) return;
       const models = new Map(entry.modelState.models);
       if (!models.delete(model)) return;
       entry.modelState = {...entry.modelState, models};
--- a/packages/gateway/src/answer-observer.test.ts
+++ b/packages/gateway/src/answer-observer.test.ts
@@ -33,7 +33,7 @@
 describe('upstreams that reject requests as misdirected', () => {
   const check = async (
     code: ReportFailureCode,
-    upstream: Upstream,
+    hasModel = true,
   ): Promise<{left: string[]; readCount: number}> => {
     const left: string[] = [];
     let readCount = 0;
@@ -54,7 +54,7 @@
       onLeft: incarnation => left.push(incarnation),
     });
     for (let count = 0; count < 20; count += 1) {
-      observer.checkMisdirected(upstream);
+      observer.checkMisdirected(ENGINE, hasModel);
     }
     for (let turn = 0; turn < 20; turn += 1) await Promise.resolve();
     return {left, readCount};
@@ -62,23 +62,19 @@
 
   // Guards against requests sent on to a crashed upstream that the store lists.
   it('have ended if another upstream answers at their address', async () => {
-    const {left, readCount} = await check(
-      ReportFailureCode.OtherUpstream,
-      ENGINE,
-    );
+    const {left, readCount} = await check(ReportFailureCode.OtherUpstream);
     expect(left).toEqual([formatIncarnation(ENGINE)]);
     expect(readCount).toBe(1);
   });
 
   it('stay in use if they only lack the model', async () => {
-    const {left} = await check(ReportFailureCode.Unreadable, ENGINE);
+    const {left} = await check(ReportFailureCode.Unreadable);
     expect(left).toEqual([]);
   });
 
-  it('have ended if they serve no models', async () => {
-    const plain = {...ENGINE, models: undefined};
-    const {left, readCount} = await check(ReportFailureCode.Unreadable, plain);
-    expect(new Set(left)).toEqual(new Set([formatIncarnation(plain)]));
+  it('have ended if the request names no model', async () => {
+    const {left, readCount} = await check(ReportFailureCode.Unreadable, false);
+    expect(new Set(left)).toEqual(new Set([formatIncarnation(ENGINE)]));
     expect(readCount).toBe(0);
   });
 });
--- a/packages/gateway/src/answer-observer.ts
+++ b/packages/gateway/src/answer-observer.ts
@@ -22,8 +22,12 @@
 
 /** What answers say of the upstreams themselves. */
 export interface AnswerObserver {
-  /** Checks whether an upstream that rejected a request as misdirected ended. */
-  checkMisdirected(upstream: Upstream): void;
+  /**
+   * Checks whether an upstream ended that rejected a request as misdirected.
+   *
+   * @param hasModel whether the request named a model, which it may lack.
+   */
+  checkMisdirected(upstream: Upstream, hasModel: boolean): void;
   /** Records that another upstream has the address of this one. */
   recordEnded(upstream: Upstream): void;
 }
@@ -52,9 +56,8 @@
 
   return {
     recordEnded,
-    checkMisdirected: upstream => {
-      // Plain services reject only requests for other upstreams in this way.
-      if (upstream.models === undefined) {
+    checkMisdirected: (upstream, hasModel) => {
+      if (!hasModel) {
         recordEnded(upstream);
         return;
       }
--- a/packages/gateway/src/dispatcher.test.ts
+++ b/packages/gateway/src/dispatcher.test.ts
@@ -241,6 +241,7 @@
       models,
       arriving: undefined,
       warmLoadMs: new Map(),
+      receivedAtMs: 0,
     });
     clock.runFor(50);
     expect(chosen).toEqual(['newempty1']);
@@ -255,6 +256,7 @@
       models: new Map(),
       arriving: undefined,
       warmLoadMs: new Map([[MODEL, 600]]),
+      receivedAtMs: 0,
     });
     acquire([], 8_000, '2');
     expect(refused).toHaveLength(1);
--- a/packages/gateway/src/order-manager.ts
+++ b/packages/gateway/src/order-manager.ts
@@ -190,6 +190,7 @@
                     : nowMs + load.changeEndsInMs,
               },
         warmLoadMs: new Map(Object.entries(load.warmLoadMs ?? {})),
+        receivedAtMs: nowMs,
       });
     }
     options.onModelStateChange();
--- a/packages/gateway/src/request-attempt.ts
+++ b/packages/gateway/src/request-attempt.ts
@@ -61,7 +61,7 @@
           responseClass === ResponseClass.Answer,
         );
         if (responseClass === ResponseClass.Misdirected)
-          session.recordMisdirected(entry);
+          session.recordMisdirected(entry, sentAtMs);
         observer.onHead(head, responseClass);
       },
     },
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -77,7 +77,7 @@
   /** Called before a request is admitted. */
   onArrival(): void;
   /** Called when an upstream rejects a request as misdirected. */
-  onMisdirected(upstream: Upstream): void;
+  onMisdirected(upstream: Upstream, hasModel: boolean): void;
 }
 
 /** Serves caller requests. */
--- a/packages/gateway/src/session-types.ts
+++ b/packages/gateway/src/session-types.ts
@@ -88,7 +88,7 @@
   recordFault(entry: UpstreamEntry, weight: number): void;
   recordUnreachable(entry: UpstreamEntry): void;
   /** Records that the upstream rejected the request as misdirected. */
-  recordMisdirected(entry: UpstreamEntry): void;
+  recordMisdirected(entry: UpstreamEntry, sentAtMs: number): void;
   recordFailover(reason: FailoverReason): void;
   /** Latest time to start the request; undefined unless this gateway drains. */
   getLastStartAtMs(): number | undefined;
--- a/packages/gateway/src/upstream-recorders.ts
+++ b/packages/gateway/src/upstream-recorders.ts
@@ -11,7 +11,7 @@
   backoffs: UpstreamBackoffs;
   clock: Clock;
   /** Called when an upstream rejects a request as misdirected. */
-  onMisdirected(upstream: Upstream): void;
+  onMisdirected(upstream: Upstream, hasModel: boolean): void;
 }
 
 type UpstreamRecorders = Pick<
@@ -33,10 +33,10 @@
       upstreams.recordFault(upstream.id, weight, clock.getNowMs()),
     recordUnreachable: ({upstream}) =>
       upstreams.recordUnreachable(upstream.id, clock.getNowMs()),
-    recordMisdirected: ({upstream}) => {
+    recordMisdirected: ({upstream}, sentAtMs) => {
       if (model !== undefined && adapter === undefined)
-        upstreams.removeModel(upstream, model);
-      onMisdirected(upstream);
+        upstreams.removeModel(upstream, model, sentAtMs);
+      onMisdirected(upstream, model !== undefined);
     },
   };
 }
--- a/packages/model-orders/src/order-sender.ts
+++ b/packages/model-orders/src/order-sender.ts
@@ -72,7 +72,8 @@
     read.caseOf({
       Left: ({code}) => {
         const isConnected = code !== ReportFailureCode.NotConnected;
-        inventory.recordUnanswered(requestedAtMs, isConnected);
+        if (code === ReportFailureCode.Unreadable) inventory.recordAnswered();
+        else inventory.recordUnanswered(requestedAtMs, isConnected);
         if (code === ReportFailureCode.OtherUpstream)
           options.onEnded(inventory.upstream);
       },
@@ -181,8 +182,12 @@
           delayMs = retryDelayMs;
           retryDelayMs *= 2;
           break;
+        case OrderOutcome.Refused:
+          if (request.adapter === undefined)
+            inventory.recordRefused(clock.getNowMs());
+          markUnconfirmed(inventory);
+          return false;
         default:
-          inventory.recordRefused(clock.getNowMs());
           markUnconfirmed(inventory);
           return false;
       }
--- a/packages/model-orders/src/placement-controller.ts
+++ b/packages/model-orders/src/placement-controller.ts
@@ -164,10 +164,26 @@
     options.onChange();
   };
 
-  const readDueReports = (nowMs: number): void => {
+  /** Whether streams wait for a model at a version though it is held there. */
+  const isDoubted = (
+    {upstream, models}: UpstreamInventory,
+    demand: readonly ModelDemand[],
+  ): boolean =>
+    demand.some(
+      ({model, waitingByVersion}) =>
+        waitingByVersion.has(upstream.softwareVersion) && models.has(model),
+    );
+
+  const readDueReports = (
+    demand: readonly ModelDemand[],
+    nowMs: number,
+  ): void => {
     for (const inventory of inventories.values()) {
       if (!inventory.isReady()) continue;
-      const isComplete = inventory.isConfirmed && inventory.areCopiesKnown();
+      const isComplete =
+        inventory.isConfirmed &&
+        inventory.areCopiesKnown() &&
+        !isDoubted(inventory, demand);
       const periodMs = isComplete ? REPORT_PERIOD_MS : RECOVERY_PERIOD_MS;
       if (nowMs - inventory.reportAtMs < periodMs || inventory.isChanging)
         continue;
@@ -353,7 +369,7 @@
       syncInventories(input.upstreams, nowMs);
       markAllLoadedAdapters(nowMs);
       recordAdapterUse(input, nowMs);
-      readDueReports(nowMs);
+      readDueReports(input.demand, nowMs);
       startPlacementChanges(input, nowMs);
     },
     loadAdapter: (upstreamId, model, adapter) => {
--- a/packages/model-orders/src/silent-upstreams.test.ts
+++ b/packages/model-orders/src/silent-upstreams.test.ts
@@ -78,7 +78,7 @@
   }
 
   readReport({id}: Upstream): Promise<Either<ReportFailure, UpstreamReport>> {
-    const code = ReportFailureCode.Unreadable;
+    const code = ReportFailureCode.NoAnswer;
     return Promise.resolve(
       this.isSilent(id) ? Left({code, reason: ''}) : Right(REPORT),
     );
--- a/packages/model-orders/src/upstream-inventory.ts
+++ b/packages/model-orders/src/upstream-inventory.ts
@@ -90,6 +90,8 @@
 
 /** A sound upstream may fall silent for about this long and go on. */
 const MAX_SOUND_SILENCE_MS = 1_000;
+/** Connections in a row that an upstream that has ended does not accept. */
+const MIN_REFUSED_CONNECTS = 2;
 /** Time without orders after a refused one. */
 const REFUSED_ORDER_PAUSE_MS = 3_000;
 /** Maximum age of the data in a report, in milliseconds. */
@@ -108,6 +110,7 @@
   let copiesValidFromMs = -Infinity;
   /** First request without a response since the last response. */
   let unansweredSinceMs: number | undefined;
+  let refusedConnects = 0;
   let refusedAtMs = -Infinity;
   const models = new Map<string, Residency>();
   const adapters = new Map<string, Residency & {lastUsedAtMs: number}>();
@@ -164,14 +167,16 @@
     isConfirmed: false,
     recordUnanswered: (requestedAtMs, isConnected) => {
       unansweredSinceMs ??= requestedAtMs;
-      if (!isConnected) unansweredSinceMs = -Infinity;
+      refusedConnects = isConnected ? 0 : refusedConnects + 1;
     },
     recordAnswered: () => {
       unansweredSinceMs = undefined;
+      refusedConnects = 0;
     },
     isSilent: atMs =>
-      unansweredSinceMs !== undefined &&
-      atMs - unansweredSinceMs >= MAX_SOUND_SILENCE_MS,
+      refusedConnects >= MIN_REFUSED_CONNECTS ||
+      (unansweredSinceMs !== undefined &&
+        atMs - unansweredSinceMs >= MAX_SOUND_SILENCE_MS),
     recordRefused: atMs => {
       refusedAtMs = atMs;
     },
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -123,7 +123,9 @@
   OtherUpstream = 'other-upstream',
   /** It accepts no connection. */
   NotConnected = 'not-connected',
-  /** No report was received, or it can't be decoded. */
+  /** No response was received, or not all of it. */
+  NoAnswer = 'no-answer',
+  /** A response was received that is no report. */
   Unreadable = 'unreadable',
 }
 
