--- a/packages/gateway/src/request-attempt.ts
+++ b/packages/gateway/src/request-attempt.ts
@@ -1,8 +1,10 @@
-/** Starts the attempts of a caller request. */
+/** Starts the attempts of a caller request, and logs how they end. */
 import type {UpstreamEntry} from '@siskinplank/dispatch';
 import {RequestKind, ResponseClass} from '@siskinplank/serving';
+import {ATTEMPT_ENDED} from './events';
+import type {GuardedRequest} from './guarded-request';
 import type {SessionOptions} from './session-types';
-import {startAttempt} from './upstream-attempt';
+import {describeAttempt, startAttempt} from './upstream-attempt';
 import type {Attempt, AttemptObserver} from './upstream-attempt';
 
 /** Options of `startRequestAttempt`. */
@@ -67,3 +69,20 @@
     },
   });
 }
+
+/** Creates the log of the attempts that produce no response for the caller. */
+export function createAttemptLog(
+  {admitted, clock, logger}: SessionOptions,
+  guarded: GuardedRequest,
+  getSentCount: () => number,
+): (attempt: Attempt, cause: string) => void {
+  return (attempt, cause) =>
+    logger.log(ATTEMPT_ENDED, {
+      request: admitted.request.attemptId,
+      attempt: getSentCount(),
+      cause,
+      ...describeAttempt(attempt, clock.getNowMs()),
+      sharedParts: guarded.parts.join(' '),
+      leftMs: Math.round(admitted.deadlineAtMs - clock.getNowMs()),
+    });
+}
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -8,12 +8,11 @@
 import {ExchangeFailureCode} from '@siskinplank/http-exchange';
 import type {ExchangeFailure, ResponseHead} from '@siskinplank/http-exchange';
 import {RequestKind, ResponseClass, canRepeat} from '@siskinplank/serving';
-import {ATTEMPT_ENDED} from './events';
 import {createBrokenObserver, createGuardedRequest} from './guarded-request';
 import type {BrokenRequest} from './request-guard';
 import {REFUSAL_STATUSES, RefusalCode} from './refusals';
 import type {Refusal} from './refusals';
-import {startRequestAttempt} from './request-attempt';
+import {createAttemptLog, startRequestAttempt} from './request-attempt';
 import {createFailover} from './request-failover';
 import {isEmptySuccess, isSuccess} from './response-heads';
 import {createSameUpstream} from './same-upstream';
@@ -22,7 +21,6 @@
   RequestSession,
   SessionOptions,
 } from './session-types';
-import {describeAttempt} from './upstream-attempt';
 import type {Attempt} from './upstream-attempt';
 
 /** Fault scores of a 5xx response and a failed exchange. */
@@ -37,12 +35,13 @@
 
 /** Creates a session that does nothing before `start`. */
 export function createRequestSession(options: SessionOptions): RequestSession {
-  const {admitted, response, clock, logger} = options;
+  const {admitted, response, clock} = options;
   const {request, route, deadlineAtMs} = admitted;
   const isRepeatable = canRepeat(route);
   const guarded = createGuardedRequest(admitted);
   const observeBroken = createBrokenObserver(guarded, route);
   const sameUpstream = createSameUpstream(options);
+  const logAttempt = createAttemptLog(options, guarded, () => sentCount);
   const triedUpstreamIds = new Set<string>();
   /** Upstreams at which an attempt was made, those that rejected it included. */
   const sentUpstreamIds = new Set<string>();
@@ -164,16 +163,6 @@
     refuse({code: mayHaveRun ? RefusalCode.TimedOut : RefusalCode.NoUpstream});
   };
 
-  const logAttempt = (attempt: Attempt, cause: string): void =>
-    logger.log(ATTEMPT_ENDED, {
-      request: request.attemptId,
-      attempt: sentCount,
-      cause,
-      ...describeAttempt(attempt, clock.getNowMs()),
-      sharedParts: guarded.parts.join(' '),
-      leftMs: Math.round(deadlineAtMs - clock.getNowMs()),
-    });
-
   /** Searches an upstream; without one, `onNone` gets the suggested delay. */
   const search = (
     isRepeat: boolean,
