Return a stream to its first upstream when the one that replaced it fails

Callers saw a stream break off in the middle, without its end, although its upstream was sound: it had been silent for about a second and went on.

Cause: after 700 ms of silence a stream fails over, and after 200 ms more the attempt at its first upstream is given up. If the other upstream rejects the request later than this, because it drops the model or adapter just then, or closes the connection, the route's two attempts are used up and the connection of the caller is closed.

The session remembers the upstream that a stream left, and sends the request there again, from the last event that the caller has, before it gives up. It does so once, on a new connection, and only if the upstream can still be reached and the retry budget and the upstream's limit allow it. No further upstream runs the request, so the route's limit of attempts holds. The overlap stays at 200 ms, since two upstreams must not work on one stream for long.

The test 'does not lose a stream whose failover is rejected late' failed before with the connection aborted after the second rejection.

--- a/packages/gateway/src/request-session.test.ts
+++ b/packages/gateway/src/request-session.test.ts
@@ -204,6 +204,21 @@
       expect(bench.received).toBe(`200 ${EVENT}${EVENT}end`);
     });
 
+    it('does not lose a stream whose failover is rejected late', async () => {
+      await failOver(RequestKind.Stream);
+      bench.clock.runFor(MAX_OVERLAP_MS);
+      await waitForPoll();
+      expect(bench.exchanges[0].isCancelled).toBe(true);
+      reject(1);
+      await bench.clock.runFor(SILENT_MS);
+      reject(2);
+      expect(bench.wasAborted).toBe(false);
+      expect(bench.exchanges[3]?.key).toBe(bench.exchanges[0].key);
+      bench.answer(3, makeHead(200), EVENT);
+      bench.exchanges[3].observer.onEnd();
+      expect(bench.received).toBe(`200 ${EVENT}${EVENT}end`);
+    });
+
     it('does not give up a stream that goes on as it fails over', async () => {
       await failOver(RequestKind.Stream);
       completeFirst();
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -194,14 +194,23 @@
     hasAttemptsLeft() &&
     deadlineAtMs - clock.getNowMs() > MIN_SEND_MS;
 
+  /** Goes back to the upstream that a stream has left, or refuses. */
+  const returnOrRefuse = (retryAfterMs?: number, code?: RefusalCode): void => {
+    if (hasEnded) return;
+    const isInTime = deadlineAtMs - clock.getNowMs() > MIN_SEND_MS;
+    const entry = isInTime ? sameUpstream.takeReplaced() : undefined;
+    if (entry === undefined) refuseUnserved(retryAfterMs, code);
+    else if (checkRequest()) startAttemptAt(entry);
+  };
+
   /** Starts another attempt, or refuses the request. */
   const tryNext = (): void => {
     if (hasEnded || !checkRequest()) return;
-    if (!canTryAnother()) return refuseUnserved();
+    if (!canTryAnother()) return returnOrRefuse();
     search(sentCount > 0, (retryAfterMs, code) => {
       const entry = canTryAnother() && sameUpstream.takeBroken(sentCount);
       if (entry) startAttemptAt(entry);
-      else refuseUnserved(retryAfterMs, code);
+      else returnOrRefuse(retryAfterMs, code);
     });
   };
 
@@ -314,7 +323,7 @@
       const maySend =
         isPossible && checkRequest() && sameUpstream.trySpend(attempt.entry);
       if (maySend) startAttemptAt(attempt.entry);
-      else refuseUnserved();
+      else returnOrRefuse();
     });
   };
 
@@ -408,6 +417,7 @@
       !hasEnded && canTryAnother() && !options.guard.isBlamed(guarded),
     send: sendTo,
     onReplaced: successor => {
+      if (current !== undefined) sameUpstream.observeReplaced(current);
       cancelAttempt();
       current = successor;
     },
--- a/packages/gateway/src/same-upstream.ts
+++ b/packages/gateway/src/same-upstream.ts
@@ -15,6 +15,10 @@
    * when its connection closes.
    */
   takeBroken(sentCount: number): UpstreamEntry | undefined;
+  /** Notes that another upstream replaces that of a stream, which may be sound. */
+  observeReplaced(attempt: Attempt): void;
+  /** Like `takeBroken`, for the upstream that was replaced last. */
+  takeReplaced(): UpstreamEntry | undefined;
   /** Calls back after a delay: whether the upstream can get the request again. */
   startWaiting(
     entry: UpstreamEntry,
@@ -31,10 +35,16 @@
 export function createSameUpstream(session: SessionOptions): SameUpstream {
   const {clock, admitted} = session;
   let broken: UpstreamEntry | undefined;
+  let replaced: UpstreamEntry | undefined;
 
   const trySpend = ({upstream}: UpstreamEntry): boolean =>
     session.trySpendRetry() && session.limits.trySpend(upstream);
 
+  const trySpendIfReachable = (entry: UpstreamEntry): boolean =>
+    session.isUsable(entry) &&
+    !entry.isUnreachable(clock.getNowMs()) &&
+    trySpend(entry);
+
   return {
     observeFailure: (attempt, {code}) => {
       const isBrokenOff = code === ExchangeFailureCode.BrokenOff;
@@ -46,9 +56,16 @@
       const maySend =
         entry !== undefined &&
         sentCount < admitted.route.maxAttempts &&
-        session.isUsable(entry) &&
-        !entry.isUnreachable(clock.getNowMs()) &&
-        trySpend(entry);
+        trySpendIfReachable(entry);
+      return maySend ? entry : undefined;
+    },
+    observeReplaced: attempt => {
+      if (attempt.hasEvents()) replaced = attempt.entry;
+    },
+    takeReplaced: () => {
+      const entry = replaced;
+      replaced = undefined;
+      const maySend = entry !== undefined && trySpendIfReachable(entry);
       return maySend ? entry : undefined;
     },
     startWaiting: (entry, onReady) =>
