--- a/packages/soak/src/testing/gateway-fleet.ts
+++ b/packages/soak/src/testing/gateway-fleet.ts
@@ -66,6 +66,8 @@
   program?: readonly string[];
   /** Whether each gateway has a proxy of its links; false by default. */
   hasLinkProxies?: boolean;
+  /** Time of a load from the weight store, as configured. */
+  storeLoadMs?: number;
 }
 
 /** One stream to send. */
@@ -135,6 +137,7 @@
           weightsMb: MODEL_MB,
           adapterCount: 1,
         })),
+        storeLoadMs: options.storeLoadMs,
         serverMemoryMb: MEMORY_MB,
         adapterSlots: ADAPTER_SLOTS,
         plainTimeoutMs: DEADLINE_MS,
--- a/packages/soak/src/testing/resumed-streams.ts
+++ b/packages/soak/src/testing/resumed-streams.ts
@@ -23,6 +23,7 @@
 const MODEL = MODELS[0];
 const CONDITION_TIMEOUT_MS = 10_000;
 const POLL_MS = 20;
+const LOAD_MS = 400;
 
 /** A gateway bundled into one file. */
 export interface GatewayBundle {
@@ -41,8 +42,12 @@
 export interface VersionFleetOptions {
   bundle: GatewayBundle;
   gatewayCount: number;
-  /** Those of the upstreams, each of which has the model. */
+  /** Those of the upstreams. */
   versions: readonly string[];
+  /** Models of each upstream at the start; the one of the streams by default. */
+  models?: ReadonlyArray<readonly string[]>;
+  /** Time of a load; 400 ms by default, which is configured as 500 ms. */
+  loadMs?: number;
   /** Events of each stream; one takes 25 ms. */
   eventCount: number;
   hasLinkProxies?: boolean;
@@ -150,14 +155,18 @@
   );
 }
 
-function makeEngine(softwareVersion: string): SoakUpstreamOptions {
+function makeEngine(
+  softwareVersion: string,
+  loadMs = LOAD_MS,
+  initialModels: readonly string[] = [MODEL],
+): SoakUpstreamOptions {
   return {
     softwareVersion,
     engine: {
       memoryMb: MEMORY_MB,
       modelSizesMb: new Map(MODELS.map(name => [name, MODEL_MB])),
-      initialModels: [MODEL],
-      loadMs: 400,
+      initialModels,
+      loadMs,
     },
   };
 }
@@ -166,11 +175,14 @@
 export async function startVersionFleet(
   options: VersionFleetOptions,
 ): Promise<VersionFleet> {
-  const {versions, eventCount} = options;
+  const {versions, eventCount, loadMs} = options;
   const fleet = await startGatewayFleet({
     gatewayCount: options.gatewayCount,
     engineCount: versions.length,
-    engines: versions.map(makeEngine),
+    engines: versions.map((softwareVersion, index) =>
+      makeEngine(softwareVersion, loadMs, options.models?.[index]),
+    ),
+    storeLoadMs: loadMs,
     program: options.bundle.program,
     hasLinkProxies: options.hasLinkProxies,
   });
@@ -219,7 +231,8 @@
           return {first, again};
         }),
       ),
-    addVersion: softwareVersion => fleet.addEngine(makeEngine(softwareVersion)),
+    addVersion: softwareVersion =>
+      fleet.addEngine(makeEngine(softwareVersion, loadMs)),
     readMetric: async ({metricsPort}, name) => {
       const response = await fetch(`http://127.0.0.1:${metricsPort}/metrics`);
       const text = await response.text();
