Do not count an upstream that broke off twice as a holder of the model

What callers saw: the upstream of a stream ended, and its connections were still accepted and reset. The stream was sent there once more, failed again, and was closed at once, though a load of its model at its version was about to begin.

Cause: only a connection that is not accepted marks an upstream as unreachable, and a stream waits for a load only if no reachable upstream of its version holds the model.

Change: an upstream that breaks a request off again, before any event, counts as unreachable as well.

--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -45,6 +45,8 @@
   const triedUpstreamIds = new Set<string>();
   /** Upstreams at which an attempt was made, those that rejected it included. */
   const sentUpstreamIds = new Set<string>();
+  /** Upstreams at which an attempt failed. */
+  const brokenUpstreamIds = new Set<string>();
   let current: Attempt | undefined;
   /** Attempt whose head was sent to the caller before its body was complete. */
   let startedBy: Attempt | undefined;
@@ -353,9 +355,12 @@
       unreachableCount += 1;
     }
     options.recordFault(attempt.entry, CONNECTION_FAULT);
-    if (failure.code === ExchangeFailureCode.NotConnected) {
+    const {id} = attempt.entry.upstream;
+    // An upstream that ends may still accept connections and reset them.
+    const isBrokenAgain = brokenUpstreamIds.has(id) && !attempt.hasEvents();
+    brokenUpstreamIds.add(id);
+    if (failure.code === ExchangeFailureCode.NotConnected || isBrokenAgain)
       options.recordUnreachable(attempt.entry);
-    }
     sameUpstream.observeFailure(attempt, failure);
     const broken = observeBroken(attempt, failure);
     if (isSuccessor || failover.replaceFailed()) {
