Plan loads for waiting streams whose holder answers no more

Cause: the placement believed in the copy until two connections were refused or a second had passed; and a lost model that few callers ask for took the last upstream that had room for the streams, though another upstream was about to end its order.

Change: upstreams that hold a model for which streams wait are read at once, and count for these streams only if their last response came. A lost model uses a kept upstream only if it pays, and if no other one with room carries an order out.

Evidence: the new test fails before.

--- a/packages/model-orders/src/describe-inventory.ts
+++ b/packages/model-orders/src/describe-inventory.ts
@@ -76,6 +76,7 @@
     capacityMb: engine.weightsMb - engine.adapterSlots * largestAdapterMb,
     models: new Set(inventory.models.keys()),
     serving: new Set(serving.map(([model]) => model)),
+    isAnswering: inventory.isAnswering(),
     openByModel,
     inMemory: inventory.inMemory,
     onDisk: inventory.onDisk,
--- a/packages/model-orders/src/placement-controller.ts
+++ b/packages/model-orders/src/placement-controller.ts
@@ -180,13 +180,12 @@
   ): void => {
     for (const inventory of inventories.values()) {
       if (!inventory.isReady()) continue;
-      const isComplete =
-        inventory.isConfirmed &&
-        inventory.areCopiesKnown() &&
-        !isDoubted(inventory, demand);
+      const isComplete = inventory.isConfirmed && inventory.areCopiesKnown();
       const periodMs = isComplete ? REPORT_PERIOD_MS : RECOVERY_PERIOD_MS;
-      if (nowMs - inventory.reportAtMs < periodMs || inventory.isChanging)
-        continue;
+      const isDue =
+        isDoubted(inventory, demand) ||
+        nowMs - inventory.reportAtMs >= periodMs;
+      if (!isDue || inventory.isChanging) continue;
       void readReport(inventory);
     }
   };
--- a/packages/model-orders/src/plan-by-version.test.ts
+++ b/packages/model-orders/src/plan-by-version.test.ts
@@ -325,6 +325,21 @@
     expect(changes).toMatchObject([{upstream: 'b', load: 'hot'}]);
   });
 
+  // Guards against streams that wait for the silence of an upstream that has ended.
+  it('plans a load for waiting streams if the holder of their model answers no more', () => {
+    const changes = plan({
+      isReleaseRunning: true,
+      models: makeModels({hot: BIG_MB}),
+      upstreams: [
+        makeUpstream('a', ['hot'], {...OLD, isAnswering: false}),
+        makeUpstream('b', [], OLD),
+        makeUpstream('c', ['hot'], NEW),
+      ],
+      demand: [makeDemand('hot', {waitingByVersion: new Map([['1', 3]])})],
+    });
+    expect(changes).toMatchObject([{upstream: 'b', load: 'hot'}]);
+  });
+
   // Guards against a further load per period for counts that are out of date.
   it('plans no load for waiting streams at a version that holds the model', () => {
     const changes = plan({
--- a/packages/model-orders/src/plan-placement-changes.ts
+++ b/packages/model-orders/src/plan-placement-changes.ts
@@ -19,6 +19,8 @@
   models: ReadonlySet<string>;
   /** Models that are present or being loaded. */
   serving: ReadonlySet<string>;
+  /** Whether its last order or report got a response. */
+  isAnswering: boolean;
   /** Open requests at this upstream, by model. */
   openByModel: ReadonlyMap<string, number>;
   /** Models whose weights need no load from the weight store. */
@@ -172,7 +174,9 @@
       const ofVersion = upstreams.filter(
         upstream => upstream.softwareVersion === softwareVersion,
       );
-      const hasCopy = ofVersion.some(({serving}) => serving.has(model.name));
+      const hasCopy = ofVersion.some(
+        ({serving, isAnswering}) => isAnswering && serving.has(model.name),
+      );
       const canEndInTime = ofVersion.some(
         upstream => estimateLoadMs(upstream, model) <= RESUME_WAIT_MS,
       );
@@ -346,6 +350,13 @@
   const isFree = ({canTakeOrder, id}: PlannedUpstream): boolean =>
     canTakeOrder && !usedUpstreams.has(id);
 
+  const hasRoom = (
+    upstream: PlannedUpstream,
+    {name, weightsMb}: ModelSpec,
+  ): boolean =>
+    !upstream.models.has(name) &&
+    chooseEvictions(upstream, weightsMb, 0) !== undefined;
+
   const isKept = createKeptUpstreams({
     upstreams,
     models: [...models.values()].filter(
@@ -353,11 +364,13 @@
     ),
     replicaVersions,
     isFree,
-    hasRoom: (upstream, {name, weightsMb}) =>
-      !upstream.models.has(name) &&
-      chooseEvictions(upstream, weightsMb, 0) !== undefined,
+    hasRoom,
   });
 
+  /** Whether an upstream that carries out another order has room. */
+  const canAwaitOther = (model: ModelSpec): boolean =>
+    upstreams.some(upstream => !isFree(upstream) && hasRoom(upstream, model));
+
   const scoreUpstream = (
     upstream: PlannedUpstream,
     model: ModelSpec,
@@ -409,8 +422,13 @@
   ): PlacementChange | undefined => {
     const isLost = (replicaCounts.get(model.name) ?? 0) === 0;
     const isUrgent = gain > 0 && (isLost || streamVersion !== undefined);
-    const isWorthwhile = ({riskGain, cost, evict}: Candidate): boolean =>
-      gain + riskGain - cost > 0 || (isUrgent && evict.length === 0);
+    const isForStreams = streamVersion !== undefined;
+    const isWorthwhile = (
+      {riskGain, cost, evict}: Candidate,
+      isOrdinary: boolean,
+    ): boolean =>
+      gain + riskGain - cost > 0 ||
+      (isUrgent && isOrdinary && evict.length === 0);
     const chooseBest = (mayUseKept: boolean): Candidate | undefined =>
       upstreams
         .filter(
@@ -419,16 +437,19 @@
         )
         .map(upstream => scoreUpstream(upstream, model, mayUseKept))
         .filter(candidate => candidate !== undefined)
-        .filter(isWorthwhile)
+        .filter(candidate =>
+          isWorthwhile(candidate, isForStreams || !mayUseKept),
+        )
         .sort(
           (left, right) =>
             left.cost + left.riskCost - right.cost - right.riskCost,
         )
         .at(0);
-    const isForStreams = streamVersion !== undefined;
     const best =
       chooseBest(isForStreams) ??
-      (isLost && !isForStreams ? chooseBest(true) : undefined);
+      (isLost && !isForStreams && !canAwaitOther(model)
+        ? chooseBest(true)
+        : undefined);
     if (best === undefined) return undefined;
     usedUpstreams.add(best.upstream.id);
     if (best.isStoreLoad) storeLoadsLeft -= 1;
--- a/packages/model-orders/src/testing/plan-input.ts
+++ b/packages/model-orders/src/testing/plan-input.ts
@@ -39,6 +39,7 @@
     capacityMb: 83_000,
     models: new Set(models),
     serving: new Set(models),
+    isAnswering: true,
     openByModel: new Map(),
     inMemory: new Set(),
     onDisk: new Set(),
--- a/packages/model-orders/src/upstream-inventory.ts
+++ b/packages/model-orders/src/upstream-inventory.ts
@@ -57,6 +57,8 @@
    */
   recordUnanswered(requestedAtMs: number, isConnected: boolean): void;
   recordAnswered(): void;
+  /** Whether the last order or report got a response. */
+  isAnswering(): boolean;
   /**
    * Whether it accepts no connections, or has been silent for longer than a
    * sound upstream may be.
@@ -173,6 +175,7 @@
       unansweredSinceMs = undefined;
       refusedConnects = 0;
     },
+    isAnswering: () => unansweredSinceMs === undefined,
     isSilent: atMs =>
       refusedConnects >= MIN_REFUSED_CONNECTS ||
       (unansweredSinceMs !== undefined &&
