--- a/packages/soak/src/changes-beside-requests.test.ts
+++ b/packages/soak/src/changes-beside-requests.test.ts
@@ -62,8 +62,8 @@
   const write = (): void => {
     const roll = random.getNext();
     if (roll < 0.15) socket.write(renderNotRun(request.attemptId));
-    else if (roll < 0.25) socket.destroy();
-    else if (roll < 0.3) return;
+    else if (roll < 0.35) socket.destroy();
+    else if (roll < 0.4) return;
     else if (request.path.startsWith('/stream')) {
       const events = renderChunk(renderEvents(request, 1, 4));
       const head = renderHead(request, 200, ['Transfer-Encoding: chunked']);
