--- a/packages/model-orders/src/describe-inventory.ts
+++ b/packages/model-orders/src/describe-inventory.ts
@@ -1,6 +1,6 @@
 /** Describes an upstream's inventory to the planner and to other gateways. */
 import type {EngineSpec} from '@siskinplank/serving';
-import type {PlannedUpstream} from './plan-placement-changes';
+import type {PlannedUpstream} from './planned-upstream';
 import {ResidencyState} from './upstream-inventory';
 import type {UpstreamInventory} from './upstream-inventory';
 
--- a/packages/model-orders/src/index.ts
+++ b/packages/model-orders/src/index.ts
@@ -5,11 +5,8 @@
 export {createDemandTracker} from './demand-tracker';
 export type {DemandTracker, ModelDemand} from './demand-tracker';
 export {planPlacementChanges} from './plan-placement-changes';
-export type {
-  PlacementChange,
-  PlanInput,
-  PlannedUpstream,
-} from './plan-placement-changes';
+export type {PlacementChange, PlanInput} from './plan-placement-changes';
+export type {PlannedUpstream} from './planned-upstream';
 export {createUpstreamInventory} from './upstream-inventory';
 export type {UpstreamInventory} from './upstream-inventory';
 export {createPlacementController} from './placement-controller';
--- a/packages/model-orders/src/kept-upstreams.ts
+++ b/packages/model-orders/src/kept-upstreams.ts
@@ -4,7 +4,7 @@
  * upstreams of a version may be left that have room for the model.
  */
 import type {ModelSpec} from '@siskinplank/serving';
-import type {PlannedUpstream} from './plan-placement-changes';
+import type {PlannedUpstream} from './planned-upstream';
 import type {ReplicaVersions} from './replica-versions';
 
 /** What `createKeptUpstreams` needs. */
--- a/packages/model-orders/src/placement-controller.ts
+++ b/packages/model-orders/src/placement-controller.ts
@@ -22,7 +22,8 @@
 import {createLoadBudget} from './load-budget';
 import type {LoadReservation} from './load-budget';
 import {createOrderSender} from './order-sender';
-import {filterReachable, planPlacementChanges} from './plan-placement-changes';
+import {planPlacementChanges} from './plan-placement-changes';
+import {filterReachable} from './planned-upstream';
 import type {PlacementChange} from './plan-placement-changes';
 import {ResidencyState, createUpstreamInventory} from './upstream-inventory';
 import type {UpstreamInventory} from './upstream-inventory';
--- a/packages/model-orders/src/plan-by-version.test.ts
+++ b/packages/model-orders/src/plan-by-version.test.ts
@@ -1,7 +1,7 @@
 import type {ModelSpec} from '@siskinplank/serving';
 import {describe, expect, it} from 'vitest';
-import {filterReachable} from './plan-placement-changes';
-import type {PlannedUpstream} from './plan-placement-changes';
+import {filterReachable} from './planned-upstream';
+import type {PlannedUpstream} from './planned-upstream';
 import {
   BIG_MB,
   makeDemand,
--- a/packages/model-orders/src/plan-placement-changes.ts
+++ b/packages/model-orders/src/plan-placement-changes.ts
@@ -6,29 +6,10 @@
 import type {ModelSpec} from '@siskinplank/serving';
 import type {ModelDemand} from './demand-tracker';
 import {createKeptUpstreams} from './kept-upstreams';
+import {RESUME_WAIT_MS, estimateLoadMs} from './planned-upstream';
+import type {PlannedUpstream} from './planned-upstream';
 import {createReplicaVersions} from './replica-versions';
-
-/** An upstream as the planner sees it. */
-export interface PlannedUpstream {
-  id: string;
-  /** Software version; a stream goes on only at the one that began it. */
-  softwareVersion: string;
-  /** Memory for weights, in MB, less the memory reserved for adapters. */
-  capacityMb: number;
-  /** Models that use memory: present, being loaded or being unloaded. */
-  models: ReadonlySet<string>;
-  /** Models that are present or being loaded. */
-  serving: ReadonlySet<string>;
-  /** Whether its last order or report got a response. */
-  isAnswering: boolean;
-  /** Open requests at this upstream, by model. */
-  openByModel: ReadonlyMap<string, number>;
-  /** Models whose weights need no load from the weight store. */
-  inMemory: ReadonlySet<string>;
-  onDisk: ReadonlySet<string>;
-  /** Whether it is ready, confirmed and without a running change. */
-  canTakeOrder: boolean;
-}
+import {listWaitingStreams} from './waiting-streams';
 
 /** Input of `planPlacementChanges`. */
 export interface PlanInput {
@@ -75,8 +56,6 @@
 const MIN_REQUEST_RATE = 0.01;
 /** Cost per second of load time, in requests: times 1 + waiting requests. */
 const WAIT_COST = 1;
-/** Callers wait at least this long for the next event of a stream. */
-const RESUME_WAIT_MS = 2_000;
 /** Replicas that a model may lack at once. */
 const MAX_NEEDED_REPLICAS = 4;
 /** Time in which an upstream unloads a model without requests: 0.3 to 0.5 s. */
@@ -121,70 +100,6 @@
   return rate * (excess + risk);
 }
 
-function estimateLoadMs(upstream: PlannedUpstream, model: ModelSpec): number {
-  if (upstream.inMemory.has(model.name)) return model.memoryLoadMs;
-  if (upstream.onDisk.has(model.name)) return model.diskLoadMs;
-  return model.storeLoadMs;
-}
-
-/**
- * Leaves out upstreams that refuse connections or are silent, so that their
- * models count as lost while two software versions serve. With one version,
- * their streams go on elsewhere, and they may be back before a load ends.
- */
-export function filterReachable(
-  upstreams: readonly PlannedUpstream[],
-  unreachableIds: ReadonlySet<string>,
-): readonly PlannedUpstream[] {
-  const versions = new Set(
-    upstreams.map(({softwareVersion}) => softwareVersion),
-  );
-  if (versions.size < 2) return upstreams;
-  return upstreams.filter(({id}) => !unreachableIds.has(id));
-}
-
-/** Streams of one model that wait for a load at one software version. */
-interface WaitingStreams {
-  model: ModelSpec;
-  softwareVersion: string;
-  count: number;
-}
-
-/** Lists streams whose load has not begun, the most numerous ones first. */
-function listWaitingStreams({
-  demand,
-  models,
-  upstreams,
-}: PlanInput): WaitingStreams[] {
-  const isOneVersion = upstreams.every(
-    ({softwareVersion}) => softwareVersion === upstreams[0].softwareVersion,
-  );
-  if (isOneVersion) return [];
-  return demand
-    .flatMap(({model: name, waitingByVersion}) => {
-      const model = models.get(name);
-      if (model === undefined) return [];
-      return [...waitingByVersion].map(([softwareVersion, count]) => ({
-        model,
-        softwareVersion,
-        count,
-      }));
-    })
-    .filter(({model, softwareVersion}) => {
-      const ofVersion = upstreams.filter(
-        upstream => upstream.softwareVersion === softwareVersion,
-      );
-      const hasCopy = ofVersion.some(
-        ({serving, isAnswering}) => isAnswering && serving.has(model.name),
-      );
-      const canEndInTime = ofVersion.some(
-        upstream => estimateLoadMs(upstream, model) <= RESUME_WAIT_MS,
-      );
-      return canEndInTime && !hasCopy;
-    })
-    .sort((left, right) => right.count - left.count);
-}
-
 /**
  * Plans changes in descending order of their benefit, at most one for each
  * upstream.
--- a/packages/model-orders/src/testing/plan-input.ts
+++ b/packages/model-orders/src/testing/plan-input.ts
@@ -2,7 +2,8 @@
 import type {ModelSpec} from '@siskinplank/serving';
 import type {ModelDemand} from '../demand-tracker';
 import {planPlacementChanges} from '../plan-placement-changes';
-import type {PlanInput, PlannedUpstream} from '../plan-placement-changes';
+import type {PlanInput} from '../plan-placement-changes';
+import type {PlannedUpstream} from '../planned-upstream';
 
 export const BIG_MB = 34_300;
 export const SMALL_MB = 16_100;
