--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -8,6 +8,7 @@
 import {ExchangeFailureCode} from '@siskinplank/http-exchange';
 import type {ExchangeFailure, ResponseHead} from '@siskinplank/http-exchange';
 import {RequestKind, ResponseClass, canRepeat} from '@siskinplank/serving';
+import {createAttemptCounts} from './attempt-counts';
 import {createBrokenObserver, createGuardedRequest} from './guarded-request';
 import type {BrokenRequest} from './request-guard';
 import {REFUSAL_STATUSES, RefusalCode} from './refusals';
@@ -28,8 +29,6 @@
 const CONNECTION_FAULT = 0.5;
 /** Retry-After when upstreams rejected a request or none is left to try. */
 const REJECTED_RETRY_MS = 200;
-/** Upstreams that one request finds unreachable before it is refused. */
-const MAX_UNREACHABLE = 4;
 /** Least time before the deadline at which a request is still sent. */
 const MIN_SEND_MS = 5;
 
@@ -41,20 +40,14 @@
   const guarded = createGuardedRequest(admitted);
   const observeBroken = createBrokenObserver(guarded, route);
   const sameUpstream = createSameUpstream(options);
-  const logAttempt = createAttemptLog(options, guarded, () => sentCount);
-  const triedUpstreamIds = new Set<string>();
-  /** Upstreams at which an attempt was made, those that rejected it included. */
-  const sentUpstreamIds = new Set<string>();
-  /** Upstreams at which an attempt failed. */
-  const brokenUpstreamIds = new Set<string>();
+  const counts = createAttemptCounts(route);
+  const {triedUpstreamIds, getSentCount, hasAttemptsLeft} = counts;
+  const logAttempt = createAttemptLog(options, guarded, getSentCount);
   let current: Attempt | undefined;
   /** Attempt whose head was sent to the caller before its body was complete. */
   let startedBy: Attempt | undefined;
   /** Whether another attempt may go on with the response that has begun. */
   let canContinue = true;
-  let sentCount = 0;
-  /** Upstreams to which no connection was made, so that nothing was sent. */
-  let unreachableCount = 0;
   /** Whether an earlier attempt may have run. */
   let mayHaveRun = false;
   /** Delivers the failure with which an upstream answered, in place of ours. */
@@ -86,7 +79,7 @@
     options.onEnd({
       status,
       refusal,
-      attempts: sentCount,
+      attempts: getSentCount(),
       upstreamId,
       softwareVersion: startedBy?.entry.upstream.softwareVersion,
       firstByteMs,
@@ -102,9 +95,7 @@
       logAttempt(successor, 'failover ended');
       mayHaveRun = true;
     } else {
-      sentCount -= 1;
-      triedUpstreamIds.delete(successor.entry.upstream.id);
-      sentUpstreamIds.delete(successor.entry.upstream.id);
+      counts.removeAttempt(successor.entry.upstream.id);
     }
     successor.cancel();
   };
@@ -136,7 +127,7 @@
     code = RefusalCode.NoUpstream,
   ): void => {
     if (mayHaveRun) refuse({code: RefusalCode.OutcomeUnknown});
-    else if (sentCount === 0) refuse({code, retryAfterMs});
+    else if (getSentCount() === 0) refuse({code, retryAfterMs});
     else {
       const delayMs = options.estimateBackoffMs(getTarget()) ?? retryAfterMs;
       refuse({code: RefusalCode.Rejected, retryAfterMs: delayMs});
@@ -185,11 +176,6 @@
     );
   };
 
-  /** Whether the route allows to send the request to a further upstream. */
-  const hasAttemptsLeft = (): boolean =>
-    triedUpstreamIds.size - unreachableCount < route.maxAttempts &&
-    unreachableCount < MAX_UNREACHABLE;
-
   const canTryAnother = (): boolean =>
     canContinue &&
     (isRepeatable || !mayHaveRun) &&
@@ -209,8 +195,8 @@
   const tryNext = (): void => {
     if (hasEnded || !checkRequest()) return;
     if (!canTryAnother()) return returnOrRefuse();
-    search(sentCount > 0, (retryAfterMs, code) => {
-      const entry = canTryAnother() && sameUpstream.takeBroken(sentCount);
+    search(getSentCount() > 0, (retryAfterMs, code) => {
+      const entry = canTryAnother() && sameUpstream.takeBroken(getSentCount());
       if (entry) startAttemptAt(entry);
       else returnOrRefuse(retryAfterMs, code);
     });
@@ -309,7 +295,7 @@
     logAttempt(attempt, responseClass);
     if (failover.handleFailure(attempt)) {
       // Its model may still have been loading, so it may be tried once more.
-      if (!hasResent) triedUpstreamIds.delete(attempt.entry.upstream.id);
+      if (!hasResent) counts.releaseUpstream(attempt.entry.upstream.id);
       hasResent = true;
       return;
     }
@@ -348,17 +334,12 @@
     const isSuccessor = failover.handleFailure(attempt);
     logAttempt(attempt, `${failure.code}: ${failure.reason}`);
     if (!isSuccessor) current = undefined;
-    if (attempt.wasSent()) {
-      mayHaveRun = true;
-    } else {
-      sentCount -= 1;
-      unreachableCount += 1;
-    }
+    if (attempt.wasSent()) mayHaveRun = true;
+    else counts.recordUnreachable();
     options.recordFault(attempt.entry, CONNECTION_FAULT);
-    const {id} = attempt.entry.upstream;
+    const hasFailedBefore = counts.recordFailure(attempt.entry.upstream.id);
     // An upstream that ends may still accept connections and reset them.
-    const isBrokenAgain = brokenUpstreamIds.has(id) && !attempt.hasEvents();
-    brokenUpstreamIds.add(id);
+    const isBrokenAgain = hasFailedBefore && !attempt.hasEvents();
     if (failure.code === ExchangeFailureCode.NotConnected || isBrokenAgain)
       options.recordUnreachable(attempt.entry);
     sameUpstream.observeFailure(attempt, failure);
@@ -378,10 +359,7 @@
 
   const sendTo = (entry: UpstreamEntry): Attempt => {
     const {upstream} = entry;
-    const isResent = sentUpstreamIds.has(upstream.id);
-    triedUpstreamIds.add(upstream.id);
-    sentUpstreamIds.add(upstream.id);
-    sentCount += 1;
+    const isResent = counts.recordAttempt(upstream.id);
     let wasStreamed = false;
     const attempt = startRequestAttempt({
       session: options,
