Log why a response that has begun gets no further attempt

What callers saw: a gateway closes a stream with seconds left after its failover was rejected. No line said why the stream did not return to the upstream it had left: 6035 names it (retry budget, unreachable, not usable, limit, deadline, not replaced), and whether attempts and retries are left.

Evidence: by reading, the return was one of five conditions in a row with one outcome.

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -67,6 +67,11 @@
   LogLevel.Warn,
   'request fails over from an unresponsive upstream to another one',
 );
+export const RESPONSE_CUT = defineEvent(
+  6035,
+  LogLevel.Warn,
+  'response that has begun is cut, since the request has no further attempt',
+);
 export const UPSTREAM_LIMIT_CHANGED = defineEvent(
   6022,
   LogLevel.Warn,
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -13,10 +13,13 @@
 import type {BrokenRequest} from './request-guard';
 import {REFUSAL_STATUSES, RefusalCode} from './refusals';
 import type {Refusal} from './refusals';
+import {RESPONSE_CUT} from './events';
 import {createAttemptLog, startRequestAttempt} from './request-attempt';
 import {createFailover} from './request-failover';
 import {isEmptySuccess, isSuccess} from './response-heads';
 import {createSameUpstream} from './same-upstream';
+import type {ResendRefusal} from './same-upstream';
+import {MIN_SEND_MS} from './session-types';
 import type {
   AttemptTarget,
   RequestSession,
@@ -29,8 +32,6 @@
 const CONNECTION_FAULT = 0.5;
 /** Retry-After when upstreams rejected a request or none is left to try. */
 const REJECTED_RETRY_MS = 200;
-/** Least time before the deadline at which a request is still sent. */
-const MIN_SEND_MS = 5;
 
 /** Creates a session that does nothing before `start`. */
 export function createRequestSession(options: SessionOptions): RequestSession {
@@ -182,13 +183,27 @@
     hasAttemptsLeft() &&
     deadlineAtMs - clock.getNowMs() > MIN_SEND_MS;
 
+  const logNoAttempt = (returnRefusal: ResendRefusal): void =>
+    options.logger.log(RESPONSE_CUT, {
+      request: request.attemptId,
+      returnRefusal,
+      hasAttemptsLeft: hasAttemptsLeft(),
+      hasRetryLeft: options.canSpendRetry(),
+      leftMs: Math.round(deadlineAtMs - clock.getNowMs()),
+    });
+
   /** Goes back to the upstream that a stream has left, or refuses. */
   const returnOrRefuse = (retryAfterMs?: number, code?: RefusalCode): void => {
     if (hasEnded) return;
-    const isInTime = deadlineAtMs - clock.getNowMs() > MIN_SEND_MS;
-    const entry = isInTime ? sameUpstream.takeReplaced() : undefined;
-    if (entry === undefined) refuseUnserved(retryAfterMs, code);
-    else if (checkRequest()) startAttemptAt(entry);
+    sameUpstream.takeReplaced().caseOf({
+      Left: refusal => {
+        if (response.hasStarted()) logNoAttempt(refusal);
+        refuseUnserved(retryAfterMs, code);
+      },
+      Right: entry => {
+        if (checkRequest()) startAttemptAt(entry);
+      },
+    });
   };
 
   /** Starts another attempt, or refuses the request. */
--- a/packages/gateway/src/same-upstream.ts
+++ b/packages/gateway/src/same-upstream.ts
@@ -1,10 +1,26 @@
 /** Sends a request once more to an upstream that it was sent to before. */
 import type {UpstreamEntry} from '@siskinplank/dispatch';
+import {Left, Right} from 'purify-ts';
+import type {Either} from 'purify-ts';
 import {ExchangeFailureCode} from '@siskinplank/http-exchange';
 import type {ExchangeFailure} from '@siskinplank/http-exchange';
+import {MIN_SEND_MS} from './session-types';
 import type {SessionOptions} from './session-types';
 import type {Attempt} from './upstream-attempt';
 
+/** Why a request is not sent again to an upstream that it was sent to. */
+export enum ResendRefusal {
+  /** No other upstream has replaced it. */
+  NotReplaced = 'not-replaced',
+  /** It has ended, or wants no requests now. */
+  NotUsable = 'not-usable',
+  Unreachable = 'unreachable',
+  RetryBudgetSpent = 'retry-budget-spent',
+  UpstreamLimitReached = 'upstream-limit-reached',
+  /** Too little time is left. */
+  DeadlineReached = 'deadline-reached',
+}
+
 /** The upstreams of one request, as far as it may be sent to them again. */
 export interface SameUpstream {
   /** Notes the upstream of a stream whose connection broke. */
@@ -17,8 +33,11 @@
   takeBroken(sentCount: number): UpstreamEntry | undefined;
   /** Notes that another upstream replaces that of a stream, which may be sound. */
   observeReplaced(attempt: Attempt): void;
-  /** Like `takeBroken`, for the upstream that was replaced last. */
-  takeReplaced(): UpstreamEntry | undefined;
+  /**
+   * Returns the upstream that was replaced last and spends what the request
+   * needs; the Left says why the request can't go on there.
+   */
+  takeReplaced(): Either<ResendRefusal, UpstreamEntry>;
   /** Calls back after a delay: whether the upstream can get the request again. */
   startWaiting(
     entry: UpstreamEntry,
@@ -34,16 +53,21 @@
 /** Creates the state of a request that was not sent yet. */
 export function createSameUpstream(session: SessionOptions): SameUpstream {
   const {clock, admitted} = session;
+  const {deadlineAtMs} = admitted;
   let broken: UpstreamEntry | undefined;
   let replaced: UpstreamEntry | undefined;
 
   const trySpend = ({upstream}: UpstreamEntry): boolean =>
     session.trySpendRetry() && session.limits.trySpend(upstream);
 
-  const trySpendIfReachable = (entry: UpstreamEntry): boolean =>
-    session.isUsable(entry) &&
-    !entry.isUnreachable(clock.getNowMs()) &&
-    trySpend(entry);
+  const findRefusal = (entry: UpstreamEntry): ResendRefusal | undefined => {
+    if (!session.isUsable(entry)) return ResendRefusal.NotUsable;
+    if (entry.isUnreachable(clock.getNowMs())) return ResendRefusal.Unreachable;
+    if (!session.trySpendRetry()) return ResendRefusal.RetryBudgetSpent;
+    return session.limits.trySpend(entry.upstream)
+      ? undefined
+      : ResendRefusal.UpstreamLimitReached;
+  };
 
   return {
     observeFailure: (attempt, {code}) => {
@@ -56,7 +80,7 @@
       const maySend =
         entry !== undefined &&
         sentCount < admitted.route.maxAttempts &&
-        trySpendIfReachable(entry);
+        findRefusal(entry) === undefined;
       return maySend ? entry : undefined;
     },
     observeReplaced: attempt => {
@@ -65,8 +89,11 @@
     takeReplaced: () => {
       const entry = replaced;
       replaced = undefined;
-      const maySend = entry !== undefined && trySpendIfReachable(entry);
-      return maySend ? entry : undefined;
+      if (entry === undefined) return Left(ResendRefusal.NotReplaced);
+      if (deadlineAtMs - clock.getNowMs() <= MIN_SEND_MS)
+        return Left(ResendRefusal.DeadlineReached);
+      const refusal = findRefusal(entry);
+      return refusal === undefined ? Right(entry) : Left(refusal);
     },
     startWaiting: (entry, onReady) =>
       void clock.startTimer(SAME_UPSTREAM_DELAY_MS, () => {
--- a/packages/gateway/src/session-types.ts
+++ b/packages/gateway/src/session-types.ts
@@ -18,6 +18,9 @@
 import type {UpstreamLimits} from './upstream-limits';
 import type {Refusal, RefusalCode} from './refusals';
 
+/** Least time before the deadline at which a request is still sent. */
+export const MIN_SEND_MS = 5;
+
 /** An admitted request with its route, service and deadline. */
 export interface AdmittedRequest {
   request: CallerRequest;
