Keep an attempt at a silent upstream until the other one goes on

Cause: a failover gave up the first attempt 200 ms after the request was sent elsewhere, whether or not that upstream had answered. So an attempt that lives was given up for one that did not go on.

Change: both attempts are kept until the other upstream sends an event of a stream, or begins to answer another request; what it says before that ends only its own attempt. An upstream that is silent as well is left for a third one where the route allows one. No timer gives up an attempt any more, so a rejected failover needs no retry for the way back.

Why it works: no state is left in which the only attempt of a stream is one that no upstream has begun to work on, unless the first upstream itself failed.

--- a/packages/gateway/src/request-failover.ts
+++ b/packages/gateway/src/request-failover.ts
@@ -1,12 +1,10 @@
 /**
  * Moves a request from an unresponsive upstream to another one. A sound upstream
- * may pause and go on, and the other one may reject the request, so the attempt
- * at the first one is kept until the other one answers, or for a short time.
+ * may pause and go on, and the other one may reject the request or pause as well,
+ * so the attempt at the first one is kept until the other one goes on.
  */
 import {planFailover} from '@siskinplank/dispatch';
 import type {FailoverReason, UpstreamEntry} from '@siskinplank/dispatch';
-import {startWaitTimer} from '@siskinplank/foundation';
-import type {Timer} from '@siskinplank/foundation';
 import {RequestKind, canRepeat} from '@siskinplank/serving';
 import {REQUEST_FAILED_OVER} from './events';
 import type {AttemptTarget, SessionOptions} from './session-types';
@@ -20,6 +18,8 @@
   /** Whether the request may be sent to the upstream that was found. */
   maySend(): boolean;
   send(entry: UpstreamEntry): Attempt;
+  /** Gives up an attempt that has replaced no other. */
+  cancel(successor: Attempt): void;
   /** `successor` replaces the current attempt. */
   onReplaced(successor: Attempt): void;
 }
@@ -30,7 +30,7 @@
   checkProgress(attempt: Attempt, nowMs: number): void;
   /** Notes that the request was sent to the upstream. */
   handleSent(entry: UpstreamEntry): void;
-  /** Notes that the upstream of an attempt answers the request. */
+  /** Notes that the upstream of an attempt works on the request. */
   handleAnswering(attempt: Attempt): void;
   /** Notes that an attempt failed; true if it has replaced no other yet. */
   handleFailure(attempt: Attempt): boolean;
@@ -39,14 +39,12 @@
    * was sent to another upstream.
    */
   replaceFailed(): boolean;
-  /** Ends it; returns the attempt that was begun and has replaced no other. */
-  stop(): Attempt | undefined;
+  /** Ends it and gives up the attempt that has replaced no other. */
+  stop(): void;
 }
 
 /** Fault score of an upstream that a request left for another one. */
 const STALL_FAULT = 1;
-/** Time for which two upstreams may work on one request, at most. */
-const MAX_OVERLAP_MS = 200;
 
 /** Creates a failover that has not begun. */
 export function createFailover(options: FailoverOptions): Failover {
@@ -56,17 +54,19 @@
   let reason: FailoverReason | undefined;
   let successor: Attempt | undefined;
   let stopSearch: (() => void) | undefined;
-  let overlapTimer: Timer | undefined;
 
   /** Returns the attempt that has replaced no other, and forgets it. */
   const takeSuccessor = (): Attempt | undefined => {
     const attempt = successor;
     successor = undefined;
-    overlapTimer?.cancel();
-    overlapTimer = undefined;
     return attempt;
   };
 
+  const cancelSuccessor = (): void => {
+    const attempt = takeSuccessor();
+    if (attempt !== undefined) options.cancel(attempt);
+  };
+
   const replace = (): void => {
     const attempt = takeSuccessor();
     if (attempt === undefined) return;
@@ -85,9 +85,8 @@
     options.onReplaced(attempt);
   };
 
-  const startOverlap = (): void => {
+  const recordStall = (): void => {
     if (former !== undefined) session.recordFault(former.entry, STALL_FAULT);
-    overlapTimer = startWaitTimer(session.clock, MAX_OVERLAP_MS, replace);
   };
 
   const findReason = (
@@ -122,23 +121,29 @@
         if (reason === undefined) return;
         if (!options.maySend() || !session.trySpendRetry()) return;
         successor = options.send(entry);
-        if (successor.wasSent()) startOverlap();
+        if (successor.wasSent()) recordStall();
       },
       decide,
     );
     if (!isDecided) stopSearch = stop;
   };
 
+  /** Whether the request waits for the upstream that it failed over to. */
+  const hasResponsiveSuccessor = (nowMs: number): boolean =>
+    successor !== undefined &&
+    (!successor.wasSent() || findReason(successor, nowMs) === undefined);
+
   return {
     checkProgress: (attempt, nowMs) => {
-      if (successor !== undefined || stopSearch !== undefined) return;
+      if (stopSearch !== undefined || hasResponsiveSuccessor(nowMs)) return;
       reason = findReason(attempt, nowMs);
       // A search may take a unit of a limit, so none is made in vain.
       if (reason === undefined || !session.canSpendRetry()) return;
+      cancelSuccessor();
       start(attempt);
     },
     handleSent: entry => {
-      if (successor?.entry === entry) startOverlap();
+      if (successor?.entry === entry) recordStall();
     },
     handleAnswering: attempt => {
       if (attempt === successor) replace();
@@ -156,7 +161,7 @@
     stop: () => {
       stopSearch?.();
       stopSearch = undefined;
-      return takeSuccessor();
+      cancelSuccessor();
     },
   };
 }
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -88,10 +88,8 @@
     });
   };
 
-  /** Keeps the current attempt. */
-  const stopFailover = (): void => {
-    const successor = failover.stop();
-    if (successor === undefined) return;
+  /** Gives up an attempt of a failover that has replaced no other. */
+  const cancelSuccessor = (successor: Attempt): void => {
     if (successor.wasSent()) {
       logAttempt(successor, 'failover ended');
       mayHaveRun = true;
@@ -103,7 +101,7 @@
 
   /** Cancels the current attempt; the upstream may have run the request. */
   const cancelAttempt = (): void => {
-    stopFailover();
+    failover.stop();
     const cancelled = current;
     current = undefined;
     if (cancelled === undefined) return;
@@ -243,7 +241,7 @@
     const isResumed = response.hasStarted() && startedBy !== attempt;
     if (isResumed && !isSuccess(head)) return leaveUnresumed(attempt);
     failover.handleAnswering(attempt);
-    stopFailover();
+    failover.stop();
     recordFirstByte();
     lastEventId = eventId ?? lastEventId;
     if (!response.hasStarted()) {
@@ -288,7 +286,8 @@
     const hasOther = (): boolean =>
       failover.handleFailure(attempt) || failover.replaceFailed();
     if (mayLeave && hasOther()) return leaveFailed();
-    stopFailover();
+    failover.handleAnswering(attempt);
+    failover.stop();
     current = undefined;
     if (!response.hasStarted()) {
       if (!isFailure || !isRepeatable || !canTryAnother()) {
@@ -316,7 +315,7 @@
     }
     current = undefined;
     if (failover.replaceFailed()) return;
-    stopFailover();
+    failover.stop();
     const mayResend = !hasResent && options.isUsable(attempt.entry);
     if (hasAttemptsLeft() || !mayResend) return tryNext();
     // The model or adapter may still have been loading; it may be ready soon.
@@ -367,7 +366,7 @@
       }
       return;
     }
-    stopFailover();
+    failover.stop();
     if (broken === undefined) tryNext();
     else retryUnlessEnded(attempt.entry, broken);
   };
@@ -395,7 +394,9 @@
             ? isSuccess(head)
             : head.status < 500;
           if (responseClass !== ResponseClass.Answer || !isUsable) return;
-          if (attempt === current) stopFailover();
+          // A stream goes on with an event, which may come long after its head.
+          if (route.kind === RequestKind.Stream && isSuccess(head)) return;
+          if (attempt === current) failover.stop();
           else failover.handleAnswering(attempt);
         },
         onAnswering: () => options.guard.recordAnswer(guarded),
@@ -414,6 +415,7 @@
     maySend: () =>
       !hasEnded && canTryAnother() && !options.guard.isBlamed(guarded),
     send: sendTo,
+    cancel: cancelSuccessor,
     onReplaced: successor => {
       if (current !== undefined) sameUpstream.observeReplaced(current);
       cancelAttempt();
