Bound retries in every window that a retry falls into

Cause: a retry was covered by the requests of the 10 s before it. Windows that begin later hold the same retries, but not the requests from before them: in the first seconds of traffic, and where fewer requests come than came so far, retries that were covered when they were sent are too many for the window that is judged.

Test: "keeps to the bound where fewer requests come after the start" failed before (55, 54 allowed; windows by the rule's words: the requests of the window, of the one before it, or of the one half a window before it).

Change: a retry must also be covered in each window that begins with an earlier one, by the most of those three counts as far as they are known.

Not covered: each gateway takes its own most, and the sum of these may be higher than the most of the sums while traffic moves between gateways; it was so before.

--- a/packages/dispatch/src/retry-budget.test.ts
+++ b/packages/dispatch/src/retry-budget.test.ts
@@ -20,6 +20,23 @@
   return most;
 }
 
+/**
+ * Largest excess over all windows that begin with a retry. Requests count in the
+ * window, in the one before it or in the one half a window before it.
+ */
+function computeSlidingExcess(requests: number[], repeats: number[]): number {
+  const count = (times: number[], fromMs: number): number =>
+    times.filter(atMs => atMs >= fromMs && atMs < fromMs + BOUND.windowMs)
+      .length;
+  const excesses = repeats.map(startMs => {
+    const compared = [0, BOUND.windowMs / 2, BOUND.windowMs].map(beforeMs =>
+      count(requests, startMs - beforeMs),
+    );
+    return count(repeats, startMs) - BOUND.ratio * Math.max(...compared);
+  });
+  return Math.max(...excesses);
+}
+
 describe('retry budget', () => {
   // When every upstream of a service fails, all gateways retry as much as they
   // may. A gateway that restarts must not get its slack a second time.
@@ -63,6 +80,41 @@
     );
   });
 
+  // Requests that came before a window cover no retries in it.
+  it('keeps to the bound where fewer requests come after the start', () => {
+    fc.assert(
+      fc.property(
+        fc.integer({min: 1, max: 6}),
+        fc.integer({min: 2_000, max: 9_000}),
+        fc.array(fc.nat({max: 1}), {minLength: 120, maxLength: 200}),
+        (count, fallsAtMs, steps) => {
+          const budgets = Array.from({length: count}, () =>
+            createRetryBudget(BOUND, () => 1 / count, 0),
+          );
+          const requests: number[] = [];
+          const repeats: number[] = [];
+          steps.forEach((hasPause, index) => {
+            const sinceStartMs = index * 100;
+            const nowMs = 12_000 + sinceStartMs;
+            const sent = sinceStartMs < fallsAtMs ? 12 : 6;
+            for (let request = 0; request < sent; request += 1) {
+              budgets[request % count].recordRequest(nowMs);
+              requests.push(nowMs);
+            }
+            if (hasPause === 0) return;
+            for (const budget of budgets) {
+              while (budget.trySpend(nowMs)) repeats.push(nowMs);
+            }
+          });
+          expect(computeSlidingExcess(requests, repeats)).toBeLessThanOrEqual(
+            BOUND.slack,
+          );
+        },
+      ),
+      {numRuns: 60},
+    );
+  });
+
   it('allows a burst of retries from the slack', () => {
     const budget = createRetryBudget(BOUND, () => 1 / 4, 0);
     let spent = 0;
--- a/packages/dispatch/src/retry-budget.ts
+++ b/packages/dispatch/src/retry-budget.ts
@@ -11,7 +11,10 @@
 
 /** Bounds of the retries of all gateways together. */
 export interface RetryBudgetOptions {
-  /** Retries allowed, as a fraction of the requests in the window. */
+  /**
+   * Retries allowed, as a fraction of the requests in the window, in the one
+   * before it or in the one half a window before it.
+   */
   ratio: number;
   /** Retries allowed in any window in addition to that fraction. */
   slack: number;
@@ -34,6 +37,18 @@
  */
 const BURST_FRACTION = 0.5;
 
+/** Index of the first of some ascending times that is later than `timeMs`. */
+function findFirstAfter(times: readonly number[], timeMs: number): number {
+  let low = 0;
+  let high = times.length;
+  while (low < high) {
+    const middle = Math.floor((low + high) / 2);
+    if (times[middle] > timeMs) high = middle;
+    else low = middle + 1;
+  }
+  return low;
+}
+
 /**
  * Creates a budget without recorded requests.
  *
@@ -51,12 +66,14 @@
   let tokens = 0;
   let refilledAtMs = startedAtMs;
 
-  const removeExpired = (times: number[], nowMs: number): number[] => {
-    const firstKept = times.findIndex(time => time > nowMs - windowMs);
-    if (firstKept === 0) return times;
-    return firstKept < 0 ? [] : times.slice(firstKept);
+  const removeExpired = (times: number[], sinceMs: number): number[] => {
+    const firstKept = findFirstAfter(times, sinceMs);
+    return firstKept === 0 ? times : times.slice(firstKept);
   };
 
+  const countRequests = (fromMs: number, toMs: number): number =>
+    findFirstAfter(requests, toMs) - findFirstAfter(requests, fromMs);
+
   const fill = (nowMs: number): void => {
     const ownSlack = slack * getSlackFraction();
     const elapsedMs = Math.max(0, nowMs - refilledAtMs);
@@ -65,17 +82,35 @@
     tokens = Math.min(ownSlack * BURST_FRACTION, tokens + gained);
   };
 
-  /** Whether the ratio covers one more retry. */
+  /** Most requests that retries from `startMs` on may be measured by. */
+  const countComparedRequests = (startMs: number, nowMs: number): number =>
+    Math.max(
+      countRequests(startMs - windowMs, startMs),
+      countRequests(startMs - windowMs / 2, startMs + windowMs / 2),
+      countRequests(startMs, nowMs),
+    );
+
+  /**
+   * Whether the ratio covers one more retry in each window that it falls into.
+   * Fewer requests may come than came so far, so windows that have begun count
+   * with the requests that are known.
+   */
   const isCovered = (nowMs: number): boolean => {
     fill(nowMs);
-    requests = removeExpired(requests, nowMs);
-    repeats = removeExpired(repeats, nowMs);
-    return repeats.length + 1 <= ratio * requests.length;
+    requests = removeExpired(requests, nowMs - 2 * windowMs);
+    repeats = removeExpired(repeats, nowMs - windowMs);
+    const recentCount = countRequests(nowMs - windowMs, nowMs);
+    if (repeats.length + 1 > ratio * recentCount) return false;
+    return repeats.every(
+      (startMs, index) =>
+        repeats.length - index + 1 <=
+        ratio * countComparedRequests(startMs, nowMs),
+    );
   };
 
   return {
     recordRequest: nowMs => {
-      requests = removeExpired(requests, nowMs);
+      requests = removeExpired(requests, nowMs - 2 * windowMs);
       requests.push(nowMs);
     },
     canSpend: nowMs => isCovered(nowMs) || tokens >= 1,
