Leave retries to failed requests when many upstreams pause at once

Cause: failovers and replacements drew on one budget, first come, first served. When most upstreams pause, dozens of failovers come within 0.2 s.

Change: a retry names its purpose; failovers leave a quarter of the ratio and of the slack to requests whose attempt has failed. The bound of the service is unchanged.

Evidence: "leaves retries to failed requests after failovers" (the budget had one purpose before, so that the test can't run on the old code; there, the failovers spend all of it).

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -2,7 +2,7 @@
  * Decisions about requests: which upstream to use, how long to wait, when to
  * refuse or fail over. Does no I/O and takes the current time as an argument.
  */
-export {createRetryBudget} from './retry-budget';
+export {RetryPurpose, createRetryBudget} from './retry-budget';
 export type {RetryBudget, RetryBudgetOptions} from './retry-budget';
 export {createUpstreamTable} from './upstream-table';
 export type {
--- a/packages/dispatch/src/retry-budget.test.ts
+++ b/packages/dispatch/src/retry-budget.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
-import {createRetryBudget} from './retry-budget';
+import {RetryPurpose, createRetryBudget} from './retry-budget';
 import type {RetryBudget} from './retry-budget';
 
 const BOUND = {ratio: 0.2, slack: 54, windowMs: 10_000};
@@ -68,7 +68,8 @@
               requests.push(nowMs);
             }
             for (const budget of budgets) {
-              while (budget.trySpend(nowMs)) repeats.push(nowMs);
+              while (budget.trySpend(RetryPurpose.Replacement, nowMs))
+                repeats.push(nowMs);
             }
           });
           expect(computeExcess(requests, repeats)).toBeLessThanOrEqual(
@@ -103,7 +104,8 @@
             }
             if (hasPause === 0) return;
             for (const budget of budgets) {
-              while (budget.trySpend(nowMs)) repeats.push(nowMs);
+              while (budget.trySpend(RetryPurpose.Replacement, nowMs))
+                repeats.push(nowMs);
             }
           });
           expect(computeSlidingExcess(requests, repeats)).toBeLessThanOrEqual(
@@ -118,7 +120,28 @@
   it('allows a burst of retries from the slack', () => {
     const budget = createRetryBudget(BOUND, () => 1 / 4, 0);
     let spent = 0;
-    while (budget.trySpend(12_000)) spent += 1;
+    while (budget.trySpend(RetryPurpose.Replacement, 12_000)) spent += 1;
     expect(spent).toBe(6);
   });
+
+  it.each([0, 100])(
+    'leaves retries to failed requests after failovers, at %i requests',
+    requestCount => {
+      const nowMs = 12_000;
+      const budget = createRetryBudget(BOUND, () => 1, 0);
+      for (let sent = 0; sent < requestCount; sent += 1) {
+        budget.recordRequest(nowMs);
+      }
+      const spend = (purpose: RetryPurpose): number => {
+        let spent = 0;
+        while (budget.trySpend(purpose, nowMs)) spent += 1;
+        expect(budget.canSpend(purpose, nowMs)).toBe(false);
+        return spent;
+      };
+      const failovers = spend(RetryPurpose.Failover);
+      const replacements = spend(RetryPurpose.Replacement);
+      expect(failovers).toBeGreaterThan(replacements);
+      expect(replacements).toBeGreaterThanOrEqual(failovers / 4);
+    },
+  );
 });
--- a/packages/dispatch/src/retry-budget.ts
+++ b/packages/dispatch/src/retry-budget.ts
@@ -22,21 +22,40 @@
   windowMs: number;
 }
 
+/** Why a request is sent once more. */
+export enum RetryPurpose {
+  /** Its attempt has failed, so that it has no other one. */
+  Replacement = 'replacement',
+  /** Its attempt is silent and may still go on. */
+  Failover = 'failover',
+}
+
 /** Limits retries by the requests of a sliding window. */
 export interface RetryBudget {
   recordRequest(nowMs: number): void;
-  /** Whether a retry is left. */
-  canSpend(nowMs: number): boolean;
-  /** Spends one retry; false when none is left. */
-  trySpend(nowMs: number): boolean;
+  /** Whether a retry is left for the purpose. */
+  canSpend(purpose: RetryPurpose, nowMs: number): boolean;
+  /** Spends one retry; false when none is left for the purpose. */
+  trySpend(purpose: RetryPurpose, nowMs: number): boolean;
 }
 
+/**
+ * Fraction that failovers leave to requests whose attempt has failed. When many
+ * upstreams pause at once, failovers would spend all of it on requests that need
+ * none.
+ */
+const REPLACEMENT_FRACTION = 0.25;
+
 /**
  * Fraction of the slack that can be spent at once (capacity of the bucket). The
  * rest is refilled over the window.
  */
 const BURST_FRACTION = 0.5;
 
+function getUsableFraction(purpose: RetryPurpose): number {
+  return purpose === RetryPurpose.Failover ? 1 - REPLACEMENT_FRACTION : 1;
+}
+
 /** Index of the first of some ascending times that is later than `timeMs`. */
 function findFirstAfter(times: readonly number[], timeMs: number): number {
   let low = 0;
@@ -95,31 +114,39 @@
    * Fewer requests may come than came so far, so windows that have begun count
    * with the requests that are known.
    */
-  const isCovered = (nowMs: number): boolean => {
+  const isCovered = (usableFraction: number, nowMs: number): boolean => {
     fill(nowMs);
+    const usableRatio = ratio * usableFraction;
     requests = removeExpired(requests, nowMs - 2 * windowMs);
     repeats = removeExpired(repeats, nowMs - windowMs);
     const recentCount = countRequests(nowMs - windowMs, nowMs);
-    if (repeats.length + 1 > ratio * recentCount) return false;
+    if (repeats.length + 1 > usableRatio * recentCount) return false;
     return repeats.every(
       (startMs, index) =>
         repeats.length - index + 1 <=
-        ratio * countComparedRequests(startMs, nowMs),
+        usableRatio * countComparedRequests(startMs, nowMs),
     );
   };
 
+  /** Whether the slack has a retry left. */
+  const hasToken = (purpose: RetryPurpose): boolean => {
+    const burst = slack * getSlackFraction() * BURST_FRACTION;
+    return tokens - burst * (1 - getUsableFraction(purpose)) >= 1;
+  };
+
   return {
     recordRequest: nowMs => {
       requests = removeExpired(requests, nowMs - 2 * windowMs);
       requests.push(nowMs);
     },
-    canSpend: nowMs => isCovered(nowMs) || tokens >= 1,
-    trySpend: nowMs => {
-      if (isCovered(nowMs)) {
+    canSpend: (purpose, nowMs) =>
+      isCovered(getUsableFraction(purpose), nowMs) || hasToken(purpose),
+    trySpend: (purpose, nowMs) => {
+      if (isCovered(getUsableFraction(purpose), nowMs)) {
         repeats.push(nowMs);
         return true;
       }
-      if (tokens < 1) return false;
+      if (!hasToken(purpose)) return false;
       tokens -= 1;
       return true;
     },
--- a/packages/gateway/src/request-attempt.ts
+++ b/packages/gateway/src/request-attempt.ts
@@ -1,8 +1,10 @@
 /** Starts the attempts of a caller request, and logs how they end. */
+import {RetryPurpose} from '@siskinplank/dispatch';
 import type {UpstreamEntry} from '@siskinplank/dispatch';
 import {RequestKind, ResponseClass} from '@siskinplank/serving';
-import {ATTEMPT_ENDED} from './events';
+import {ATTEMPT_ENDED, RESPONSE_CUT} from './events';
 import type {GuardedRequest} from './guarded-request';
+import type {ResendRefusal} from './same-upstream';
 import type {SessionOptions} from './session-types';
 import {describeAttempt, startAttempt} from './upstream-attempt';
 import type {Attempt, AttemptObserver} from './upstream-attempt';
@@ -86,3 +88,18 @@
       leftMs: Math.round(admitted.deadlineAtMs - clock.getNowMs()),
     });
 }
+
+/** Creates the log of responses that have begun and get no further attempt. */
+export function createCutLog(
+  {admitted, clock, logger, canSpendRetry}: SessionOptions,
+  hasAttemptsLeft: () => boolean,
+): (returnRefusal: ResendRefusal) => void {
+  return returnRefusal =>
+    logger.log(RESPONSE_CUT, {
+      request: admitted.request.attemptId,
+      returnRefusal,
+      hasAttemptsLeft: hasAttemptsLeft(),
+      hasRetryLeft: canSpendRetry(RetryPurpose.Replacement),
+      leftMs: Math.round(admitted.deadlineAtMs - clock.getNowMs()),
+    });
+}
--- a/packages/gateway/src/request-failover.ts
+++ b/packages/gateway/src/request-failover.ts
@@ -3,7 +3,7 @@
  * may pause and go on, and the other one may reject the request or pause as well,
  * so the attempt at the first one is kept until the other one goes on.
  */
-import {planFailover} from '@siskinplank/dispatch';
+import {RetryPurpose, planFailover} from '@siskinplank/dispatch';
 import type {FailoverReason, UpstreamEntry} from '@siskinplank/dispatch';
 import {RequestKind, canRepeat} from '@siskinplank/serving';
 import {REQUEST_FAILED_OVER} from './events';
@@ -119,7 +119,8 @@
         // The upstream may have gone on while the search waited.
         reason = findReason(attempt, session.clock.getNowMs());
         if (reason === undefined) return;
-        if (!options.maySend() || !session.trySpendRetry()) return;
+        if (!options.maySend() || !session.trySpendRetry(RetryPurpose.Failover))
+          return;
         successor = options.send(entry);
         if (successor.wasSent()) recordStall();
       },
@@ -138,7 +139,8 @@
       if (stopSearch !== undefined || hasResponsiveSuccessor(nowMs)) return;
       reason = findReason(attempt, nowMs);
       // A search may take a unit of a limit, so none is made in vain.
-      if (reason === undefined || !session.canSpendRetry()) return;
+      if (reason === undefined || !session.canSpendRetry(RetryPurpose.Failover))
+        return;
       cancelSuccessor();
       start(attempt);
     },
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -298,8 +298,8 @@
           const origin = {service, softwareVersion};
           if (canRepeat(route)) options.origins.recordBegun(request, origin);
         },
-        canSpendRetry: () => budget.canSpend(clock.getNowMs()),
-        trySpendRetry: () => budget.trySpend(clock.getNowMs()),
+        canSpendRetry: purpose => budget.canSpend(purpose, clock.getNowMs()),
+        trySpendRetry: purpose => budget.trySpend(purpose, clock.getNowMs()),
         sendRefusal,
         onEnd: outcome => {
           recordDuration(outcome);
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -3,7 +3,7 @@
  * upstreams, the relay of the response, and the refusal when there is none. The
  * kind of the route decides whether a request may be retried.
  */
-import {SHUTDOWN_RETRY_AFTER_MS} from '@siskinplank/dispatch';
+import {RetryPurpose, SHUTDOWN_RETRY_AFTER_MS} from '@siskinplank/dispatch';
 import type {UpstreamEntry} from '@siskinplank/dispatch';
 import {ExchangeFailureCode} from '@siskinplank/http-exchange';
 import type {ExchangeFailure, ResponseHead} from '@siskinplank/http-exchange';
@@ -13,12 +13,14 @@
 import type {BrokenRequest} from './request-guard';
 import {REFUSAL_STATUSES, RefusalCode} from './refusals';
 import type {Refusal} from './refusals';
-import {RESPONSE_CUT} from './events';
-import {createAttemptLog, startRequestAttempt} from './request-attempt';
+import {
+  createAttemptLog,
+  createCutLog,
+  startRequestAttempt,
+} from './request-attempt';
 import {createFailover} from './request-failover';
 import {isEmptySuccess, isSuccess} from './response-heads';
 import {createSameUpstream} from './same-upstream';
-import type {ResendRefusal} from './same-upstream';
 import {MIN_SEND_MS} from './session-types';
 import type {
   AttemptTarget,
@@ -44,6 +46,7 @@
   const counts = createAttemptCounts(route);
   const {triedUpstreamIds, getSentCount, hasAttemptsLeft} = counts;
   const logAttempt = createAttemptLog(options, guarded, getSentCount);
+  const logCut = createCutLog(options, hasAttemptsLeft);
   let current: Attempt | undefined;
   /** Attempt whose head was sent to the caller before its body was complete. */
   let startedBy: Attempt | undefined;
@@ -165,7 +168,8 @@
       entry => {
         stopSearch = undefined;
         if (hasEnded || !checkRequest()) return;
-        if (!isRepeat || options.trySpendRetry()) startAttemptAt(entry);
+        if (!isRepeat || options.trySpendRetry(RetryPurpose.Replacement))
+          startAttemptAt(entry);
         else onNone();
       },
       (retryAfterMs, code) => {
@@ -181,21 +185,12 @@
     hasAttemptsLeft() &&
     deadlineAtMs - clock.getNowMs() > MIN_SEND_MS;
 
-  const logNoAttempt = (returnRefusal: ResendRefusal): void =>
-    options.logger.log(RESPONSE_CUT, {
-      request: request.attemptId,
-      returnRefusal,
-      hasAttemptsLeft: hasAttemptsLeft(),
-      hasRetryLeft: options.canSpendRetry(),
-      leftMs: Math.round(deadlineAtMs - clock.getNowMs()),
-    });
-
   /** Goes back to the upstream that a stream has left, or refuses. */
   const returnOrRefuse = (retryAfterMs?: number, code?: RefusalCode): void => {
     if (hasEnded) return;
     sameUpstream.takeReplaced().caseOf({
       Left: refusal => {
-        if (response.hasStarted()) logNoAttempt(refusal);
+        if (response.hasStarted()) logCut(refusal);
         refuseUnserved(retryAfterMs, code);
       },
       Right: entry => {
--- a/packages/gateway/src/same-upstream.ts
+++ b/packages/gateway/src/same-upstream.ts
@@ -1,4 +1,5 @@
 /** Sends a request once more to an upstream that it was sent to before. */
+import {RetryPurpose} from '@siskinplank/dispatch';
 import type {UpstreamEntry} from '@siskinplank/dispatch';
 import {Left, Right} from 'purify-ts';
 import type {Either} from 'purify-ts';
@@ -58,12 +59,14 @@
   let replaced: UpstreamEntry | undefined;
 
   const trySpend = ({upstream}: UpstreamEntry): boolean =>
-    session.trySpendRetry() && session.limits.trySpend(upstream);
+    session.trySpendRetry(RetryPurpose.Replacement) &&
+    session.limits.trySpend(upstream);
 
   const findRefusal = (entry: UpstreamEntry): ResendRefusal | undefined => {
     if (!session.isUsable(entry)) return ResendRefusal.NotUsable;
     if (entry.isUnreachable(clock.getNowMs())) return ResendRefusal.Unreachable;
-    if (!session.trySpendRetry()) return ResendRefusal.RetryBudgetSpent;
+    if (!session.trySpendRetry(RetryPurpose.Replacement))
+      return ResendRefusal.RetryBudgetSpent;
     return session.limits.trySpend(entry.upstream)
       ? undefined
       : ResendRefusal.UpstreamLimitReached;
--- a/packages/gateway/src/session-types.ts
+++ b/packages/gateway/src/session-types.ts
@@ -2,6 +2,7 @@
 import type {
   FailoverReason,
   OpenRequest,
+  RetryPurpose,
   UpstreamEntry,
 } from '@siskinplank/dispatch';
 import type {Clock, Logger} from '@siskinplank/foundation';
@@ -95,10 +96,10 @@
   recordFailover(reason: FailoverReason): void;
   /** Latest time to start the request; undefined unless this gateway drains. */
   getLastStartAtMs(): number | undefined;
-  /** Whether the service's budget has a retry left. */
-  canSpendRetry(): boolean;
-  /** Spends one retry of the service's budget; false when it is exhausted. */
-  trySpendRetry(): boolean;
+  /** Whether the service's budget has a retry left for the purpose. */
+  canSpendRetry(purpose: RetryPurpose): boolean;
+  /** Spends one retry of the service's budget; false when none is left. */
+  trySpendRetry(purpose: RetryPurpose): boolean;
   /**
    * Time until an upstream of the version that can run the request wants
    * requests again; undefined unless none of them does now.
