Send no failover to an upstream whose streams have stalled

What callers saw: nothing by itself. When most upstreams pause together, a request left one silent upstream for another one, where it waited as well, and spent a retry on it.

Cause: a stalled upstream is chosen last, but it is chosen when all others are stalled, too.

Change: a search of a failover is refused where the best upstream has stalled; the request keeps its attempt and looks again. Requests without an attempt are sent there as before.

Evidence: dispatcher, "sends no failover to an upstream whose streams have stalled" failed before (sent to u3).

--- a/packages/gateway/src/dispatcher.test.ts
+++ b/packages/gateway/src/dispatcher.test.ts
@@ -69,6 +69,7 @@
     tried?: readonly string[],
     deadlineMs?: number,
     softwareVersion?: string,
+    needsActive?: boolean,
   ): void;
 }
 
@@ -111,7 +112,12 @@
     table,
     chosen,
     refused,
-    acquire: (tried = [], deadlineMs = 8_000, softwareVersion) =>
+    acquire: (
+      tried = [],
+      deadlineMs = 8_000,
+      softwareVersion,
+      needsActive = false,
+    ) =>
       void dispatcher.acquire({
         service: SERVICE,
         model: MODEL,
@@ -124,6 +130,7 @@
         targetLatencyMs: 500,
         targetPauseMs: undefined,
         softwareVersion,
+        needsActive,
         getLastStartAtMs: () => undefined,
         onUpstream: ({upstream}) => chosen.push(upstream.id),
         onRefused: (retryAfterMs, code) => refused.push({retryAfterMs, code}),
@@ -288,3 +295,27 @@
     expect(chosen).toEqual(['new1']);
   });
 });
+
+describe('dispatcher before upstreams that pause', () => {
+  const stall = ({table, clock}: Bench, id: string): void => {
+    table.getEntry(id)?.progress.addStream(clock.getNowMs());
+  };
+  const STALL_MS = 1_500;
+
+  // Its request would wait there as well, and spend a retry on it.
+  it('sends no failover to an upstream whose streams have stalled', () => {
+    const bench = createBench(['u1', 'u2', 'u3'], LOAD_MS);
+    stall(bench, 'u1');
+    stall(bench, 'u2');
+    bench.clock.runFor(STALL_MS);
+    bench.acquire(['u1'], 8_000, undefined, true);
+    expect(bench.chosen).toEqual(['u3']);
+    stall(bench, 'u3');
+    bench.clock.runFor(STALL_MS);
+    bench.acquire(['u1'], 8_000, undefined, true);
+    expect(bench.chosen).toEqual(['u3']);
+    expect(bench.refused).toHaveLength(1);
+    bench.acquire(['u1']);
+    expect(bench.chosen).toHaveLength(2);
+  });
+});
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -30,6 +30,8 @@
   isResumable: boolean;
   promptTokens: number;
   triedUpstreamIds: ReadonlySet<string>;
+  /** Whether no upstream is better than one whose streams have all stalled. */
+  needsActive?: boolean;
   arrivedAtMs: number;
   deadlineAtMs: number;
   targetLatencyMs: number;
@@ -309,6 +311,11 @@
         ? undefined
         : policy.chooseUpstream(request, exhausted, nowMs);
     if (limited !== undefined) limits.noteWish(limited.entry.upstream);
+    // Stalled upstreams are chosen last, so that all others are busy or gone.
+    if (search.needsActive && choice?.entry.progress.isStalled(nowMs)) {
+      refuse(item, undefined);
+      return;
+    }
     if (choice !== undefined && limits.trySpend(choice.entry.upstream)) {
       const {model, adapter} = search;
       const needsAdapterLoad =
--- a/packages/gateway/src/request-failover.ts
+++ b/packages/gateway/src/request-failover.ts
@@ -113,7 +113,8 @@
       stopSearch = undefined;
     };
     const stop = session.acquireUpstream(
-      options.getTarget(),
+      // Another upstream that is silent as well would not go on any sooner.
+      {...options.getTarget(), needsActive: true},
       entry => {
         decide();
         // The upstream may have gone on while the search waited.
--- a/packages/gateway/src/session-types.ts
+++ b/packages/gateway/src/session-types.ts
@@ -47,6 +47,8 @@
   triedUpstreamIds: ReadonlySet<string>;
   /** The only software version that may; undefined if any may. */
   softwareVersion: string | undefined;
+  /** Whether no upstream is better than one whose streams have all stalled. */
+  needsActive?: boolean;
 }
 
 /** How a request ended. */
