Test a late rejection of a failover with a real gateway

'keeps a stream whose upstream pauses when another one rejects it after a pause of its own': the first upstream pauses for 1.5 s, the other one rejects the request 300 ms after it got it.

--- a/packages/soak/src/faulty-upstreams.test.ts
+++ b/packages/soak/src/faulty-upstreams.test.ts
@@ -351,6 +351,13 @@
       'rejects it',
       ({attemptId, socket}) => socket.write(renderNotRun(attemptId)),
     ],
+    [
+      'rejects it after a pause of its own',
+      async ({attemptId, socket}) => {
+        await wait(PAUSE_MS / 5);
+        socket.write(renderNotRun(attemptId));
+      },
+    ],
     ['breaks it off', ({socket}) => socket.destroy()],
     [
       'does not resume it',
