Keep each attempt of a request until one of them goes on

What callers saw: nothing yet; found by a review.

Cause: the failover kept one successor and one reason. While a silent successor was kept, each check overwrote the reason, and the successor's next event found none, so that it was passed on without replacing the first attempt. A search for a third upstream gave up the second one first.

Change: the failover keeps any number of attempts, each with its reason, up to the route's maximum; the first one that goes on ends the others.

--- a/packages/gateway/src/request-failover.ts
+++ b/packages/gateway/src/request-failover.ts
@@ -39,7 +39,7 @@
    * was sent to another upstream.
    */
   replaceFailed(): boolean;
-  /** Ends it and gives up the attempt that has replaced no other. */
+  /** Ends it and gives up the attempts that have replaced no other. */
   stop(): void;
 }
 
@@ -50,43 +50,39 @@
 export function createFailover(options: FailoverOptions): Failover {
   const {session} = options;
   const {route, request} = session.admitted;
+  /** The attempt that waits, and those begun meanwhile, with their reasons. */
   let former: Attempt | undefined;
-  let reason: FailoverReason | undefined;
-  let successor: Attempt | undefined;
+  const successors = new Map<Attempt, FailoverReason>();
   let stopSearch: (() => void) | undefined;
 
-  /** Returns the attempt that has replaced no other, and forgets it. */
-  const takeSuccessor = (): Attempt | undefined => {
-    const attempt = successor;
-    successor = undefined;
-    return attempt;
-  };
-
-  const cancelSuccessor = (): void => {
-    const attempt = takeSuccessor();
-    if (attempt !== undefined) options.cancel(attempt);
+  const recordStall = (): void => {
+    if (former !== undefined) session.recordFault(former.entry, STALL_FAULT);
   };
 
-  const replace = (): void => {
-    const attempt = takeSuccessor();
-    if (attempt === undefined) return;
-    if (former === undefined || reason === undefined) return;
-    const {entry} = former;
+  const replace = (successor: Attempt, reason: FailoverReason): void => {
+    successors.delete(successor);
+    stopSearch?.();
+    stopSearch = undefined;
+    const entry = former?.entry;
     const nowMs = session.clock.getNowMs();
     session.logger.log(REQUEST_FAILED_OVER, {
       request: request.attemptId,
-      upstream: entry.upstream.id,
-      successor: attempt.entry.upstream.id,
+      upstream: entry?.upstream.id,
+      successor: successor.entry.upstream.id,
       reason,
-      silentMs: Math.round(former.getIdleMs(nowMs)),
-      upstreamSilentMs: Math.round(entry.progress.getUnansweredMs(nowMs)),
+      silentMs: Math.round(former?.getIdleMs(nowMs) ?? 0),
+      upstreamSilentMs: Math.round(entry?.progress.getUnansweredMs(nowMs) ?? 0),
     });
+    former = successor;
     session.recordFailover(reason);
-    options.onReplaced(attempt);
+    options.onReplaced(successor);
   };
 
-  const recordStall = (): void => {
-    if (former !== undefined) session.recordFault(former.entry, STALL_FAULT);
+  const cancelSuccessors = (): void => {
+    for (const successor of [...successors.keys()]) {
+      successors.delete(successor);
+      options.cancel(successor);
+    }
   };
 
   const findReason = (
@@ -118,11 +114,11 @@
       entry => {
         decide();
         // The upstream may have gone on while the search waited.
-        reason = findReason(attempt, session.clock.getNowMs());
-        if (reason === undefined) return;
-        if (!options.maySend() || !session.trySpendRetry(RetryPurpose.Failover))
-          return;
-        successor = options.send(entry);
+        const reason = findReason(attempt, session.clock.getNowMs());
+        if (reason === undefined || !options.maySend()) return;
+        if (!session.trySpendRetry(RetryPurpose.Failover)) return;
+        const successor = options.send(entry);
+        successors.set(successor, reason);
         if (successor.wasSent()) recordStall();
       },
       decide,
@@ -130,41 +126,44 @@
     if (!isDecided) stopSearch = stop;
   };
 
-  /** Whether the request waits for the upstream that it failed over to. */
-  const hasResponsiveSuccessor = (nowMs: number): boolean =>
-    successor !== undefined &&
-    (!successor.wasSent() || findReason(successor, nowMs) === undefined);
+  /** Whether the newest of the other attempts may soon go on. */
+  const hasResponsiveSuccessor = (nowMs: number): boolean => {
+    const newest = [...successors.keys()].at(-1);
+    return (
+      newest !== undefined &&
+      (!newest.wasSent() || findReason(newest, nowMs) === undefined)
+    );
+  };
 
   return {
     checkProgress: (attempt, nowMs) => {
       if (stopSearch !== undefined || hasResponsiveSuccessor(nowMs)) return;
-      reason = findReason(attempt, nowMs);
+      if (findReason(attempt, nowMs) === undefined) return;
       // A search may take a unit of a limit, so none is made in vain.
-      if (reason === undefined || !session.canSpendRetry(RetryPurpose.Failover))
-        return;
-      cancelSuccessor();
+      if (!session.canSpendRetry(RetryPurpose.Failover)) return;
       start(attempt);
     },
     handleSent: entry => {
-      if (successor?.entry === entry) recordStall();
+      if ([...successors.keys()].some(known => known.entry === entry))
+        recordStall();
     },
     handleAnswering: attempt => {
-      if (attempt === successor) replace();
-    },
-    handleFailure: attempt => {
-      if (attempt !== successor) return false;
-      takeSuccessor();
-      return true;
+      const reason = successors.get(attempt);
+      if (reason === undefined) return;
+      replace(attempt, reason);
+      cancelSuccessors();
     },
+    handleFailure: attempt => successors.delete(attempt),
     replaceFailed: () => {
-      if (successor?.wasSent() !== true) return false;
-      replace();
+      const [first] = successors;
+      if (first === undefined || !first[0].wasSent()) return false;
+      replace(...first);
       return true;
     },
     stop: () => {
       stopSearch?.();
       stopSearch = undefined;
-      cancelSuccessor();
+      cancelSuccessors();
     },
   };
 }
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -412,9 +412,12 @@
     send: sendTo,
     cancel: cancelSuccessor,
     onReplaced: successor => {
-      if (current !== undefined) sameUpstream.observeReplaced(current);
-      cancelAttempt();
+      const replaced = current;
       current = successor;
+      if (replaced === undefined) return;
+      sameUpstream.observeReplaced(replaced);
+      if (replaced.wasSent()) mayHaveRun = true;
+      replaced.cancel();
     },
   });
 
