Keep a failover that is still connecting when the first upstream fails

What callers saw: a stream whose upstream broke off just after its failover had begun was cut, with another upstream found and a retry spent on it.

Cause: only an attempt that had been sent could replace a failed one; one whose connection was being made was cancelled, and the search began anew with a budget that was one retry shorter.

Change: any attempt that was begun replaces a failed one.

--- a/packages/gateway/src/kept-attempts.test.ts
+++ b/packages/gateway/src/kept-attempts.test.ts
@@ -94,4 +94,15 @@
     bench.exchanges[1].observer.onEnd();
     expect(bench.received).toBe(`200 ${EVENT}${EVENT}end`);
   });
+
+  // The retry of the failover is spent, and its connection is being made.
+  it('keeps a failover that was not sent yet when the first upstream breaks off', async () => {
+    bench.retriesLeft = 1;
+    await connectFailover(2);
+    bench.breakOff(0);
+    expect(bench.wasAborted).toBe(false);
+    bench.answer(1, makeHead(200), EVENT);
+    bench.exchanges[1].observer.onEnd();
+    expect(bench.received).toBe(`200 ${EVENT}${EVENT}end`);
+  });
 });
--- a/packages/gateway/src/request-failover.ts
+++ b/packages/gateway/src/request-failover.ts
@@ -35,8 +35,8 @@
   /** Notes that an attempt failed; true if it has replaced no other yet. */
   handleFailure(attempt: Attempt): boolean;
   /**
-   * Replaces the current attempt, which has failed; false unless the request
-   * was sent to another upstream.
+   * Replaces the current attempt, which has failed; false unless another one
+   * was begun.
    */
   replaceFailed(): boolean;
   /** Ends it and gives up the attempts that have replaced no other. */
@@ -156,7 +156,7 @@
     handleFailure: attempt => successors.delete(attempt),
     replaceFailed: () => {
       const [first] = successors;
-      if (first === undefined || !first[0].wasSent()) return false;
+      if (first === undefined) return false;
       replace(...first);
       return true;
     },
