Let a request return to each upstream that it was sent to

What callers saw: a stream with seconds left was closed after its two upstreams had reset its connections, or when its upstream broke off after a failover that had been given up or rejected.

Cause: max_attempts bounds the upstreams that a request is sent to, and each attempt counted. A request went back only to the upstream that was replaced last, or to one that broke off while attempts were left. An upstream that was asked for a failover and given up, or whose kept connection had been reset before the request arrived, used up an attempt and could not be asked again.

Change: upstreams that attempts have left are kept in order, given up, replaced or broken off (with events, or on a kept connection). When no further upstream may get the request, it goes back to the first of them that is usable, by a new connection and for a retry of the budget; to each one once, or while the route has attempts.

Why it works: such an upstream is no further one to the route, and it has dropped the request with its connection."

--- a/packages/gateway/src/kept-attempts.test.ts
+++ b/packages/gateway/src/kept-attempts.test.ts
@@ -7,6 +7,8 @@
 const EVENT = 'id: 1\ndata: x\n\n';
 /** Silence after which requests fail over. */
 const SILENT_MS = 2_000;
+/** Longer than the delay before an upstream that rejected is asked again. */
+const RESEND_MS = 200;
 
 describe('session with several attempts', () => {
   let bench: SessionBench;
@@ -105,4 +107,36 @@
     bench.exchanges[1].observer.onEnd();
     expect(bench.received).toBe(`200 ${EVENT}${EVENT}end`);
   });
+
+  // The upstream pauses, goes on and ends later. The other one has not begun to
+  // run the request.
+  it('does not lose a stream whose upstream breaks off after its failover was given up', async () => {
+    await failOver(2);
+    bench.exchanges[0].observer.onData(Buffer.from(EVENT));
+    expect(bench.exchanges[1].isCancelled).toBe(true);
+    bench.breakOff(0);
+    await bench.clock.runFor(RESEND_MS);
+    expect(bench.wasAborted).toBe(false);
+    expect(bench.exchanges).toHaveLength(3);
+  });
+
+  it('does not lose a stream whose first upstream broke off before its failover was rejected', async () => {
+    await failOver(2);
+    bench.breakOff(0);
+    reject(1);
+    await bench.clock.runFor(RESEND_MS);
+    reject(2);
+    await bench.clock.runFor(RESEND_MS);
+    expect(bench.wasAborted).toBe(false);
+  });
+
+  it('does not lose a stream whose first upstream broke off after its failover was rejected', async () => {
+    await failOver(2);
+    reject(1);
+    bench.session.checkProgress(bench.clock.getNowMs());
+    reject(2);
+    bench.breakOff(0);
+    await bench.clock.runFor(RESEND_MS);
+    expect(bench.wasAborted).toBe(false);
+  });
 });
--- a/packages/gateway/src/request-session.test.ts
+++ b/packages/gateway/src/request-session.test.ts
@@ -64,6 +64,34 @@
     expect(bench.received).toBe(`200 ${EVENT}${EVENT}end`);
   });
 
+  it('does not lose a stream when two upstreams reset its connections', () => {
+    bench.startSession(RequestKind.Stream, 2);
+    bench.answer(0, makeHead(200), EVENT);
+    bench.breakOff(0);
+    bench.exchanges[1].observer.onSend();
+    bench.breakOff(1, true);
+    expect(bench.wasAborted).toBe(false);
+    const keys = bench.exchanges.map(({key}) => key);
+    expect(keys.slice(0, 2)).toContain(keys[2]);
+    expect(bench.exchanges[2].needsNewConnection).toBe(true);
+    bench.answer(2, makeHead(200), EVENT);
+    bench.exchanges[2].observer.onEnd();
+    expect(bench.received).toBe(`200 ${EVENT}${EVENT}end`);
+  });
+
+  it('sends a request once more to each upstream that breaks it off', () => {
+    bench.startSession(RequestKind.Stream, 2);
+    bench.answer(0, makeHead(200), EVENT);
+    for (let index = 0; index < bench.exchanges.length; index += 1) {
+      bench.exchanges[index].observer.onSend();
+      bench.breakOff(index, true);
+    }
+    const keys = bench.exchanges.map(({key}) => key);
+    expect(keys).toHaveLength(4);
+    expect(new Set(keys).size).toBe(2);
+    expect(bench.wasAborted).toBe(true);
+  });
+
   it('completes a stream of which only the end was missing', () => {
     bench.startSession(RequestKind.Stream);
     bench.answer(0, makeHead(200), EVENT);
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -95,6 +95,7 @@
   const cancelSuccessor = (successor: Attempt): void => {
     if (successor.wasSent()) {
       logAttempt(successor, 'failover ended');
+      sameUpstream.observeGivenUp(successor);
       mayHaveRun = true;
     } else {
       counts.removeAttempt(successor.entry.upstream.id);
@@ -179,16 +180,17 @@
     );
   };
 
-  const canTryAnother = (): boolean =>
+  const canSendAgain = (): boolean =>
     canContinue &&
     (isRepeatable || !mayHaveRun) &&
-    hasAttemptsLeft() &&
     deadlineAtMs - clock.getNowMs() > MIN_SEND_MS;
 
-  /** Goes back to the upstream that a stream has left, or refuses. */
+  const canTryAnother = (): boolean => canSendAgain() && hasAttemptsLeft();
+
+  /** Sends the request again to an upstream that it has left, or refuses it. */
   const returnOrRefuse = (retryAfterMs?: number, code?: RefusalCode): void => {
     if (hasEnded) return;
-    sameUpstream.takeReplaced().caseOf({
+    sameUpstream.takeLeft(canSendAgain(), getSentCount()).caseOf({
       Left: refusal => {
         if (response.hasStarted()) logCut(refusal);
         refuseUnserved(retryAfterMs, code);
@@ -202,12 +204,8 @@
   /** Starts another attempt, or refuses the request. */
   const tryNext = (): void => {
     if (hasEnded || !checkRequest()) return;
-    if (!canTryAnother()) return returnOrRefuse();
-    search(getSentCount() > 0, (retryAfterMs, code) => {
-      const entry = canTryAnother() && sameUpstream.takeBroken(getSentCount());
-      if (entry) startAttemptAt(entry);
-      else returnOrRefuse(retryAfterMs, code);
-    });
+    if (canTryAnother()) search(getSentCount() > 0, returnOrRefuse);
+    else returnOrRefuse();
   };
 
   const recordFirstByte = (): void => {
@@ -415,7 +413,7 @@
       const replaced = current;
       current = successor;
       if (replaced === undefined) return;
-      sameUpstream.observeReplaced(replaced);
+      sameUpstream.observeGivenUp(replaced);
       if (replaced.wasSent()) mayHaveRun = true;
       replaced.cancel();
     },
--- a/packages/gateway/src/same-upstream.ts
+++ b/packages/gateway/src/same-upstream.ts
@@ -5,40 +5,40 @@
 import type {Either} from 'purify-ts';
 import {ExchangeFailureCode} from '@siskinplank/http-exchange';
 import type {ExchangeFailure} from '@siskinplank/http-exchange';
-import {MIN_SEND_MS} from './session-types';
 import type {SessionOptions} from './session-types';
 import type {Attempt} from './upstream-attempt';
 
 /** Why a request is not sent again to an upstream that it was sent to. */
 export enum ResendRefusal {
-  /** No other upstream has replaced it. */
-  NotReplaced = 'not-replaced',
+  /** It may not run again, or too little time is left. */
+  NotAllowed = 'not-allowed',
+  /** There is none that may be sound. */
+  NoneLeft = 'none-left',
   /** It has ended, or wants no requests now. */
   NotUsable = 'not-usable',
   Unreachable = 'unreachable',
   RetryBudgetSpent = 'retry-budget-spent',
   UpstreamLimitReached = 'upstream-limit-reached',
-  /** Too little time is left. */
-  DeadlineReached = 'deadline-reached',
 }
 
 /** The upstreams of one request, as far as it may be sent to them again. */
 export interface SameUpstream {
-  /** Notes the upstream of a stream whose connection broke. */
+  /** Notes the upstream of an attempt whose connection broke. */
   observeFailure(attempt: Attempt, failure: ExchangeFailure): void;
+  /** Notes the upstream of an attempt that was given up for another one. */
+  observeGivenUp(attempt: Attempt): void;
   /**
-   * Returns the upstream at which the stream may go on, or undefined, and spends
-   * what the request needs. The upstream may be sound, and it drops a request
-   * when its connection closes.
+   * Returns an upstream to which the request may be sent by a new connection,
+   * the one that was noted first, and spends what the request needs. It may be
+   * sound, and it drops a request when its connection closes. The Left says why
+   * the last one was passed over.
+   *
+   * @param isAllowed whether the request may run again.
    */
-  takeBroken(sentCount: number): UpstreamEntry | undefined;
-  /** Notes that another upstream replaces that of a stream, which may be sound. */
-  observeReplaced(attempt: Attempt): void;
-  /**
-   * Returns the upstream that was replaced last and spends what the request
-   * needs; the Left says why the request can't go on there.
-   */
-  takeReplaced(): Either<ResendRefusal, UpstreamEntry>;
+  takeLeft(
+    isAllowed: boolean,
+    sentCount: number,
+  ): Either<ResendRefusal, UpstreamEntry>;
   /** Calls back after a delay: whether the upstream can get the request again. */
   startWaiting(
     entry: UpstreamEntry,
@@ -54,9 +54,14 @@
 /** Creates the state of a request that was not sent yet. */
 export function createSameUpstream(session: SessionOptions): SameUpstream {
   const {clock, admitted} = session;
-  const {deadlineAtMs} = admitted;
-  let broken: UpstreamEntry | undefined;
-  let replaced: UpstreamEntry | undefined;
+  /** Upstreams that attempts have left, in this order. */
+  const left = new Set<UpstreamEntry>();
+  const returned = new Set<UpstreamEntry>();
+
+  const noteLeft = ({entry}: Attempt): void => {
+    left.delete(entry);
+    left.add(entry);
+  };
 
   const trySpend = ({upstream}: UpstreamEntry): boolean =>
     session.trySpendRetry(RetryPurpose.Replacement) &&
@@ -73,30 +78,30 @@
   };
 
   return {
-    observeFailure: (attempt, {code}) => {
+    observeFailure: (attempt, {code, wasReused}) => {
       const isBrokenOff = code === ExchangeFailureCode.BrokenOff;
-      if (isBrokenOff && attempt.hasEvents()) broken = attempt.entry;
-    },
-    takeBroken: sentCount => {
-      const entry = broken;
-      broken = undefined;
-      const maySend =
-        entry !== undefined &&
-        sentCount < admitted.route.maxAttempts &&
-        findRefusal(entry) === undefined;
-      return maySend ? entry : undefined;
-    },
-    observeReplaced: attempt => {
-      if (attempt.hasEvents()) replaced = attempt.entry;
+      // A kept connection may have been closed before the request arrived.
+      if (isBrokenOff && (attempt.hasEvents() || wasReused)) noteLeft(attempt);
+      else left.delete(attempt.entry);
     },
-    takeReplaced: () => {
-      const entry = replaced;
-      replaced = undefined;
-      if (entry === undefined) return Left(ResendRefusal.NotReplaced);
-      if (deadlineAtMs - clock.getNowMs() <= MIN_SEND_MS)
-        return Left(ResendRefusal.DeadlineReached);
-      const refusal = findRefusal(entry);
-      return refusal === undefined ? Right(entry) : Left(refusal);
+    observeGivenUp: noteLeft,
+    takeLeft: (isAllowed, sentCount) => {
+      if (!isAllowed) return Left(ResendRefusal.NotAllowed);
+      let refusal = ResendRefusal.NoneLeft;
+      for (const entry of left) {
+        // Each upstream is no further one to the route once.
+        const mayReturn =
+          !returned.has(entry) || sentCount < admitted.route.maxAttempts;
+        if (!mayReturn) continue;
+        const found = findRefusal(entry);
+        if (found === undefined) {
+          left.delete(entry);
+          returned.add(entry);
+          return Right(entry);
+        }
+        refusal = found;
+      }
+      return Left(refusal);
     },
     startWaiting: (entry, onReady) =>
       void clock.startTimer(SAME_UPSTREAM_DELAY_MS, () => {
--- a/packages/gateway/src/testing/session-bench.ts
+++ b/packages/gateway/src/testing/session-bench.ts
@@ -59,7 +59,8 @@
   startSession(kind: RequestKind, maxAttempts?: number): void;
   /** Answers an exchange with a head and the begin of a body. */
   answer(index: number, head: ResponseHead, body: string): void;
-  breakOff(index: number): void;
+  /** @param wasReused whether the connection was a kept one. */
+  breakOff(index: number, wasReused?: boolean): void;
 }
 
 /** Creates a bench without a session. */
@@ -193,11 +194,11 @@
     if (body !== '') observer.onData(Buffer.from(body));
   };
 
-  const breakOff = (index: number): void =>
+  const breakOff = (index: number, wasReused = false): void =>
     bench.exchanges[index].observer.onFailure({
       code: ExchangeFailureCode.BrokenOff,
       reason: 'reset',
-      wasReused: false,
+      wasReused,
     });
 
   const bench: SessionBench = {
