Find an active upstream for a failover though it has many faults

What callers saw: nothing by itself; a request stayed at a silent upstream though another one worked.

Cause: whether only stalled upstreams were left was taken from the choice among all. Each request that leaves an upstream adds a fault to it, and six recent faults weigh more than a stall.

Change: the choice of a failover is made among the upstreams that have not stalled.

--- a/packages/gateway/src/dispatcher.test.ts
+++ b/packages/gateway/src/dispatcher.test.ts
@@ -318,4 +318,16 @@
     bench.acquire(['u1']);
     expect(bench.chosen).toHaveLength(2);
   });
+
+  // An upstream that paused before has the faults of the requests that left it.
+  it('sends a failover to an active upstream with many faults', () => {
+    const bench = createBench(['u1', 'u2', 'u3'], LOAD_MS);
+    stall(bench, 'u1');
+    stall(bench, 'u2');
+    bench.clock.runFor(STALL_MS);
+    bench.table.recordFault('u3', 6, bench.clock.getNowMs());
+    bench.acquire(['u1'], 8_000, undefined, true);
+    expect(bench.refused).toEqual([]);
+    expect(bench.chosen).toEqual(['u3']);
+  });
 });
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -305,14 +305,20 @@
     const entries = listCandidates(search);
     const {available, backedOff} = backoffs.split(entries, nowMs);
     const {spendable, exhausted} = limits.splitBySpendable(available);
-    const choice = policy.chooseUpstream(request, spendable, nowMs);
+    const active = search.needsActive
+      ? spendable.filter(({progress}) => !progress.isStalled(nowMs))
+      : spendable;
+    const choice = policy.chooseUpstream(request, active, nowMs);
     const limited =
       exhausted.length === 0
         ? undefined
         : policy.chooseUpstream(request, exhausted, nowMs);
     if (limited !== undefined) limits.noteWish(limited.entry.upstream);
-    // Stalled upstreams are chosen last, so that all others are busy or gone.
-    if (search.needsActive && choice?.entry.progress.isStalled(nowMs)) {
+    const hasOnlyStalled =
+      choice === undefined &&
+      active.length < spendable.length &&
+      policy.chooseUpstream(request, spendable, nowMs) !== undefined;
+    if (hasOnlyStalled) {
       refuse(item, undefined);
       return;
     }
