Keep an attempt until another one has more than a head

What callers saw: nothing by itself; a request whose other upstream broke off after the head of its response had no attempt left, though its first one lived.

Cause: a response head under 500 ended the other attempt, before its body was complete. For a stream that had not begun, so did a head like 404.

Change: no head decides. An event, a part of a long body, or the whole response does.

--- a/packages/gateway/src/kept-attempts.test.ts
+++ b/packages/gateway/src/kept-attempts.test.ts
@@ -139,4 +139,24 @@
     await bench.clock.runFor(RESEND_MS);
     expect(bench.wasAborted).toBe(false);
   });
+
+  it.each([
+    ['a request', RequestKind.Repeatable, 200],
+    ['a stream', RequestKind.Stream, 404],
+  ])(
+    'does not lose %s whose failover breaks off after its head',
+    async (_, kind, status) => {
+      bench.retriesLeft = 1;
+      bench.startSession(kind, 2);
+      bench.exchanges[0].observer.onSend();
+      await runSilent();
+      bench.exchanges[1].observer.onSend();
+      bench.exchanges[1].observer.onHead(makeHead(status, 1), false);
+      bench.breakOff(1);
+      bench.exchanges[0].observer.onHead(makeHead(200, EVENT.length), false);
+      bench.exchanges[0].observer.onData(Buffer.from(EVENT));
+      bench.exchanges[0].observer.onEnd();
+      expect(bench.received).toContain(`200 ${EVENT}`);
+    },
+  );
 });
--- a/packages/gateway/src/request-session.ts
+++ b/packages/gateway/src/request-session.ts
@@ -382,16 +382,7 @@
         onRejection: responseClass => onRejection(attempt, responseClass),
         onFailure: failure => onFailure(attempt, failure),
         onSent: () => failover.handleSent(entry),
-        onHead: (head, responseClass) => {
-          const isUsable = response.hasStarted()
-            ? isSuccess(head)
-            : head.status < 500;
-          if (responseClass !== ResponseClass.Answer || !isUsable) return;
-          // A stream goes on with an event, which may come long after its head.
-          if (route.kind === RequestKind.Stream && isSuccess(head)) return;
-          if (attempt === current) failover.stop();
-          else failover.handleAnswering(attempt);
-        },
+        onHead: () => undefined,
         onAnswering: () => options.guard.recordAnswer(guarded),
       },
     });
