Check the retry budget in windows that begin between retries

What callers saw: nothing by itself; the bound of the service's retries could be passed where the first retries come seconds after the first requests and fewer requests follow.

Cause: a retry was checked in windows that begin with an earlier retry. A window that begins before the first one has the same retries and may be compared with fewer requests.

Change: 40 starting points of a window are checked, each for all windows that begin until the next one. That also bounds the cost of a check, which grew with the retries before.

--- a/packages/dispatch/src/retry-budget.ts
+++ b/packages/dispatch/src/retry-budget.ts
@@ -56,6 +56,9 @@
   return purpose === RetryPurpose.Failover ? 1 - REPLACEMENT_FRACTION : 1;
 }
 
+/** Starting points in a window from which further windows are checked. */
+const WINDOW_STEPS = 40;
+
 /** Index of the first of some ascending times that is later than `timeMs`. */
 function findFirstAfter(times: readonly number[], timeMs: number): number {
   let low = 0;
@@ -79,6 +82,7 @@
   startedAtMs: number,
 ): RetryBudget {
   const {ratio, slack, windowMs} = options;
+  const stepMs = windowMs / WINDOW_STEPS;
   let requests: number[] = [];
   /** Times of the retries that were covered by the ratio, not by the slack. */
   let repeats: number[] = [];
@@ -101,13 +105,18 @@
     tokens = Math.min(ownSlack * BURST_FRACTION, tokens + gained);
   };
 
-  /** Most requests that retries from `startMs` on may be measured by. */
-  const countComparedRequests = (startMs: number, nowMs: number): number =>
-    Math.max(
-      countRequests(startMs - windowMs, startMs),
-      countRequests(startMs - windowMs / 2, startMs + windowMs / 2),
-      countRequests(startMs, nowMs),
+  /**
+   * Most requests that the retries of a window may be measured by, if it begins
+   * within one step after `startMs`.
+   */
+  const countComparedRequests = (startMs: number, nowMs: number): number => {
+    const latestStartMs = startMs + stepMs;
+    return Math.max(
+      countRequests(latestStartMs - windowMs, startMs),
+      countRequests(latestStartMs - windowMs / 2, startMs + windowMs / 2),
+      countRequests(latestStartMs, nowMs),
     );
+  };
 
   /**
    * Whether the ratio covers one more retry in each window that it falls into.
@@ -121,11 +130,13 @@
     repeats = removeExpired(repeats, nowMs - windowMs);
     const recentCount = countRequests(nowMs - windowMs, nowMs);
     if (repeats.length + 1 > usableRatio * recentCount) return false;
-    return repeats.every(
-      (startMs, index) =>
-        repeats.length - index + 1 <=
-        usableRatio * countComparedRequests(startMs, nowMs),
-    );
+    const firstStartMs = Math.ceil((nowMs - windowMs) / stepMs) * stepMs;
+    for (let startMs = firstStartMs; startMs < nowMs; startMs += stepMs) {
+      const count = repeats.length - findFirstAfter(repeats, startMs) + 1;
+      const compared = countComparedRequests(startMs, nowMs);
+      if (count > usableRatio * compared) return false;
+    }
+    return true;
   };
 
   /** Whether the slack has a retry left. */
