Split the requests for adapters from the order manager

The requests to another gateway that leads, with their replies and timeout, are a part of their own. No change of behaviour.

--- a/packages/gateway/src/order-manager.ts
+++ b/packages/gateway/src/order-manager.ts
@@ -7,7 +7,7 @@
 import {createOrderLeadership} from '@siskinplank/fleet';
 import type {OrderLeadership} from '@siskinplank/fleet';
 import type {SharedObjectStore, StoreHealth} from '@siskinplank/directory';
-import {startWaitTimer, waitForPoll} from '@siskinplank/foundation';
+import {waitForPoll} from '@siskinplank/foundation';
 import type {Clock, Logger, Timer} from '@siskinplank/foundation';
 import {MessageType} from '@siskinplank/messages';
 import type {Message, MessageOf} from '@siskinplank/messages';
@@ -17,6 +17,7 @@
 } from '@siskinplank/model-orders';
 import type {PlacementController} from '@siskinplank/model-orders';
 import type {RouteTable, Upstream, UpstreamControl} from '@siskinplank/serving';
+import {createAdapterRequests} from './adapter-requests';
 import type {DemandCounter} from './demand-counter';
 import type {FleetNode} from './fleet-node';
 
@@ -85,22 +86,16 @@
 const FULL_MODEL_STATE_PERIOD_MS = 2_000;
 /** Age above which the reported model state is discarded. */
 const MODEL_STATE_MAX_AGE_MS = 2_500;
-/** Maximum wait for the reply of the order leader. */
-const ADAPTER_REPLY_TIMEOUT_MS = 450;
 
 /** Creates an order manager that does nothing before `start`. */
 export function createOrderManager(options: OrderManagerOptions): OrderManager {
   const {clock, logger, table} = options;
   const demandTracker = createDemandTracker();
   const controllers = new Map<string, PlacementController>();
-  const pendingAdapters = new Map<
-    string,
-    (readyInMs: number | undefined) => void
-  >();
+  const adapterRequests = createAdapterRequests(options);
   const timers: Timer[] = [];
   let planTimer: Timer | undefined;
   let modelStateTimer: Timer | undefined;
-  let requestCount = 0;
   let modelStateReportedAtMs = -Infinity;
   let firstToken: number | undefined;
 
@@ -382,37 +377,10 @@
         .getFleet()
         .peers.listResponsive(nowMs)
         .some(({state}) => state.isOrdering),
-    loadAdapter: (upstreamId, model, adapter) => {
-      if (leadership.getTerm() !== undefined) {
-        return loadAdapterAsLeader(upstreamId, model, adapter);
-      }
-      const fleet = options.getFleet();
-      const leader = fleet.peers
-        .listResponsive(clock.getNowMs())
-        .find(({state}) => state.isOrdering);
-      if (leader === undefined) return Promise.resolve(undefined);
-      requestCount += 1;
-      const requestId = `${options.ownName}/${requestCount}`;
-      return new Promise(resolve => {
-        const timer = startWaitTimer(clock, ADAPTER_REPLY_TIMEOUT_MS, () =>
-          settle(undefined),
-        );
-        const settle = (readyInMs: number | undefined): void => {
-          timer.cancel();
-          pendingAdapters.delete(requestId);
-          resolve(readyInMs);
-        };
-        pendingAdapters.set(requestId, settle);
-        const isSent = fleet.sendTo(leader.name, {
-          type: MessageType.AdapterRequest,
-          requestId,
-          upstream: upstreamId,
-          model,
-          adapter,
-        });
-        if (!isSent) settle(undefined);
-      });
-    },
+    loadAdapter: (upstreamId, model, adapter) =>
+      leadership.getTerm() === undefined
+        ? adapterRequests.request(upstreamId, model, adapter)
+        : loadAdapterAsLeader(upstreamId, model, adapter),
     handleMessage: (peer, message) => {
       switch (message.type) {
         case MessageType.UpstreamLoads:
@@ -432,7 +400,7 @@
           return;
         }
         case MessageType.AdapterReply:
-          pendingAdapters.get(message.requestId)?.(message.readyInMs);
+          adapterRequests.handleReply(message);
           return;
         default:
       }
