Keep an adapter until the request it was loaded for is reported

Callers: streams that fail over to an upstream were answered 421 or 503 there, since their adapter had been evicted again on their way. A retry is spent, and a stream that has none left is closed.

Cause: the order leader evicts the least recently used adapter without an open request, and open requests are known from the states of the gateways, which are sent every 200 ms in small fleets and are counted at each tick of 100 ms. An adapter that was loaded for a request looked unused until then.

Change: a load, and a request for an adapter that is present, reserves the adapter for the longest time in which the request shows in the open counts: the state period, one tick, and 200 ms for the reply and the state on hosts that are short of processor time (500 ms in small fleets). A reservation ends by itself, so a slot that nobody uses becomes free.

Adapters that are present and are chosen without a request to the order leader are not covered.

--- a/packages/gateway/src/fleet-node.ts
+++ b/packages/gateway/src/fleet-node.ts
@@ -96,6 +96,8 @@
   /** Returns false when there is no link to the peer. */
   sendTo(peer: string, message: Message): boolean;
   sendToAll(message: Message): void;
+  /** Time between two states of a gateway. */
+  getStatePeriodMs(): number;
   /** Messages and bytes over all links since the start. */
   getTraffic(): LinkTraffic;
 }
@@ -389,6 +391,7 @@
     isLinked: peer => links.has(peer),
     sendTo: (peer, message) => links.get(peer)?.send(message) ?? false,
     sendToAll: message => network.sendToAll(message),
+    getStatePeriodMs: () => schedule.periodMs,
     getTraffic: network.getTraffic,
   };
 }
--- a/packages/gateway/src/order-manager.ts
+++ b/packages/gateway/src/order-manager.ts
@@ -86,6 +86,11 @@
 const FULL_MODEL_STATE_PERIOD_MS = 2_000;
 /** Age above which the reported model state is discarded. */
 const MODEL_STATE_MAX_AGE_MS = 2_500;
+/**
+ * Time in which the reply reaches the gateway and the state that it sends next
+ * reaches the order leader, on hosts that are short of processor time.
+ */
+const STATE_EXCHANGE_MARGIN_MS = 200;
 
 /** Creates an order manager that does nothing before `start`. */
 export function createOrderManager(options: OrderManagerOptions): OrderManager {
@@ -249,6 +254,11 @@
       onEnded: options.onUpstreamEnded,
       onChange: scheduleModelState,
       openPerCopy: options.openPerCopy,
+      // Open requests are counted at each tick, from the last states.
+      getOpenReportDelayMs: () =>
+        options.getFleet().getStatePeriodMs() +
+        TICK_MS +
+        STATE_EXCHANGE_MARGIN_MS,
     });
     controllers.set(service, controller);
     return controller;
--- a/packages/model-orders/src/placement-controller.test.ts
+++ b/packages/model-orders/src/placement-controller.test.ts
@@ -194,6 +194,7 @@
     onEnded: ({id}) => ended.push(id),
     onChange: () => undefined,
     openPerCopy: 8,
+    getOpenReportDelayMs: () => 300,
   });
   return {
     clock,
--- a/packages/model-orders/src/placement-controller.ts
+++ b/packages/model-orders/src/placement-controller.ts
@@ -45,6 +45,11 @@
   onChange(): void;
   /** Open requests that one replica of a model serves without slowing down. */
   openPerCopy: number;
+  /**
+   * Longest time from the reply to a gateway that wants an adapter until the
+   * request that it sends then is included in `PlacementInput.open`.
+   */
+  getOpenReportDelayMs(): number;
 }
 
 /** Upstreams and traffic that placement changes are planned from. */
@@ -120,6 +125,7 @@
   const adapterLoader = createAdapterLoader({
     sender,
     clock,
+    getOpenReportDelayMs: options.getOpenReportDelayMs,
     getAdapterSlots: () => lastInput?.engine.adapterSlots ?? 0,
     isInUse: (inventory, key) =>
       (lastInput?.open.get(inventory.upstream.id)?.get(key) ?? 0) > 0,
--- a/packages/model-orders/src/silent-upstreams.test.ts
+++ b/packages/model-orders/src/silent-upstreams.test.ts
@@ -120,6 +120,7 @@
       onEnded: () => undefined,
       onChange: () => undefined,
       openPerCopy: 8,
+      getOpenReportDelayMs: () => 300,
     });
     const demand = {
       model: 'a',
--- a/packages/model-orders/src/upstream-inventory.ts
+++ b/packages/model-orders/src/upstream-inventory.ts
@@ -25,13 +25,23 @@
   expectedAtMs: number;
 }
 
+/** An adapter that uses memory of an upstream. */
+export interface AdapterResidency extends Residency {
+  lastUsedAtMs: number;
+  /**
+   * Until then, a request that chose it may not show in the open requests that
+   * the gateways report.
+   */
+  reservedUntilMs: number;
+}
+
 /** Models, adapters and weight copies of one upstream. */
 export interface UpstreamInventory {
   readonly upstream: Upstream;
   /** By model name. */
   readonly models: Map<string, Residency>;
   /** By `model/adapter`. */
-  readonly adapters: Map<string, Residency & {lastUsedAtMs: number}>;
+  readonly adapters: Map<string, AdapterResidency>;
   /**
    * Models with a copy of their weights in memory, and on disk, that no load
    * since the last report can have displaced: a load evicts the oldest copies.
@@ -115,7 +125,7 @@
   let refusedConnects = 0;
   let refusedAtMs = -Infinity;
   const models = new Map<string, Residency>();
-  const adapters = new Map<string, Residency & {lastUsedAtMs: number}>();
+  const adapters = new Map<string, AdapterResidency>();
 
   const present = (sinceMs: number): Residency => ({
     state: ResidencyState.Present,
@@ -149,6 +159,7 @@
       adapters.set(`${model.name}/${adapter}`, {
         ...present(nowMs),
         lastUsedAtMs: nowMs,
+        reservedUntilMs: -Infinity,
       });
     }
   }
@@ -228,6 +239,7 @@
         adapters.set(key, {
           ...present(requestedAtMs),
           lastUsedAtMs: requestedAtMs,
+          reservedUntilMs: -Infinity,
         });
       }
     },
