Keep a model that was just loaded until its requests are reported

Callers: requests that had waited for the load of a model were answered 503 or 421 by its upstream, spent a retry, and waited for the next load.

Cause: when a load ended, the gateways sent their waiting requests, but the order leader planned from open counts that were up to 300 ms old. The model looked unused, so the next change evicted it. The same held for a model of which an adapter had just been loaded for a request.

The end of a load is announced before the report that confirms it is read, since an upstream that pauses delays that report.

--- a/packages/model-orders/src/describe-inventory.ts
+++ b/packages/model-orders/src/describe-inventory.ts
@@ -35,19 +35,44 @@
   return onDisk.has(name) ? model.diskLoadMs : model.storeLoadMs;
 }
 
+/**
+ * Lists the models that have become present so recently, or an adapter of which
+ * was loaded so recently, that the requests that waited for them may not show in
+ * the open requests yet.
+ */
+function listReserved(
+  {models, adapters}: UpstreamInventory,
+  openReportDelayMs: number,
+  nowMs: number,
+): Set<string> {
+  const reserved = new Set<string>();
+  for (const [model, {state, sinceMs}] of models) {
+    const isRecent = nowMs - sinceMs <= openReportDelayMs;
+    if (state === ResidencyState.Present && isRecent) reserved.add(model);
+  }
+  for (const [key, {reservedUntilMs}] of adapters) {
+    const [model] = key.split('/');
+    if (nowMs <= reservedUntilMs) reserved.add(model);
+  }
+  return reserved;
+}
+
 /**
  * Describes an upstream to the planner.
  *
  * @param open open requests by upstream and by model or `model/adapter`.
+ * @param openReportDelayMs time after which a request shows in them.
  */
 export function describeInventory(
   inventory: UpstreamInventory,
   {
     engine,
     open,
+    openReportDelayMs,
   }: {
     engine: EngineSpec;
     open: ReadonlyMap<string, ReadonlyMap<string, number>>;
+    openReportDelayMs: number;
   },
   nowMs: number,
 ): PlannedUpstream {
@@ -78,6 +103,7 @@
     serving: new Set(serving.map(([model]) => model)),
     isAnswering: inventory.isAnswering(),
     openByModel,
+    reserved: listReserved(inventory, openReportDelayMs, nowMs),
     inMemory: inventory.inMemory,
     onDisk: inventory.onDisk,
     canTakeOrder: inventory.canTakeOrder(nowMs),
--- a/packages/model-orders/src/placement-controller.test.ts
+++ b/packages/model-orders/src/placement-controller.test.ts
@@ -26,6 +26,7 @@
 const CAPACITY_MB = 100;
 const LOAD_MS = 1_000;
 const REPORT_LAG_MS = 200;
+const OPEN_REPORT_DELAY_MS = 300;
 
 const ENGINE: EngineSpec = {
   slots: 8,
@@ -194,7 +195,7 @@
     onEnded: ({id}) => ended.push(id),
     onChange: () => undefined,
     openPerCopy: 8,
-    getOpenReportDelayMs: () => 300,
+    getOpenReportDelayMs: () => OPEN_REPORT_DELAY_MS,
   });
   return {
     clock,
@@ -241,6 +242,30 @@
     expect(fake.crashed).toBe(false);
   });
 
+  // Requests that had waited for a load got 503 from an upstream that dropped the
+  // model again before they were reported.
+  it('keeps a model that has just been loaded until its requests are reported', async () => {
+    const {clock, controller, fake, run} = createHarness(['a']);
+    const large = new Map(
+      [...ENGINE.models].map(([name, model]) => [
+        name,
+        {...model, weightsMb: CAPACITY_MB - ENGINE.adapterSlots},
+      ]),
+    );
+    const isHeld = (name: string): boolean =>
+      controller
+        .summarize(clock.getNowMs())
+        .some(({models}) => models.some(model => model.name === name));
+    while (!isHeld('b')) await run(20, ['b'], large);
+    const loadedAtMs = clock.getNowMs();
+    fake.orders.length = 0;
+    while (fake.orders.length === 0) await run(20, ['a'], large);
+    expect(fake.orders[0].model).toBe('b');
+    const keptMs = clock.getNowMs() - loadedAtMs;
+    expect(keptMs).toBeGreaterThan(OPEN_REPORT_DELAY_MS);
+    expect(keptMs).toBeLessThan(OPEN_REPORT_DELAY_MS + 200);
+  });
+
   it('sends no further order to an upstream that left during a change', async () => {
     const {fake, removeUpstream, run} = createHarness(['a', 'b']);
     fake.scriptedOutcomes.push(
--- a/packages/model-orders/src/placement-controller.ts
+++ b/packages/model-orders/src/placement-controller.ts
@@ -46,8 +46,9 @@
   /** Open requests that one replica of a model serves without slowing down. */
   openPerCopy: number;
   /**
-   * Longest time from the reply to a gateway that wants an adapter until the
-   * request that it sends then is included in `PlacementInput.open`.
+   * Longest time from the news to a gateway that a model or an adapter is there
+   * until the request that it sends then is included in `PlacementInput.open`,
+   * in milliseconds.
    */
   getOpenReportDelayMs(): number;
 }
@@ -307,6 +308,7 @@
     inventory.recordCopies(change.load, nowMs);
     if (isLoaded) {
       inventory.setModel(change.load, ResidencyState.Present, nowMs);
+      options.onChange();
     }
     inventory.isChanging = false;
     // After a failure only a report can confirm the inventory.
@@ -326,6 +328,7 @@
   ): void => {
     if (options.getToken(nowMs) === undefined) return;
     const {engine} = input;
+    const openReportDelayMs = options.getOpenReportDelayMs();
     const ready = [...inventories.values()].filter(inventory =>
       inventory.isReady(),
     );
@@ -334,7 +337,9 @@
       .map(({upstream}) => upstream.id);
     const changes = planPlacementChanges({
       upstreams: filterReachable(
-        ready.map(inventory => describeInventory(inventory, input, nowMs)),
+        ready.map(inventory =>
+          describeInventory(inventory, {...input, openReportDelayMs}, nowMs),
+        ),
         new Set([...input.unreachableIds, ...silentIds]),
       ),
       models: engine.models,
--- a/packages/model-orders/src/plan-placement-changes.ts
+++ b/packages/model-orders/src/plan-placement-changes.ts
@@ -211,6 +211,7 @@
   ): number => {
     if (!upstream.serving.has(model)) return Infinity;
     if ((upstream.openByModel.get(model) ?? 0) > 0) return Infinity;
+    if (upstream.reserved.has(model)) return Infinity;
     const count = replicaCounts.get(model) ?? 1;
     const degradedRate =
       estimateDegradedRate(model, count - 1) -
--- a/packages/model-orders/src/planned-upstream.ts
+++ b/packages/model-orders/src/planned-upstream.ts
@@ -16,6 +16,8 @@
   isAnswering: boolean;
   /** Open requests at this upstream, by model. */
   openByModel: ReadonlyMap<string, number>;
+  /** Models that requests may use which do not show in `openByModel` yet. */
+  reserved: ReadonlySet<string>;
   /** Models whose weights need no load from the weight store. */
   inMemory: ReadonlySet<string>;
   onDisk: ReadonlySet<string>;
--- a/packages/model-orders/src/testing/plan-input.ts
+++ b/packages/model-orders/src/testing/plan-input.ts
@@ -42,6 +42,7 @@
     serving: new Set(models),
     isAnswering: true,
     openByModel: new Map(),
+    reserved: new Set(),
     inMemory: new Set(),
     onDisk: new Set(),
     canTakeOrder: true,
