Find adapters again whose load order got no answer

Callers: requests for such an adapter were refused by the upstream that held it, and the slot was taken for as long as the upstream held the model.

Cause: an order without an answer leaves the adapter as arriving, with no expected end, until a report decides. A report that listed the adapter left it so: it was neither present nor could it be evicted.

Evidence: by reading; the new test in adapter-loader.test.ts failed before ("expected undefined to be +0").

Change: a report that is newer than the last order and lists an adapter outside the pending ones makes it present.

--- a/packages/model-orders/src/adapter-loader.test.ts
+++ b/packages/model-orders/src/adapter-loader.test.ts
@@ -1,10 +1,11 @@
 import {createManualClock} from '@siskinplank/foundation';
 import type {ManualClock} from '@siskinplank/foundation';
 import {OrderOperation, UpstreamState} from '@siskinplank/serving';
+import type {UpstreamReport} from '@siskinplank/serving';
 import {describe, expect, it} from 'vitest';
 import {createAdapterLoader} from './adapter-loader';
 import type {AdapterLoader} from './adapter-loader';
-import {createUpstreamInventory} from './upstream-inventory';
+import {REPORT_LAG_MS, createUpstreamInventory} from './upstream-inventory';
 import type {UpstreamInventory} from './upstream-inventory';
 
 const MODEL = 'm';
@@ -21,6 +22,8 @@
   orders: string[];
   /** Holds back the replies to orders from now on. */
   pauseReplies(): void;
+  /** Lets the orders from now on end without an answer, or with one. */
+  setAnswering(isAnswering: boolean): void;
   load(adapter: string): Promise<number | undefined>;
 }
 
@@ -47,12 +50,15 @@
   const inUse = new Set<string>();
   const orders: string[] = [];
   let arePaused = false;
+  let isAnswered = true;
   const loader = createAdapterLoader({
     sender: {
       send: (_inventory, {operation, adapter}) => {
         const verb = operation === OrderOperation.Load ? 'load' : 'unload';
         orders.push(`${verb} ${adapter}`);
-        return arePaused ? new Promise(() => undefined) : Promise.resolve(true);
+        return arePaused
+          ? new Promise(() => undefined)
+          : Promise.resolve(isAnswered);
       },
       refresh: () => Promise.resolve(undefined),
     },
@@ -71,6 +77,9 @@
     pauseReplies: () => {
       arePaused = true;
     },
+    setAnswering: isAnswering => {
+      isAnswered = isAnswering;
+    },
     load: adapter => loader.load(inventory, MODEL, adapter),
   };
 }
@@ -119,6 +128,30 @@
     expect(orders).toEqual(['load a2']);
   });
 
+  // The slot stayed taken, and requests for the adapter were refused, for as long
+  // as the upstream held the model.
+  it('finds an adapter that was loaded by an order without an answer', async () => {
+    const {clock, inventory, load, setAnswering} = createHarness();
+    setAnswering(false);
+    expect(await load('a1')).toBeUndefined();
+    setAnswering(true);
+    clock.runFor(2 * REPORT_LAG_MS);
+    const report: UpstreamReport = {
+      models: [{name: MODEL, version: 1, adapters: ['a1']}],
+      isChangingModel: false,
+      orderSequence: 1,
+      queuedCount: 0,
+      runningCount: 0,
+      usedCacheTokens: 0,
+      totalCacheTokens: 10_000,
+      pendingAdapters: [],
+      modelsInMemory: [],
+      modelsOnDisk: [],
+    };
+    inventory.applyReport(report, clock.getNowMs());
+    expect(await load('a1')).toBe(0);
+  });
+
   // Guards against adapters that are never evicted since their requests failed.
   it('evicts an adapter whose request never came', async () => {
     const {clock, orders, load} = createHarness();
--- a/packages/model-orders/src/upstream-inventory.ts
+++ b/packages/model-orders/src/upstream-inventory.ts
@@ -235,7 +235,15 @@
         if (!reported.has(key)) adapters.delete(key);
       }
       for (const key of reported) {
-        if (adapters.has(key)) continue;
+        const known = adapters.get(key);
+        if (known !== undefined) {
+          // The order to load it may have been carried out without an answer.
+          const isLoaded =
+            known.state === ResidencyState.Arriving &&
+            !report.pendingAdapters.includes(key);
+          if (isLoaded) known.state = ResidencyState.Present;
+          continue;
+        }
         adapters.set(key, {
           ...present(requestedAtMs),
           lastUsedAtMs: requestedAtMs,
