Give up adapter loads whose requests have stopped waiting

Callers: an upstream that answers orders slowly evicted adapters for requests that had gone to another upstream meanwhile, so that other requests had to have theirs loaded again.

Cause: loads on one upstream run one after another, each with up to two orders that are retried for 400 ms. A gateway waits 450 ms for the reply; the loads that were still queued then were carried out nevertheless.

Evidence: by reading; the new test in adapter-loader.test.ts failed before ("expected 16 to be undefined": the second load was ordered 500 ms after its request).

Change: a load whose turn comes later than 400 ms after its request is given up.

--- a/packages/model-orders/src/adapter-loader.test.ts
+++ b/packages/model-orders/src/adapter-loader.test.ts
@@ -20,8 +20,9 @@
   inUse: Set<string>;
   /** Orders in the form `load a1`. */
   orders: string[];
-  /** Holds back the replies to orders from now on. */
+  /** Holds back the replies to orders from now on, until resumed. */
   pauseReplies(): void;
+  resumeReplies(): void;
   /** Lets the orders from now on end without an answer, or with one. */
   setAnswering(isAnswering: boolean): void;
   load(adapter: string): Promise<number | undefined>;
@@ -50,6 +51,7 @@
   const inUse = new Set<string>();
   const orders: string[] = [];
   let arePaused = false;
+  const held: Array<() => void> = [];
   let isAnswered = true;
   const loader = createAdapterLoader({
     sender: {
@@ -77,6 +79,10 @@
     pauseReplies: () => {
       arePaused = true;
     },
+    resumeReplies: () => {
+      arePaused = false;
+      for (const reply of held.splice(0)) reply();
+    },
     setAnswering: isAnswering => {
       isAnswered = isAnswering;
     },
@@ -152,6 +158,20 @@
     expect(await load('a1')).toBe(0);
   });
 
+  // Adapters were evicted for requests that had gone elsewhere meanwhile.
+  it('gives up a load whose turn comes after its request stopped waiting', async () => {
+    const {clock, load, orders, pauseReplies, resumeReplies} = createHarness();
+    pauseReplies();
+    const first = load('a1');
+    const second = load('a2');
+    await Promise.resolve();
+    clock.runFor(500);
+    resumeReplies();
+    expect(await first).toBeGreaterThan(0);
+    expect(await second).toBeUndefined();
+    expect(orders).toEqual(['load a1']);
+  });
+
   // Guards against adapters that are never evicted since their requests failed.
   it('evicts an adapter whose request never came', async () => {
     const {clock, orders, load} = createHarness();
--- a/packages/model-orders/src/adapter-loader.ts
+++ b/packages/model-orders/src/adapter-loader.ts
@@ -36,6 +36,8 @@
 
 /** Longest time to retry an order without a response, in milliseconds. */
 const ADAPTER_MAX_WAIT_MS = 400;
+/** Longest time to wait for a turn: gateways wait 450 ms for the reply. */
+const MAX_TURN_WAIT_MS = 400;
 /** Load time of an adapter from the store: 5 to 14 ms in deployments. */
 const ADAPTER_LOAD_MS = 16;
 
@@ -201,7 +203,12 @@
       if (known === undefined && !hasSlot(inventory, queue, key))
         return undefined;
       queue.keys.push(key);
-      const loaded = queue.last.then(() => loadOne(inventory, model, adapter));
+      const askedAtMs = clock.getNowMs();
+      const loaded = queue.last.then(() =>
+        clock.getNowMs() - askedAtMs > MAX_TURN_WAIT_MS
+          ? undefined
+          : loadOne(inventory, model, adapter),
+      );
       queue.last = loaded;
       const readyInMs = await loaded;
       queue.keys.splice(queue.keys.indexOf(key), 1);
