Log why a model that would gain by a load gets none

The plan now returns such models with the upstreams of each version that it passed over, by reason, and the shortest load there. The choice of loads is the same.

--- a/packages/model-orders/src/events.ts
+++ b/packages/model-orders/src/events.ts
@@ -26,3 +26,8 @@
   LogLevel.Info,
   'reports of an upstream can be read again',
 );
+export const MODEL_NOT_PLACED = defineEvent(
+  6305,
+  LogLevel.Info,
+  'no upstream was found for a load that a model would gain by',
+);
--- a/packages/model-orders/src/placement-controller.ts
+++ b/packages/model-orders/src/placement-controller.ts
@@ -25,6 +25,7 @@
 import {planPlacementChanges} from './plan-placement-changes';
 import {filterReachable} from './planned-upstream';
 import type {PlacementChange} from './plan-placement-changes';
+import {createUnplacedModelLog} from './unplaced-models';
 import {ResidencyState, createUpstreamInventory} from './upstream-inventory';
 import type {UpstreamInventory} from './upstream-inventory';
 
@@ -118,6 +119,7 @@
   });
   const lastVersions = new Map<string, string>();
   const budget = createLoadBudget();
+  const unplacedModelLog = createUnplacedModelLog(logger);
   const reading = new Set<UpstreamInventory>();
   const failingIds = new Set<string>();
   let lastInput: PlacementInput | undefined;
@@ -335,7 +337,7 @@
     const silentIds = ready
       .filter(inventory => inventory.isSilent(nowMs))
       .map(({upstream}) => upstream.id);
-    const changes = planPlacementChanges({
+    const {changes, unplaced} = planPlacementChanges({
       upstreams: filterReachable(
         ready.map(inventory =>
           describeInventory(inventory, {...input, openReportDelayMs}, nowMs),
@@ -349,6 +351,7 @@
       storeLoadsLeft: budget.countLeft(engine, nowMs),
       isReleaseRunning: nowMs - joinedAtMs < RELEASE_SETTLE_MS,
     });
+    unplacedModelLog.log(unplaced, nowMs);
     for (const change of changes) {
       const inventory = inventories.get(change.upstream);
       if (inventory === undefined) continue;
--- a/packages/model-orders/src/plan-placement-changes.ts
+++ b/packages/model-orders/src/plan-placement-changes.ts
@@ -9,6 +9,8 @@
 import {RESUME_WAIT_MS, estimateLoadMs} from './planned-upstream';
 import type {PlannedUpstream} from './planned-upstream';
 import {createReplicaVersions} from './replica-versions';
+import {LoadRefusal} from './unplaced-models';
+import type {UnplacedModel} from './unplaced-models';
 import {listWaitingStreams} from './waiting-streams';
 
 /** Input of `planPlacementChanges`. */
@@ -40,6 +42,13 @@
   gain: number;
 }
 
+/** Result of `planPlacementChanges`. */
+export interface PlacementPlan {
+  /** In descending order of their benefit, at most one for each upstream. */
+  changes: PlacementChange[];
+  unplaced: UnplacedModel[];
+}
+
 /**
  * Time over which a change must pay off, in seconds: about the time in which
  * demand shifts to other models.
@@ -100,11 +109,8 @@
   return rate * (excess + risk);
 }
 
-/**
- * Plans changes in descending order of their benefit, at most one for each
- * upstream.
- */
-export function planPlacementChanges(input: PlanInput): PlacementChange[] {
+/** Plans the changes that pay off. */
+export function planPlacementChanges(input: PlanInput): PlacementPlan {
   const {upstreams, models, openPerCopy} = input;
   const demandByModel = new Map(
     input.demand.map(demand => [demand.model, demand]),
@@ -154,7 +160,7 @@
   const estimateRiskCost = (
     model: string,
     change: number,
-    {softwareVersion}: PlannedUpstream,
+    softwareVersion: string,
   ): number => {
     if (!isAtRisk(model)) return 0;
     return (
@@ -221,8 +227,8 @@
       estimateReplicaGain(model, count - 1),
     );
     const riskCost =
-      estimateRiskCost(model, -1, upstream) -
-      estimateRiskCost(model, 0, upstream);
+      estimateRiskCost(model, -1, upstream.softwareVersion) -
+      estimateRiskCost(model, 0, upstream.softwareVersion);
     return lostGain + Math.max(0, riskCost);
   };
 
@@ -291,17 +297,17 @@
     upstream: PlannedUpstream,
     model: ModelSpec,
     mayUseKept: boolean,
-  ): Candidate | undefined => {
-    if (!isFree(upstream)) return undefined;
+  ): Candidate | LoadRefusal => {
+    if (!isFree(upstream)) return LoadRefusal.OtherOrder;
     // A second replica at the version ends the risk that it is kept for.
     const isSecond =
       isAtRisk(model.name) &&
       replicaVersions.getCount(model.name, upstream.softwareVersion) === 1;
-    if (!mayUseKept && !isSecond && isKept(upstream)) return undefined;
-    if (upstream.models.has(model.name)) return undefined;
+    if (!mayUseKept && !isSecond && isKept(upstream))
+      return LoadRefusal.KeptFree;
     const isStoreLoad =
       !upstream.inMemory.has(model.name) && !upstream.onDisk.has(model.name);
-    if (isStoreLoad && storeLoadsLeft < 1) return undefined;
+    if (isStoreLoad && storeLoadsLeft < 1) return LoadRefusal.NoStoreLoad;
     const waiting = demandByModel.get(model.name)?.waitingCount ?? 0;
     const costPerSecond = WAIT_COST * (1 + waiting);
     const evictions = chooseEvictions(
@@ -309,13 +315,15 @@
       model.weightsMb,
       EVICTION_SECONDS * costPerSecond,
     );
-    if (evictions === undefined) return undefined;
+    if (evictions === undefined) return LoadRefusal.NothingEvictable;
     const waitCost = (estimateLoadMs(upstream, model) / 1_000) * costPerSecond;
     let open = 0;
     for (const count of upstream.openByModel.values()) open += count;
     const openRequestCost = (open / openPerCopy) * LOAD_COST;
-    const riskCost = estimateRiskCost(model.name, 1, upstream);
-    const riskGain = estimateRiskCost(model.name, 0, upstream) - riskCost;
+    const {softwareVersion} = upstream;
+    const riskCost = estimateRiskCost(model.name, 1, softwareVersion);
+    const riskGain =
+      estimateRiskCost(model.name, 0, softwareVersion) - riskCost;
     return {
       upstream,
       evict: evictions.evict,
@@ -330,6 +338,36 @@
     };
   };
 
+  const unplaced: UnplacedModel[] = [];
+  const noteUnplaced = (
+    model: ModelSpec,
+    gain: number,
+    refusals: ReadonlyMap<PlannedUpstream, LoadRefusal>,
+  ): void => {
+    const byVersion = new Map<string, UnplacedModel>();
+    for (const [upstream, refusal] of refusals) {
+      const {softwareVersion} = upstream;
+      const riskGain =
+        estimateRiskCost(model.name, 0, softwareVersion) -
+        estimateRiskCost(model.name, 1, softwareVersion);
+      const known = byVersion.get(softwareVersion);
+      const counts = new Map(known?.refusals);
+      counts.set(refusal, (counts.get(refusal) ?? 0) + 1);
+      byVersion.set(softwareVersion, {
+        model: model.name,
+        softwareVersion,
+        gain,
+        riskGain: Math.max(0, riskGain),
+        shortestLoadMs: Math.min(
+          known?.shortestLoadMs ?? Infinity,
+          estimateLoadMs(upstream, model),
+        ),
+        refusals: counts,
+      });
+    }
+    unplaced.push(...byVersion.values());
+  };
+
   /** Plans a load, at one software version if streams wait for it there. */
   const planModel = (
     model: ModelSpec,
@@ -339,6 +377,7 @@
     const isLost = (replicaCounts.get(model.name) ?? 0) === 0;
     const isUrgent = gain > 0 && (isLost || streamVersion !== undefined);
     const isForStreams = streamVersion !== undefined;
+    const refusals = new Map<PlannedUpstream, LoadRefusal>();
     const isWorthwhile = (
       {riskGain, cost, evict}: Candidate,
       isOrdinary: boolean,
@@ -351,11 +390,18 @@
           ({softwareVersion}) =>
             streamVersion === undefined || softwareVersion === streamVersion,
         )
-        .map(upstream => scoreUpstream(upstream, model, mayUseKept))
+        .filter(({models: held}) => !held.has(model.name))
+        .map(upstream => {
+          const scored = scoreUpstream(upstream, model, mayUseKept);
+          const isOrdinary = isForStreams || !mayUseKept;
+          if (typeof scored !== 'string' && isWorthwhile(scored, isOrdinary))
+            return scored;
+          const refusal =
+            typeof scored === 'string' ? scored : LoadRefusal.Cost;
+          refusals.set(upstream, refusal);
+          return undefined;
+        })
         .filter(candidate => candidate !== undefined)
-        .filter(candidate =>
-          isWorthwhile(candidate, isForStreams || !mayUseKept),
-        )
         .sort(
           (left, right) =>
             left.cost + left.riskCost - right.cost - right.riskCost,
@@ -366,7 +412,10 @@
       (isLost && !isForStreams && !canAwaitOther(model)
         ? chooseBest(true)
         : undefined);
-    if (best === undefined) return undefined;
+    if (best === undefined) {
+      noteUnplaced(model, gain, refusals);
+      return undefined;
+    }
     usedUpstreams.add(best.upstream.id);
     if (best.isStoreLoad) storeLoadsLeft -= 1;
     const {softwareVersion} = best.upstream;
@@ -407,5 +456,5 @@
     const change = planModel(model, gain);
     if (change !== undefined) changes.push(change);
   }
-  return changes;
+  return {changes, unplaced};
 }
--- a/packages/model-orders/src/testing/plan-input.ts
+++ b/packages/model-orders/src/testing/plan-input.ts
@@ -2,7 +2,7 @@
 import type {ModelSpec} from '@siskinplank/serving';
 import type {ModelDemand} from '../demand-tracker';
 import {planPlacementChanges} from '../plan-placement-changes';
-import type {PlanInput} from '../plan-placement-changes';
+import type {PlacementChange, PlanInput} from '../plan-placement-changes';
 import type {PlannedUpstream} from '../planned-upstream';
 
 export const BIG_MB = 34_300;
@@ -75,10 +75,13 @@
 });
 
 /** Plans changes of no upstreams by default. */
-export function plan(
-  changes: Partial<PlanInput>,
-): ReturnType<typeof planPlacementChanges> {
-  return planPlacementChanges({
+export function plan(changes: Partial<PlanInput>): PlacementChange[] {
+  return planPlacementChanges(makePlanInput(changes)).changes;
+}
+
+/** Makes an input without upstreams by default. */
+export function makePlanInput(changes: Partial<PlanInput>): PlanInput {
+  return {
     upstreams: [],
     models: MODELS,
     demand: [],
@@ -87,5 +90,5 @@
     storeLoadsLeft: 3,
     isReleaseRunning: false,
     ...changes,
-  });
+  };
 }
