--- a/packages/model-orders/src/unplaced-models.test.ts
+++ b/packages/model-orders/src/unplaced-models.test.ts
@@ -19,7 +19,7 @@
       makePlanInput({
         models: makeModels({hot: BIG_MB, idle: BIG_MB}),
         upstreams: [
-          makeUpstream('a', ['hot'], {softwareVersion: '2'}),
+          makeUpstream('a', ['hot']),
           makeUpstream('b', ['idle'], {
             capacityMb: BIG_MB,
             openByModel: new Map([['idle', 1]]),
