Evict no model that streams wait for at a version

When a load ends, no request is open at the copy yet, and the model's copies at other versions made its eviction cheap. A model that streams wait for at the version of an upstream is now not evicted there.

The new test failed before: a load of rare that evicts hot was planned.

--- a/packages/model-orders/src/plan-by-version.test.ts
+++ b/packages/model-orders/src/plan-by-version.test.ts
@@ -340,6 +340,28 @@
     expect(changes).toMatchObject([{upstream: 'b', load: 'hot'}]);
   });
 
+  // Guards against a copy that is dropped before the streams that waited for it
+  // are sent to it.
+  it('evicts no model that streams wait for at the version', () => {
+    const listChanges = (waiting: ReadonlyMap<string, number>): unknown[] =>
+      plan({
+        models: makeModels({hot: BIG_MB, rare: BIG_MB}),
+        upstreams: [
+          makeUpstream('a', ['hot'], {...OLD, capacityMb: BIG_MB}),
+          makeUpstream('b', ['hot'], {...NEW, canTakeOrder: false}),
+          makeUpstream('c', ['hot', 'rare'], {...NEW, canTakeOrder: false}),
+        ],
+        demand: [
+          makeDemand('hot', {averageOpen: 2, waitingByVersion: waiting}),
+          makeDemand('rare', {waitingByVersion: new Map([['1', 8]])}),
+        ],
+      });
+    expect(listChanges(new Map([['1', 22]]))).toEqual([]);
+    expect(listChanges(new Map())).toMatchObject([
+      {upstream: 'a', load: 'rare', evict: ['hot']},
+    ]);
+  });
+
   // Guards against a further load per period for counts that are out of date.
   it('plans no load for waiting streams at a version that holds the model', () => {
     const changes = plan({
--- a/packages/model-orders/src/plan-placement-changes.ts
+++ b/packages/model-orders/src/plan-placement-changes.ts
@@ -218,6 +218,9 @@
     if (!upstream.serving.has(model)) return Infinity;
     if ((upstream.openByModel.get(model) ?? 0) > 0) return Infinity;
     if (upstream.reserved.has(model)) return Infinity;
+    // Streams that waited for a load have not been sent to it when it ends.
+    const {waitingByVersion} = demandByModel.get(model) ?? {};
+    if (waitingByVersion?.has(upstream.softwareVersion)) return Infinity;
     const count = replicaCounts.get(model) ?? 1;
     const degradedRate =
       estimateDegradedRate(model, count - 1) -
