Leave a load from the store for streams while two versions serve

While two versions serve, one load that the store's rate allows is left for streams that wait at a version and for the second copy of a model at risk; it may run beside as many others as use the store's full rate. Ordinary loads wait for the next one, so that their long-run rate is the same. Not where every load takes longer than callers wait, since streams wait for none there.

The new test of the planner failed before: a load of rare was planned with the last store load.

--- a/packages/model-orders/src/load-budget.test.ts
+++ b/packages/model-orders/src/load-budget.test.ts
@@ -96,6 +96,20 @@
     expect(budget.countLeft(ENGINE, 1_000)).toBe(3);
   });
 
+  // Guards against streams that wait for loads of other models to end.
+  it('may be one more at once for streams, within the rate', () => {
+    const budget = createLoadBudget();
+    budget.countLeft(ENGINE, 0);
+    for (let count = 0; count < 3; count += 1) {
+      budget.reserve(5_000).begin(1_000);
+    }
+    expect(budget.countLeftForStreams(ENGINE, 1_000)).toBe(0);
+    expect(budget.countLeft(ENGINE, 3_000)).toBe(0);
+    expect(budget.countLeftForStreams(ENGINE, 3_000)).toBe(1);
+    budget.reserve(5_000).begin(3_000);
+    expect(budget.countLeftForStreams(ENGINE, 3_000)).toBe(0);
+  });
+
   // The disk of an upstream holds few copies of weights, so a load may displace
   // any other copy. Until a newer report, other models need a store load.
   it('are assumed for copies that a load may have displaced', () => {
--- a/packages/model-orders/src/load-budget.ts
+++ b/packages/model-orders/src/load-budget.ts
@@ -17,6 +17,11 @@
 export interface LoadBudget {
   /** Number of loads that may be planned at `nowMs`. */
   countLeft(engine: EngineSpec, nowMs: number): number;
+  /**
+   * Number of loads that may be planned for streams that can go on nowhere else:
+   * one beyond the concurrent ones, if the rate allows it.
+   */
+  countLeftForStreams(engine: EngineSpec, nowMs: number): number;
   /** Reserves a load that takes about `loadMs`. */
   reserve(loadMs: number): LoadReservation;
 }
@@ -31,28 +36,39 @@
   let filledAtMs: number | undefined;
   let running: number[] = [];
   let reserved = 0;
+
+  const countLeft = (
+    engine: EngineSpec,
+    nowMs: number,
+    extraCount: number,
+  ): number => {
+    const elapsedMs = nowMs - (filledAtMs ?? nowMs);
+    filledAtMs = nowMs;
+    const gained =
+      (engine.loadsPerSecond * elapsedMs) / MILLISECONDS_PER_SECOND;
+    tokens = Math.min(MAX_BURST_LOADS, tokens + gained);
+    running = running.filter(endsAtMs => endsAtMs > nowMs);
+    let longestLoadMs = 0;
+    for (const {storeLoadMs} of engine.models.values()) {
+      longestLoadMs = Math.max(longestLoadMs, storeLoadMs);
+    }
+    // Little's law: this many concurrent loads use the store's full rate.
+    const maxConcurrent = Math.max(
+      1,
+      Math.ceil(
+        (engine.loadsPerSecond * longestLoadMs) / MILLISECONDS_PER_SECOND,
+      ),
+    );
+    const left = Math.min(
+      Math.floor(tokens),
+      maxConcurrent + extraCount - running.length,
+    );
+    return Math.max(0, left - reserved);
+  };
+
   return {
-    countLeft: (engine, nowMs) => {
-      const elapsedMs = nowMs - (filledAtMs ?? nowMs);
-      filledAtMs = nowMs;
-      const gained =
-        (engine.loadsPerSecond * elapsedMs) / MILLISECONDS_PER_SECOND;
-      tokens = Math.min(MAX_BURST_LOADS, tokens + gained);
-      running = running.filter(endsAtMs => endsAtMs > nowMs);
-      let longestLoadMs = 0;
-      for (const {storeLoadMs} of engine.models.values()) {
-        longestLoadMs = Math.max(longestLoadMs, storeLoadMs);
-      }
-      // Little's law: this many concurrent loads use the store's full rate.
-      const maxConcurrent = Math.max(
-        1,
-        Math.ceil(
-          (engine.loadsPerSecond * longestLoadMs) / MILLISECONDS_PER_SECOND,
-        ),
-      );
-      const left = Math.min(Math.floor(tokens), maxConcurrent - running.length);
-      return Math.max(0, left - reserved);
-    },
+    countLeft: (engine, nowMs) => countLeft(engine, nowMs, 0),
+    countLeftForStreams: (engine, nowMs) => countLeft(engine, nowMs, 1),
     reserve: loadMs => {
       let isPending = true;
       reserved += 1;
--- a/packages/model-orders/src/placement-controller.ts
+++ b/packages/model-orders/src/placement-controller.ts
@@ -349,6 +349,7 @@
       openPerCopy: options.openPerCopy,
       lastVersions,
       storeLoadsLeft: budget.countLeft(engine, nowMs),
+      storeLoadsLeftForStreams: budget.countLeftForStreams(engine, nowMs),
       isReleaseRunning: nowMs - joinedAtMs < RELEASE_SETTLE_MS,
     });
     unplacedModelLog.log(unplaced, nowMs);
--- a/packages/model-orders/src/plan-by-version.test.ts
+++ b/packages/model-orders/src/plan-by-version.test.ts
@@ -220,6 +220,38 @@
     expect(changes).toMatchObject([{upstream: 'b', load: 'hot'}]);
   });
 
+  // Guards against streams that wait in vain since other loads took all that the
+  // store allows.
+  it('leaves a load from the store for streams while two versions serve', () => {
+    const upstreams = [
+      makeUpstream('a', ['hot'], NEW),
+      makeUpstream('b', [], OLD),
+      makeUpstream('c', [], NEW),
+    ];
+    const listLoads = (
+      planned: readonly PlannedUpstream[],
+      storeLoadsLeftForStreams: number,
+      storeLoadMs = 1_200,
+    ): string[] => {
+      const models = makeModels({hot: BIG_MB, rare: BIG_MB});
+      return plan({
+        upstreams: planned,
+        models: new Map(
+          [...models].map(([name, model]) => [name, {...model, storeLoadMs}]),
+        ),
+        demand: [makeDemand('rare', {requestsPerSecond: 9, waitingCount: 20})],
+        storeLoadsLeft: 1,
+        storeLoadsLeftForStreams,
+      }).map(({load}) => load);
+    };
+    expect(listLoads(upstreams, 1)).toEqual([]);
+    expect(listLoads(upstreams, 2)).toEqual(['rare']);
+    // Streams wait for no load that ends after their callers have left.
+    expect(listLoads(upstreams, 1, 8_600)).toEqual(['rare']);
+    const alike = upstreams.map(upstream => ({...upstream, ...OLD}));
+    expect(listLoads(alike, 1)).toEqual(['rare']);
+  });
+
   // Guards against streams lost with a model whose load takes longer than callers wait.
   it('adds a replica in a release if the model takes long to load', () => {
     const listTargets = (storeLoadMs: number): string[] => {
--- a/packages/model-orders/src/plan-placement-changes.ts
+++ b/packages/model-orders/src/plan-placement-changes.ts
@@ -6,7 +6,11 @@
 import type {ModelSpec} from '@siskinplank/serving';
 import type {ModelDemand} from './demand-tracker';
 import {createKeptUpstreams} from './kept-upstreams';
-import {RESUME_WAIT_MS, estimateLoadMs} from './planned-upstream';
+import {
+  RESUME_WAIT_MS,
+  estimateLoadMs,
+  hasSeveralVersions,
+} from './planned-upstream';
 import type {PlannedUpstream} from './planned-upstream';
 import {createReplicaVersions} from './replica-versions';
 import {LoadRefusal} from './unplaced-models';
@@ -24,6 +28,8 @@
   lastVersions: ReadonlyMap<string, string>;
   /** Loads from the weight store that may begin now. */
   storeLoadsLeft: number;
+  /** The same for streams that can go on at one software version only. */
+  storeLoadsLeftForStreams: number;
   /** Whether upstreams may be replaced by ones of another version now. */
   isReleaseRunning: boolean;
 }
@@ -67,6 +73,11 @@
 const WAIT_COST = 1;
 /** Replicas that a model may lack at once. */
 const MAX_NEEDED_REPLICAS = 4;
+/**
+ * Loads from the weight store that are left for streams that can go on at one
+ * software version only. Other loads can wait until the store allows the next.
+ */
+const STORE_LOADS_FOR_STREAMS = 1;
 /** Time in which an upstream unloads a model without requests: 0.3 to 0.5 s. */
 const EVICTION_SECONDS = 0.45;
 
@@ -123,7 +134,15 @@
   }
   const replicaVersions = createReplicaVersions(upstreams);
   const usedUpstreams = new Set<string>();
-  let storeLoadsLeft = input.storeLoadsLeft;
+  let {storeLoadsLeft, storeLoadsLeftForStreams} = input;
+  // Streams wait for no load that ends after their callers have left.
+  const canEndInTime = [...models.values()].some(
+    ({storeLoadMs}) => storeLoadMs <= RESUME_WAIT_MS,
+  );
+  if (canEndInTime && hasSeveralVersions(upstreams)) {
+    const othersLeft = storeLoadsLeftForStreams - STORE_LOADS_FOR_STREAMS;
+    storeLoadsLeft = Math.min(storeLoadsLeft, othersLeft);
+  } else storeLoadsLeftForStreams = storeLoadsLeft;
 
   /** Time to reload a model after its only replica is lost, by model. */
   const recoverySeconds = new Map<string, number>();
@@ -300,6 +319,7 @@
     upstream: PlannedUpstream,
     model: ModelSpec,
     mayUseKept: boolean,
+    isForStreams: boolean,
   ): Candidate | LoadRefusal => {
     if (!isFree(upstream)) return LoadRefusal.OtherOrder;
     // A second replica at the version ends the risk that it is kept for.
@@ -310,7 +330,6 @@
       return LoadRefusal.KeptFree;
     const isStoreLoad =
       !upstream.inMemory.has(model.name) && !upstream.onDisk.has(model.name);
-    if (isStoreLoad && storeLoadsLeft < 1) return LoadRefusal.NoStoreLoad;
     const waiting = demandByModel.get(model.name)?.waitingCount ?? 0;
     const costPerSecond = WAIT_COST * (1 + waiting);
     const evictions = chooseEvictions(
@@ -319,6 +338,9 @@
       EVICTION_SECONDS * costPerSecond,
     );
     if (evictions === undefined) return LoadRefusal.NothingEvictable;
+    const loadsLeft =
+      isForStreams || isSecond ? storeLoadsLeftForStreams : storeLoadsLeft;
+    if (isStoreLoad && loadsLeft < 1) return LoadRefusal.NoStoreLoad;
     const waitCost = (estimateLoadMs(upstream, model) / 1_000) * costPerSecond;
     let open = 0;
     for (const count of upstream.openByModel.values()) open += count;
@@ -395,7 +417,12 @@
         )
         .filter(({models: held}) => !held.has(model.name))
         .map(upstream => {
-          const scored = scoreUpstream(upstream, model, mayUseKept);
+          const scored = scoreUpstream(
+            upstream,
+            model,
+            mayUseKept,
+            isForStreams,
+          );
           const isOrdinary = isForStreams || !mayUseKept;
           if (typeof scored !== 'string' && isWorthwhile(scored, isOrdinary))
             return scored;
@@ -420,7 +447,10 @@
       return undefined;
     }
     usedUpstreams.add(best.upstream.id);
-    if (best.isStoreLoad) storeLoadsLeft -= 1;
+    if (best.isStoreLoad) {
+      storeLoadsLeft -= 1;
+      storeLoadsLeftForStreams -= 1;
+    }
     const {softwareVersion} = best.upstream;
     for (const evicted of best.evict) {
       replicaCounts.set(evicted, (replicaCounts.get(evicted) ?? 1) - 1);
--- a/packages/model-orders/src/planned-upstream.ts
+++ b/packages/model-orders/src/planned-upstream.ts
@@ -38,6 +38,15 @@
   return model.storeLoadMs;
 }
 
+/** Whether upstreams of several software versions serve. */
+export function hasSeveralVersions(
+  upstreams: readonly PlannedUpstream[],
+): boolean {
+  return upstreams.some(
+    ({softwareVersion}) => softwareVersion !== upstreams[0].softwareVersion,
+  );
+}
+
 /**
  * Leaves out upstreams that refuse connections or are silent, so that their
  * models count as lost while two software versions serve. With one version,
@@ -47,9 +56,6 @@
   upstreams: readonly PlannedUpstream[],
   unreachableIds: ReadonlySet<string>,
 ): readonly PlannedUpstream[] {
-  const versions = new Set(
-    upstreams.map(({softwareVersion}) => softwareVersion),
-  );
-  if (versions.size < 2) return upstreams;
+  if (!hasSeveralVersions(upstreams)) return upstreams;
   return upstreams.filter(({id}) => !unreachableIds.has(id));
 }
--- a/packages/model-orders/src/testing/plan-input.ts
+++ b/packages/model-orders/src/testing/plan-input.ts
@@ -88,6 +88,7 @@
     openPerCopy: 8,
     lastVersions: new Map(),
     storeLoadsLeft: 3,
+    storeLoadsLeftForStreams: changes.storeLoadsLeft ?? 3,
     isReleaseRunning: false,
     ...changes,
   };
--- a/packages/model-orders/src/waiting-streams.ts
+++ b/packages/model-orders/src/waiting-streams.ts
@@ -1,7 +1,11 @@
 /** Streams that wait for a load of their model at one software version. */
 import type {ModelSpec} from '@siskinplank/serving';
 import type {ModelDemand} from './demand-tracker';
-import {RESUME_WAIT_MS, estimateLoadMs} from './planned-upstream';
+import {
+  RESUME_WAIT_MS,
+  estimateLoadMs,
+  hasSeveralVersions,
+} from './planned-upstream';
 import type {PlannedUpstream} from './planned-upstream';
 
 /** Streams of one model that wait for a load at one software version. */
@@ -21,10 +25,7 @@
   models: ReadonlyMap<string, ModelSpec>;
   upstreams: readonly PlannedUpstream[];
 }): WaitingStreams[] {
-  const isOneVersion = upstreams.every(
-    ({softwareVersion}) => softwareVersion === upstreams[0].softwareVersion,
-  );
-  if (isOneVersion) return [];
+  if (!hasSeveralVersions(upstreams)) return [];
   return demand
     .flatMap(({model: name, waitingByVersion}) => {
       const model = models.get(name);
